--- /dev/null
+++ b/errs/errs.go
@@ -0,0 +1,278 @@
+// Package errs is the failure vocabulary shared by all packages. Every failure is a type
+// that implements Failure; it states a stable code and whether the request it belongs to
+// ran. HTTPStatus, GRPC and FromGRPC are the only mappings to and from the wire.
+package errs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Outcome states what is known about the execution of a request that failed.
+type Outcome string
+
+// The outcomes of a request. NotRun may be claimed only when no byte of the request was
+// handed to a connection to a target, or when the target itself stated that it did not
+// start the request.
+const (
+	Ran     Outcome = "ran"
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+)
+
+// Code is the stable name of a kind of failure. It appears in answers and logs.
+type Code string
+
+// The codes used by this package. Other packages may add their own.
+const (
+	CodeInvalid         Code = "invalid"
+	CodeUnauthenticated Code = "unauthenticated"
+	CodeForbidden       Code = "forbidden"
+	CodeNotFound        Code = "not_found"
+	CodeConflict        Code = "conflict"
+	CodeTooLarge        Code = "too_large"
+	CodeOverloaded      Code = "overloaded"
+	CodeQuotaExceeded   Code = "quota_exceeded"
+	CodeUnavailable     Code = "unavailable"
+	CodeNotLeader       Code = "not_leader"
+	CodeDeadline        Code = "deadline_exceeded"
+	CodeInterrupted     Code = "interrupted"
+	CodeCorrupt         Code = "corrupt"
+	CodeInternal        Code = "internal"
+)
+
+// Failure is implemented by every error type of the project.
+type Failure interface {
+	error
+	FailureCode() Code
+	FailureOutcome() Outcome
+}
+
+// Retryable is implemented by failures that know when a new attempt makes sense.
+type Retryable interface {
+	RetryAfter() time.Duration
+}
+
+// Invalid reports input that does not satisfy its schema. Path is a JSON path such as
+// "$.pools[2].name"; Want names the accepted values.
+type Invalid struct {
+	Path string
+	Want string
+	Got  string
+}
+
+func (e *Invalid) Error() string {
+	return fmt.Sprintf("invalid value at %s: want %s, got %s", e.Path, e.Want, e.Got)
+}
+
+// FailureCode implements Failure.
+func (e *Invalid) FailureCode() Code { return CodeInvalid }
+
+// FailureOutcome implements Failure.
+func (e *Invalid) FailureOutcome() Outcome { return NotRun }
+
+// Unauthenticated reports a missing or wrong bearer token. It never carries the token.
+type Unauthenticated struct{ Realm string }
+
+func (e *Unauthenticated) Error() string {
+	return fmt.Sprintf("missing or wrong bearer token for %s", e.Realm)
+}
+
+// FailureCode implements Failure.
+func (e *Unauthenticated) FailureCode() Code { return CodeUnauthenticated }
+
+// FailureOutcome implements Failure.
+func (e *Unauthenticated) FailureOutcome() Outcome { return NotRun }
+
+// NotFound reports an object that does not exist.
+type NotFound struct{ Kind, ID string }
+
+func (e *NotFound) Error() string { return fmt.Sprintf("%s %q does not exist", e.Kind, e.ID) }
+
+// FailureCode implements Failure.
+func (e *NotFound) FailureCode() Code { return CodeNotFound }
+
+// FailureOutcome implements Failure.
+func (e *NotFound) FailureOutcome() Outcome { return NotRun }
+
+// Conflict reports a request that contradicts the stored state of an object.
+type Conflict struct{ Kind, ID, Have, Got string }
+
+func (e *Conflict) Error() string {
+	return fmt.Sprintf("%s %q conflicts: stored %s, received %s", e.Kind, e.ID, e.Have, e.Got)
+}
+
+// FailureCode implements Failure.
+func (e *Conflict) FailureCode() Code { return CodeConflict }
+
+// FailureOutcome implements Failure.
+func (e *Conflict) FailureOutcome() Outcome { return NotRun }
+
+// TooLarge reports a body or message above its limit in bytes.
+type TooLarge struct {
+	What  string
+	Limit int64
+}
+
+func (e *TooLarge) Error() string { return fmt.Sprintf("%s exceeds %d bytes", e.What, e.Limit) }
+
+// FailureCode implements Failure.
+func (e *TooLarge) FailureCode() Code { return CodeTooLarge }
+
+// FailureOutcome implements Failure.
+func (e *TooLarge) FailureOutcome() Outcome { return NotRun }
+
+// Overloaded reports a full queue. The request did not run.
+type Overloaded struct {
+	Resource string
+	After    time.Duration
+}
+
+func (e *Overloaded) Error() string {
+	return fmt.Sprintf("%s is full, retry after %s", e.Resource, e.After)
+}
+
+// FailureCode implements Failure.
+func (e *Overloaded) FailureCode() Code { return CodeOverloaded }
+
+// FailureOutcome implements Failure.
+func (e *Overloaded) FailureOutcome() Outcome { return NotRun }
+
+// RetryAfter implements Retryable.
+func (e *Overloaded) RetryAfter() time.Duration { return e.After }
+
+// Unavailable reports a part that cannot serve now. Result tells whether the request
+// may have run; the zero value means NotRun.
+type Unavailable struct {
+	Resource string
+	Reason   string
+	Result   Outcome
+}
+
+func (e *Unavailable) Error() string {
+	return fmt.Sprintf("%s is unavailable: %s", e.Resource, e.Reason)
+}
+
+// FailureCode implements Failure.
+func (e *Unavailable) FailureCode() Code { return CodeUnavailable }
+
+// FailureOutcome implements Failure.
+func (e *Unavailable) FailureOutcome() Outcome {
+	if e.Result == "" {
+		return NotRun
+	}
+	return e.Result
+}
+
+// NotLeader reports a command sent to a replica that does not lead its group. Leader is
+// empty when it is not known. The command was not proposed.
+type NotLeader struct{ Group, Leader string }
+
+func (e *NotLeader) Error() string {
+	return fmt.Sprintf("not the leader of group %q, leader is %q", e.Group, e.Leader)
+}
+
+// FailureCode implements Failure.
+func (e *NotLeader) FailureCode() Code { return CodeNotLeader }
+
+// FailureOutcome implements Failure.
+func (e *NotLeader) FailureOutcome() Outcome { return NotRun }
+
+// Deadline reports that the time allowed for an operation ran out.
+type Deadline struct {
+	Operation string
+	Result    Outcome
+}
+
+func (e *Deadline) Error() string { return fmt.Sprintf("deadline exceeded in %s", e.Operation) }
+
+// FailureCode implements Failure.
+func (e *Deadline) FailureCode() Code { return CodeDeadline }
+
+// FailureOutcome implements Failure.
+func (e *Deadline) FailureOutcome() Outcome {
+	if e.Result == "" {
+		return Unknown
+	}
+	return e.Result
+}
+
+// Interrupted reports an operation that lost its connection or its executor after it may
+// have started; its outcome is unknown.
+type Interrupted struct{ Operation, Reason string }
+
+func (e *Interrupted) Error() string {
+	return fmt.Sprintf("%s interrupted: %s", e.Operation, e.Reason)
+}
+
+// FailureCode implements Failure.
+func (e *Interrupted) FailureCode() Code { return CodeInterrupted }
+
+// FailureOutcome implements Failure.
+func (e *Interrupted) FailureOutcome() Outcome { return Unknown }
+
+// Corrupt reports stored or received data that fails its checksum or decoding.
+type Corrupt struct {
+	What   string
+	Offset int64
+	Detail string
+}
+
+func (e *Corrupt) Error() string {
+	return fmt.Sprintf("%s is corrupt at offset %d: %s", e.What, e.Offset, e.Detail)
+}
+
+// FailureCode implements Failure.
+func (e *Corrupt) FailureCode() Code { return CodeCorrupt }
+
+// FailureOutcome implements Failure.
+func (e *Corrupt) FailureOutcome() Outcome { return Unknown }
+
+// Remote is a failure received from another host or a target, rebuilt from the wire.
+type Remote struct {
+	Code    Code
+	Outcome Outcome
+	Message string
+	After   time.Duration
+	Details map[string]string
+}
+
+func (e *Remote) Error() string { return e.Message }
+
+// FailureCode implements Failure.
+func (e *Remote) FailureCode() Code { return e.Code }
+
+// FailureOutcome implements Failure.
+func (e *Remote) FailureOutcome() Outcome { return e.Outcome }
+
+// RetryAfter implements Retryable.
+func (e *Remote) RetryAfter() time.Duration { return e.After }
+
+// CodeOf returns the code of the first Failure in err's chain, or CodeInternal.
+func CodeOf(err error) Code {
+	var f Failure
+	if errors.As(err, &f) {
+		return f.FailureCode()
+	}
+	return CodeInternal
+}
+
+// OutcomeOf returns the outcome of the first Failure in err's chain, or Unknown.
+func OutcomeOf(err error) Outcome {
+	var f Failure
+	if errors.As(err, &f) {
+		return f.FailureOutcome()
+	}
+	return Unknown
+}
+
+// RetryAfterOf returns the delay that err asks for before a new attempt, or zero.
+func RetryAfterOf(err error) time.Duration {
+	var r Retryable
+	if errors.As(err, &r) {
+		return r.RetryAfter()
+	}
+	return 0
+}
