--- /dev/null
+++ b/internal/api/handlers.go
@@ -0,0 +1,285 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fuchsiaflow/errs"
+)
+
+// Limits of steps.
+const (
+	// MaxStepSamples bounds the samples of one step; the design size is 16,384.
+	MaxStepSamples = 65536
+	// MaxTokens bounds the output length that a caller may ask for.
+	MaxTokens = 1 << 20
+	// DefaultStepTimeout applies to steps that name no time-out.
+	DefaultStepTimeout = 4 * time.Minute
+	// MaxFetchWait bounds the time that a fetch waits for samples.
+	MaxFetchWait = 30 * time.Second
+	// DefaultFetchMax is the batch size of a fetch that names none.
+	DefaultFetchMax = 256
+)
+
+func (h *handler) openStep(w http.ResponseWriter, r *http.Request, id Identity) error {
+	var req OpenStepRequest
+	if err := decodeBody(w, r, MaxBodyBytes, &req); err != nil {
+		return err
+	}
+	if err := checkOpenStep(&req); err != nil {
+		return err
+	}
+	reply, err := h.Trainer.OpenStep(r.Context(), id.Tenancy, req)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func checkOpenStep(req *OpenStepRequest) error {
+	if err := checkID("$.step", req.Step); err != nil {
+		return err
+	}
+	if req.TimeoutMS == 0 {
+		req.TimeoutMS = DefaultStepTimeout.Milliseconds()
+	}
+	if req.TimeoutMS < 0 || req.TimeoutMS > MaxTimeout.Milliseconds() {
+		return &errs.Invalid{Path: "$.timeout_ms", Want: "0 to " + strconv.FormatInt(MaxTimeout.Milliseconds(), 10), Got: strconv.FormatInt(req.TimeoutMS, 10)}
+	}
+	total := 0
+	for i, g := range req.Groups {
+		path := "$.groups[" + strconv.Itoa(i) + "]"
+		if g.Samples < 1 || g.Samples > MaxStepSamples {
+			return &errs.Invalid{Path: path + ".samples", Want: "1 to " + strconv.Itoa(MaxStepSamples), Got: strconv.Itoa(g.Samples)}
+		}
+		if g.MaxTokens < 1 || g.MaxTokens > MaxTokens {
+			return &errs.Invalid{Path: path + ".max_tokens", Want: "1 to " + strconv.Itoa(MaxTokens), Got: strconv.Itoa(g.MaxTokens)}
+		}
+		total += g.Samples
+	}
+	if total < 1 || total > MaxStepSamples {
+		return &errs.Invalid{Path: "$.groups", Want: "1 to " + strconv.Itoa(MaxStepSamples) + " samples in all", Got: strconv.Itoa(total)}
+	}
+	return nil
+}
+
+func (h *handler) fetch(w http.ResponseWriter, r *http.Request, id Identity) error {
+	var req FetchRequest
+	if err := decodeBody(w, r, MaxSmallBodyBytes, &req); err != nil {
+		return err
+	}
+	if req.Max == 0 {
+		req.Max = DefaultFetchMax
+	}
+	if req.Max < 1 || req.Max > MaxStepSamples {
+		return &errs.Invalid{Path: "$.max", Want: "1 to " + strconv.Itoa(MaxStepSamples), Got: strconv.Itoa(req.Max)}
+	}
+	if req.WaitMS < 0 || req.WaitMS > MaxFetchWait.Milliseconds() {
+		return &errs.Invalid{Path: "$.wait_ms", Want: "0 to " + strconv.FormatInt(MaxFetchWait.Milliseconds(), 10), Got: strconv.FormatInt(req.WaitMS, 10)}
+	}
+	reply, err := h.Trainer.Fetch(r.Context(), id.Tenancy, r.PathValue("step"), req)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func (h *handler) step(w http.ResponseWriter, r *http.Request, id Identity) error {
+	reply, err := h.Trainer.Step(r.Context(), id.Tenancy, r.PathValue("step"))
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func (h *handler) publish(w http.ResponseWriter, r *http.Request, id Identity) error {
+	var req PublishRequest
+	if err := decodeBody(w, r, MaxSmallBodyBytes, &req); err != nil {
+		return err
+	}
+	if err := checkID("$.model", req.Model); err != nil {
+		return err
+	}
+	if req.Version == 0 {
+		return &errs.Invalid{Path: "$.version", Want: "1 or more", Got: "0"}
+	}
+	reply, err := h.Trainer.Publish(r.Context(), id.Tenancy, req)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func (h *handler) desk(w http.ResponseWriter, r *http.Request, id Identity) error {
+	req, err := decodeDesk(w, r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), req.Timeout)
+	defer cancel()
+	if r.URL.Query().Get("stream") == "1" {
+		return h.streamDesk(ctx, w, id, req)
+	}
+	reply, err := h.Desk.Do(ctx, id.Tenancy, req, nil)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func decodeDesk(w http.ResponseWriter, r *http.Request) (DeskRequest, error) {
+	var req DeskRequest
+	if err := decodeBody(w, r, MaxSmallBodyBytes, &req); err != nil {
+		return req, err
+	}
+	var err error
+	if req.Timeout, err = headerTimeout(r); err != nil {
+		return req, err
+	}
+	if req.Unsafe, err = headerBool(r, "X-Unsafe"); err != nil {
+		return req, err
+	}
+	req.Pool = r.PathValue("pool")
+	req.Key = r.Header.Get("Idempotency-Key")
+	if req.Key != "" {
+		if err := checkID("header Idempotency-Key", req.Key); err != nil {
+			return req, err
+		}
+	}
+	if req.MaxTokens < 0 || req.MaxTokens > MaxTokens {
+		return req, &errs.Invalid{Path: "$.max_tokens", Want: "0 to " + strconv.Itoa(MaxTokens), Got: strconv.Itoa(req.MaxTokens)}
+	}
+	if (len(req.Body) > 0) == (req.Prompt != "") {
+		return req, &errs.Invalid{Path: "$", Want: "either body (plain service) or prompt (engine)", Got: "both or neither"}
+	}
+	req.RequestID = uuid.NewString()
+	return req, nil
+}
+
+// streamDesk writes chunks as NDJSON. A failure after the first chunk is a last line with
+// an error object, because the status is already sent.
+func (h *handler) streamDesk(ctx context.Context, w http.ResponseWriter, id Identity, req DeskRequest) error {
+	started := false
+	enc := json.NewEncoder(w)
+	_, err := h.Desk.Do(ctx, id.Tenancy, req, func(c DeskChunk) error {
+		if !started {
+			started = true
+			w.Header().Set("Content-Type", "application/x-ndjson")
+			w.WriteHeader(http.StatusOK)
+		}
+		if err := enc.Encode(c); err != nil {
+			return &errs.Interrupted{Operation: "answer stream", Reason: err.Error()}
+		}
+		return http.NewResponseController(w).Flush()
+	})
+	if err != nil && started {
+		_ = enc.Encode(NewErrorReply(err))
+		return nil
+	}
+	return err
+}
+
+// serveTarget answers a target's call with an empty object.
+func (h *handler) serveTarget(w http.ResponseWriter, r *http.Request, body any, call func() error) {
+	if err := decodeBody(w, r, MaxSmallBodyBytes, body); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := call(); err != nil {
+		h.logFailure(r, "", err)
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
+	var a Announcement
+	h.serveTarget(w, r, &a, func() error {
+		if err := checkAnnouncement(a); err != nil {
+			return err
+		}
+		return h.Targets.Announce(r.Context(), a)
+	})
+}
+
+func checkAnnouncement(a Announcement) error {
+	fields := []struct{ path, value string }{
+		{"$.id", a.ID}, {"$.failure_domain", a.FailureDomain}, {"$.pool", a.Pool}, {"$.address", a.Address},
+	}
+	for _, f := range fields {
+		if err := checkID(f.path, f.value); err != nil {
+			return err
+		}
+	}
+	if a.Kind != "engine" && a.Kind != "service" {
+		return &errs.Invalid{Path: "$.kind", Want: `"engine" or "service"`, Got: strconv.Quote(a.Kind)}
+	}
+	if a.Slots < 1 {
+		return &errs.Invalid{Path: "$.slots", Want: "1 or more", Got: strconv.Itoa(a.Slots)}
+	}
+	return nil
+}
+
+func (h *handler) leave(w http.ResponseWriter, r *http.Request) {
+	var l LeaveRequest
+	h.serveTarget(w, r, &l, func() error {
+		return h.Targets.Leave(r.Context(), r.PathValue("id"), l)
+	})
+}
+
+func (h *handler) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	var e CacheEvents
+	h.serveTarget(w, r, &e, func() error {
+		return h.Targets.CacheEvents(r.Context(), r.PathValue("id"), e)
+	})
+}
+
+func (h *handler) apply(w http.ResponseWriter, r *http.Request) error {
+	body, err := readBody(w, r, MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	reply, err := h.Operator.Apply(r.Context(), body)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func (h *handler) config(w http.ResponseWriter, r *http.Request) error {
+	reply, err := h.Operator.Config(r.Context())
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func (h *handler) status(w http.ResponseWriter, r *http.Request) error {
+	reply, err := h.Operator.Status(r.Context())
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
+func (h *handler) drain(w http.ResponseWriter, r *http.Request) error {
+	if err := h.Operator.Drain(r.Context()); err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusAccepted, struct{}{})
+	return nil
+}
