--- /dev/null
+++ b/internal/rpc/pool_test.go
@@ -0,0 +1,345 @@
+package rpc
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/errs"
+)
+
+const token = "cluster-token"
+
+var self = Sender{Host: "e1", Incarnation: 7, ConfigVersion: 42}
+
+// peerServer fails a Propose in the way that its group names.
+type peerServer struct {
+	UnimplementedPeerServer
+	senders chan Sender
+	release chan struct{}
+}
+
+func (s *peerServer) Propose(ctx context.Context, r *ProposeRequest) (*ProposeReply, error) {
+	switch r.Group {
+	case "panic":
+		panic("boom")
+	case "follower":
+		return nil, &errs.NotLeader{Group: "control", Leader: "e2"}
+	case "slow":
+		<-s.release
+	}
+	if sender, ok := SenderFrom(ctx); ok {
+		s.senders <- sender
+	}
+	return &ProposeReply{Result: r.Command}, nil
+}
+
+func (s *peerServer) Generate(r *GenerateRequest, out grpc.ServerStreamingServer[GenerateChunk]) error {
+	if err := out.Send(&GenerateChunk{RequestId: r.RequestId}); err != nil {
+		return err
+	}
+	return &errs.Overloaded{Resource: "pool " + r.Pool, After: time.Second}
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewJSONHandler(io.Discard, nil)) }
+
+func serve(t *testing.T, o ServerOptions) (string, *peerServer) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Log = quiet()
+	if o.Token == "" {
+		o.Token = token
+	}
+	impl := &peerServer{senders: make(chan Sender, 16), release: make(chan struct{})}
+	s := NewServer(o)
+	RegisterPeerServer(s, impl)
+	var done sync.WaitGroup
+	done.Go(func() { _ = s.Serve(l) })
+	t.Cleanup(func() { close(impl.release); s.Stop(); done.Wait() })
+	return l.Addr().String(), impl
+}
+
+func pool(t *testing.T, addr string, o Options) (*Pool, PeerClient) {
+	t.Helper()
+	o.Self, o.Token, o.Log = func() Sender { return self }, token, quiet()
+	o.Address = func(string) (string, bool) { return addr, true }
+	p := NewPool(o)
+	t.Cleanup(p.Close)
+	c, err := p.Peer("e2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, c
+}
+
+func wantFailure(t *testing.T, err error, code errs.Code, outcome errs.Outcome) {
+	t.Helper()
+	if err == nil || errs.CodeOf(err) != code || errs.OutcomeOf(err) != outcome {
+		t.Errorf("err = %v (%s, %s), want %s, %s", err, errs.CodeOf(err), errs.OutcomeOf(err), code, outcome)
+	}
+}
+
+// Guards against losing the sender, the failure type, or the whole process to one call.
+func TestCalls(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("calls", func(t *testing.T) {
+		addr, impl := serve(t, ServerOptions{})
+		_, c := pool(t, addr, Options{MaxMessageBytes: 1 << 20})
+		_, err := c.Propose(t.Context(), &ProposeRequest{Group: "panic"})
+		wantFailure(t, err, errs.CodeInternal, errs.Unknown)
+		_, err = c.Propose(t.Context(), &ProposeRequest{Group: "follower"})
+		if diff := cmp.Diff(error(&errs.NotLeader{Group: "control", Leader: "e2"}), err); diff != "" {
+			t.Error(diff)
+		}
+		_, err = c.Propose(t.Context(), &ProposeRequest{Command: make([]byte, 1<<20)})
+		wantFailure(t, err, errs.CodeTooLarge, errs.NotRun)
+		if _, err = c.Propose(t.Context(), &ProposeRequest{}); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(self, <-impl.senders); diff != "" {
+			t.Error(diff)
+		}
+		stream, err := c.Generate(t.Context(), &GenerateRequest{RequestId: "r", Pool: "sorting"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m, err := stream.Recv(); err != nil || m.RequestId != "r" {
+			t.Errorf("chunk = %v, %v", m, err)
+		}
+		_, err = stream.Recv()
+		wantFailure(t, err, errs.CodeOverloaded, errs.NotRun)
+	})
+}
+
+// Guards against serving a caller without the cluster token.
+func TestWrongTokenIsRefused(t *testing.T) {
+	addr, impl := serve(t, ServerOptions{Token: "another"})
+	_, c := pool(t, addr, Options{})
+	_, err := c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnauthenticated, errs.NotRun)
+	if len(impl.senders) != 0 {
+		t.Error("the handler ran")
+	}
+	if strings.Contains(err.Error(), "another") || strings.Contains(err.Error(), token) {
+		t.Errorf("error shows a token: %v", err)
+	}
+}
+
+// Guards against running a call before the receiver has caught up with the sender.
+func TestReceiverCatchesUpFirst(t *testing.T) {
+	addr, impl := serve(t, ServerOptions{OnSender: func(_ context.Context, s Sender) error {
+		return &errs.Unavailable{Resource: "configuration", Reason: "behind"}
+	}})
+	_, c := pool(t, addr, Options{})
+	_, err := c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
+	if len(impl.senders) != 0 {
+		t.Error("the handler ran")
+	}
+}
+
+// Guards against a refused dial that counts as unknown, which would block safe retries.
+func TestRefusedDialIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	p, c := pool(t, addr, Options{})
+	_, err = c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
+	p.Close()
+	_, err = c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
+	_, err = p.Peer("e2")
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
+}
+
+// Guards against a dial that gets no answer holding a call until its deadline, and against
+// calling it unknown: the listener's kernel accepts the connection but nobody speaks.
+func TestSilentDialIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	_, c := pool(t, l.Addr().String(), Options{DialTimeout: 200 * time.Millisecond})
+	_, err = c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
+}
+
+// Guards against claiming not_run for a call that was handed over (P5).
+func TestBrokenConnectionIsUnknown(t *testing.T) {
+	addr, _ := serve(t, ServerOptions{})
+	proxy := newProxy(t, addr)
+	_, c := pool(t, proxy.addr, Options{})
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Propose(context.Background(), &ProposeRequest{Group: "slow"})
+		failed <- err
+	}()
+	proxy.waitRequest(t)
+	proxy.cut()
+	wantFailure(t, <-failed, errs.CodeInterrupted, errs.Unknown)
+}
+
+// Guards against calls that hang on a connection that something in between lost track of
+// while new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	addr, impl := serve(t, ServerOptions{})
+	proxy := newProxy(t, addr)
+	var clock atomic.Int64
+	now := func() time.Time { return time.Unix(clock.Load(), 0) }
+	p, c := pool(t, proxy.addr, Options{Now: now, SilenceBeforeProbe: time.Second, ProbeTimeout: 100 * time.Millisecond})
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Propose(context.Background(), &ProposeRequest{Group: "slow"})
+		failed <- err
+	}()
+	proxy.waitRequest(t)
+	for p.snapshot()[0].traffic.pending.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Add(5)
+	p.Check(t.Context()) // the peer answers the probe, so the slow call goes on
+	proxy.silence()
+	clock.Add(5)
+	p.Check(t.Context())
+	wantFailure(t, <-failed, errs.CodeInterrupted, errs.Unknown)
+	c, err := p.Peer("e2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Propose(t.Context(), &ProposeRequest{}); err != nil {
+		t.Errorf("the new connection fails: %v", err)
+	}
+	if got := proxy.accepted.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+	<-impl.senders
+}
+
+// Guards against a trace that breaks at the border between two hosts.
+func TestTraceCrossesHosts(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	tp := trace.NewTracerProvider(trace.WithSpanProcessor(spans))
+	addr, _ := serve(t, ServerOptions{TracerProvider: tp})
+	_, c := pool(t, addr, Options{TracerProvider: tp})
+	ctx, root := tp.Tracer("test").Start(t.Context(), "root")
+	if _, err := c.Propose(ctx, &ProposeRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	root.End()
+	for deadline := time.Now().Add(5 * time.Second); len(spans.Ended()) < 3 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if len(spans.Ended()) != 3 {
+		t.Fatalf("%d spans, want root, client and server", len(spans.Ended()))
+	}
+	for _, s := range spans.Ended() {
+		if s.SpanContext().TraceID() != root.SpanContext().TraceID() {
+			t.Errorf("span %s is of another trace", s.Name())
+		}
+	}
+}
+
+// proxy forwards bytes until it is cut or, on the connections open then, made silent.
+type proxy struct {
+	addr     string
+	accepted atomic.Int64
+	upstream atomic.Int64 // bytes from client to server
+	mu       sync.Mutex
+	conns    []net.Conn
+	silent   []*atomic.Bool
+}
+
+func newProxy(t *testing.T, to string) *proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{addr: l.Addr().String()}
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			p.accepted.Add(1)
+			silent := &atomic.Bool{}
+			p.mu.Lock()
+			p.conns, p.silent = append(p.conns, in, out), append(p.silent, silent)
+			p.mu.Unlock()
+			done.Go(func() { forward(out, in, silent, &p.upstream) })
+			done.Go(func() { forward(in, out, silent, nil) })
+		}
+	})
+	t.Cleanup(func() { l.Close(); p.cut(); done.Wait() })
+	return p
+}
+
+func forward(to, from net.Conn, silent *atomic.Bool, count *atomic.Int64) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if count != nil {
+			count.Add(int64(n))
+		}
+		if !silent.Load() {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (p *proxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
+
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.silent {
+		s.Store(true)
+	}
+}
+
+// waitRequest waits until more than the HTTP/2 preface has passed.
+func (p *proxy) waitRequest(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); p.upstream.Load() < 200; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no request reached the proxy")
+		}
+	}
+}
