routing: dispatcher, profile, prefix view and host choice

Cause: hosts need queues in front of engines, because engines admit in arrival order. Change: first working Dispatcher (bounded queue, desk first, fair queueing by tokens, adaptive windows, probes of suspended targets), Filter/Scorer/Picker profile, prefix view and PickHost, with basic tests and an example.

--- /dev/null
+++ b/routing/targets.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"maps"
+	"time"
+)
+
+// UpsertTarget adds a target or replaces what is known about it. A new incarnation has
+// an empty cache and no history; requests on the old one stay in flight until Done.
+func (d *Dispatcher) UpsertTarget(now time.Time, s EndpointState) {
+	old := d.targets[s.ID]
+	if old != nil && s.Incarnation < old.state.Incarnation {
+		return
+	}
+	s.Loaded = maps.Clone(s.Loaded)
+	if old != nil && (s.Incarnation > old.state.Incarnation || s.Pool != old.state.Pool) {
+		d.RemoveTarget(now, s.ID)
+		old = nil
+	}
+	if old == nil {
+		d.addTarget(now, s)
+		return
+	}
+	old.state = s
+	old.window = min(old.window, float64(old.maxWindow()))
+	old.report(now, s.Load)
+	old.pool.place(old)
+}
+
+func (d *Dispatcher) addTarget(now time.Time, s EndpointState) {
+	p := d.pool(s.Pool)
+	ep := &Endpoint{state: s, cfg: &d.cfg, pool: p, view: d.view, freeIndex: -1, probeDelay: d.cfg.ProbeInterval}
+	ep.window = float64(max(1, ep.maxWindow()/2))
+	ep.report(now, s.Load)
+	d.targets[s.ID] = ep
+	p.endpoints = append(p.endpoints, ep)
+	p.slots += ep.Window()
+	p.place(ep)
+}
+
+// RemoveTarget forgets a target, which receives nothing new from then on. Requests in flight
+// on it stay known until Done.
+func (d *Dispatcher) RemoveTarget(_ time.Time, id string) {
+	ep := d.targets[id]
+	if ep == nil {
+		return
+	}
+	delete(d.targets, id)
+	ep.gone = true
+	ep.pool.remove(ep)
+	d.release(ep.pool)
+}
+
+// ReportLoad records a load report of a target.
+func (d *Dispatcher) ReportLoad(now time.Time, id string, l Load) {
+	if ep := d.targets[id]; ep != nil {
+		ep.report(now, l)
+		ep.pool.place(ep)
+	}
+}
+
+// CacheEvent records a change of a target's prefix cache.
+func (d *Dispatcher) CacheEvent(now time.Time, id string, ev CacheEvent) {
+	if ep := d.targets[id]; ep != nil {
+		d.view.event(now, ep, ev)
+	}
+}
+
+// Free returns how many more samples a pool can take at once: the free windows of its
+// targets, less what is queued already.
+func (d *Dispatcher) Free(now time.Time, pool string) int {
+	p := d.pools[pool]
+	if p == nil {
+		return 0
+	}
+	free := 0
+	for _, ep := range p.free {
+		if ep.Healthy(now) {
+			free += ep.Room(Sample)
+		}
+	}
+	return max(0, free-p.queued())
+}
