--- /dev/null
+++ b/internal/domainstate/example_test.go
@@ -0,0 +1,28 @@
+package domainstate_test
+
+import (
+	"fmt"
+
+	"fuchsiaflow/internal/domainstate"
+)
+
+func Example() {
+	state, err := domainstate.New()
+	if err != nil {
+		panic(err)
+	}
+	for _, version := range []uint64{4, 3} {
+		cmd, err := domainstate.EncodeDesire(domainstate.Desire{Model: "sorter", Version: version})
+		if err != nil {
+			panic(err)
+		}
+		r, err := domainstate.DecodeDesireResult(state.Apply(1, cmd))
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(r.Version, r.Changed)
+	}
+	// Output:
+	// 4 true
+	// 4 false
+}
