--- a/internal/domainstate/domainstate.go
+++ b/internal/domainstate/domainstate.go
@@ -80,7 +80,7 @@
 	s := &State{ledger: ledger.New(), desired: map[string]uint64{}, sections: map[string]Section{}}
 	for _, sec := range sections {
 		name := sec.Name()
-		if name == "" || name == KindLedger || name == KindConfig || name == KindDesired || s.sections[name] != nil {
+		if name == "" || name == KindLedger || name == KindConfig || name == KindDesired || name == kindHeld || s.sections[name] != nil {
 			return nil, &errs.Conflict{Kind: "section", ID: name, Have: "registered", Got: "a second registration"}
 		}
 		s.sections[name] = sec
--- a/internal/domainstate/domainstate_test.go
+++ b/internal/domainstate/domainstate_test.go
@@ -50,7 +50,7 @@
 	if errs.CodeOf(err) != errs.CodeConflict {
 		t.Errorf("other digest under the same version: %v", err)
 	}
-	got := must[Config](t)(DecodeConfig(s.Query(enc(EncodeConfigQuery()))))
+	got := must[Config](t)(DecodeConfig(s.Query(enc(EncodeConfigQuery(0)))))
 	if got.Digest != "d3" || got.Index != 70 || string(got.Body) != "b" {
 		t.Errorf("configuration = %+v", got)
 	}
--- a/internal/domainstate/query.go
+++ b/internal/domainstate/query.go
@@ -12,6 +12,20 @@
 	Step    string `cbor:"2,keyasint,omitempty"`
 }
 
+// ConfigQuery asks for the newest configuration. Its body is left out when Known is at
+// least its version, so that a host that is up to date receives a few bytes only.
+type ConfigQuery struct {
+	Known uint64 `cbor:"1,keyasint"`
+}
+
+// kindHeld is the kind of HeldQuery, which has no commands.
+const kindHeld = "held"
+
+// HeldQuery asks for the payloads that a host must keep.
+type HeldQuery struct {
+	Host string `cbor:"1,keyasint"`
+}
+
 // Query answers an encoded Envelope with an encoded Reply. It changes nothing.
 func (s *State) Query(q []byte) []byte {
 	var e Envelope
@@ -26,12 +40,11 @@
 	case KindLedger:
 		return s.queryLedger(e.Body)
 	case KindConfig:
-		if s.config.Version == 0 {
-			return nil, &errs.NotFound{Kind: "configuration", ID: "current"}
-		}
-		return marshal("configuration", s.config)
+		return s.queryConfig(e.Body)
 	case KindDesired:
 		return marshal("desired versions", s.desired)
+	case kindHeld:
+		return s.queryHeld(e.Body)
 	}
 	if q, ok := s.sections[e.Kind].(Querier); ok {
 		return q.Query(e.Body)
@@ -39,6 +52,34 @@
 	return nil, &errs.NotFound{Kind: "section with queries", ID: e.Kind}
 }
 
+func (s *State) queryConfig(body []byte) ([]byte, error) {
+	if s.config.Version == 0 {
+		return nil, &errs.NotFound{Kind: "configuration", ID: "current"}
+	}
+	var q ConfigQuery
+	if err := decMode.Unmarshal(body, &q); err != nil {
+		return nil, corrupt("configuration query", err)
+	}
+	c := s.config
+	if q.Known >= c.Version {
+		c.Body = nil
+	}
+	return marshal("configuration", c)
+}
+
+// queryHeld lists the digests of the samples that a host holds and that are still needed.
+func (s *State) queryHeld(body []byte) ([]byte, error) {
+	var q HeldQuery
+	if err := decMode.Unmarshal(body, &q); err != nil {
+		return nil, corrupt("held query", err)
+	}
+	digests := []ledger.Digest{}
+	for _, held := range s.ledger.HeldBy(q.Host) {
+		digests = append(digests, held.Digest)
+	}
+	return marshal("held digests", digests)
+}
+
 func (s *State) queryLedger(body []byte) ([]byte, error) {
 	var q LedgerQuery
 	if err := decMode.Unmarshal(body, &q); err != nil {
@@ -64,7 +105,19 @@
 func EncodeLedgerQuery(q LedgerQuery) ([]byte, error) { return encodeBody(KindLedger, q) }
 
 // EncodeConfigQuery returns the query for the newest configuration.
-func EncodeConfigQuery() ([]byte, error) { return Encode(KindConfig, nil) }
+func EncodeConfigQuery(known uint64) ([]byte, error) {
+	return encodeBody(KindConfig, ConfigQuery{Known: known})
+}
+
+// EncodeHeldQuery returns the query for the payloads that a host must keep.
+func EncodeHeldQuery(host string) ([]byte, error) { return encodeBody(kindHeld, HeldQuery{Host: host}) }
+
+// DecodeHeld reads the answer to a held query.
+func DecodeHeld(b []byte) ([]ledger.Digest, error) {
+	var list []ledger.Digest
+	err := decode(b, &list)
+	return list, err
+}
 
 // EncodeDesiredQuery returns the query for the desired versions.
 func EncodeDesiredQuery() ([]byte, error) { return Encode(KindDesired, nil) }
--- a/internal/host/groups.go
+++ b/internal/host/groups.go
@@ -34,14 +34,11 @@
 	Leader() (id string, term uint64, known bool)
 }
 
-// querier answers queries on the state of a local replica.
-type querier interface {
-	Query(query []byte) ([]byte, error)
-}
-
+// replica is this host's copy of a group. Query is serialized with the application of
+// commands.
 type replica struct {
 	group localGroup
-	state querier
+	query func(query []byte) []byte
 }
 
 // groups sends commands and queries to the leaders of groups, wherever they are.
@@ -147,7 +144,7 @@
 	if err := r.group.Barrier(ctx); err != nil {
 		return nil, err
 	}
-	return r.state.Query(query)
+	return r.query(query), nil
 }
 
 // LeaderOf returns the host that last answered as the group's leader.
