--- /dev/null
+++ b/membership/sim_test.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const simStep = 50 * time.Millisecond
+
+// network delivers encoded packets between in-memory nodes in simulated time. It can lose,
+// delay, duplicate and thereby reorder packets, and cut hosts off from each other.
+type network struct {
+	t     testing.TB
+	now   time.Time
+	start time.Time
+	rng   *rand.Rand
+	hosts []*simHost
+	// inFlight holds packets by the step at which they arrive.
+	inFlight map[int64][]simPacket
+	loss     float64
+	dup      float64
+	maxDelay time.Duration
+	bytes    int
+	sent     int
+}
+
+type simHost struct {
+	node *Node
+	id   string
+	inc  uint64
+	up   bool
+	side int
+}
+
+type simPacket struct {
+	from, to *simHost
+	data     []byte
+}
+
+func newNetwork(t testing.TB, hosts int, seed uint64) *network {
+	w := &network{
+		t: t, now: time.Unix(1e9, 0), start: time.Unix(1e9, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		inFlight: map[int64][]simPacket{}, maxDelay: simStep,
+	}
+	for i := range hosts {
+		w.hosts = append(w.hosts, &simHost{id: fmt.Sprintf("host-%03d", i), inc: 1})
+		w.boot(i)
+	}
+	return w
+}
+
+// boot starts a process for host i. Its incarnation is not raised here, so that the tests
+// cover a host whose clock is of no use.
+func (w *network) boot(i int) {
+	h := w.hosts[i]
+	h.up = true
+	seeds := []string{w.hosts[0].id + ":1", fmt.Sprintf("host-%03d:1", 1)}
+	h.node = New(Config{
+		Self:  Host{ID: h.id, Domain: fmt.Sprintf("domain-%d", i%3), Addr: h.id + ":1", Incarnation: h.inc},
+		Seeds: seeds, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), uint64(i))),
+	}, w.now)
+}
+
+func (w *network) step() int64 { return int64(w.now.Sub(w.start) / simStep) }
+
+func (w *network) send(from *simHost, out []Outgoing) {
+	for _, o := range out {
+		data, err := cbor.Marshal(o.Packet)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.bytes += len(data)
+		w.sent++
+		var i int
+		if _, err := fmt.Sscanf(o.Addr, "host-%d:1", &i); err != nil || i >= len(w.hosts) {
+			continue
+		}
+		copies := 1
+		if w.rng.Float64() < w.dup {
+			copies = 2
+		}
+		for range copies {
+			if w.rng.Float64() < w.loss {
+				continue
+			}
+			delay := 1 + w.rng.Int64N(int64(w.maxDelay/simStep))
+			w.inFlight[w.step()+delay] = append(w.inFlight[w.step()+delay], simPacket{from, w.hosts[i], data})
+		}
+	}
+}
+
+func (w *network) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(simStep)
+		for _, p := range w.inFlight[w.step()] {
+			if !p.to.up || p.from.side != p.to.side {
+				continue
+			}
+			var pkt Packet
+			if err := cbor.Unmarshal(p.data, &pkt); err != nil {
+				w.t.Fatal(err)
+			}
+			w.send(p.to, p.to.node.Receive(w.now, p.from.id, pkt))
+		}
+		delete(w.inFlight, w.step())
+		for _, h := range w.hosts {
+			if h.up {
+				w.send(h, h.node.Tick(w.now))
+			}
+		}
+	}
+}
+
+// disagreement returns a description of a wrong view, or "". Every running host must see
+// exactly the running hosts as live, with their own incarnation.
+func (w *network) disagreement() string {
+	for _, h := range w.hosts {
+		if !h.up || h.node.leaving {
+			continue
+		}
+		for _, o := range w.hosts {
+			m, known := h.node.Member(o.id)
+			up := o.up && !o.node.leaving
+			if live := known && m.State.Live(); live != up {
+				return fmt.Sprintf("%s sees %s as %v (known %v), want live %v", h.id, o.id, m.State, known, up)
+			}
+			if up && m.Host != o.node.Self() {
+				return fmt.Sprintf("%s sees %+v, want %+v", h.id, m.Host, o.node.Self())
+			}
+		}
+	}
+	return ""
+}
+
+// converge runs until all views are right and returns the simulated time that it took.
+func (w *network) converge(limit time.Duration) (time.Duration, string) {
+	began := w.now
+	bad := w.disagreement()
+	for bad != "" && w.now.Sub(began) < limit {
+		w.run(simStep)
+		bad = w.disagreement()
+	}
+	return w.now.Sub(began), bad
+}
+
+func (w *network) mustConverge(limit time.Duration, event string) time.Duration {
+	w.t.Helper()
+	took, bad := w.converge(limit)
+	if bad != "" {
+		w.t.Fatalf("not converged %s after %s: %s", limit, event, bad)
+	}
+	return took
+}
