--- /dev/null
+++ b/internal/group/replica.go
@@ -0,0 +1,449 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fuchsiaflow/consensus"
+	"fuchsiaflow/errs"
+	"fuchsiaflow/storage"
+)
+
+// replica is the state that only Run touches.
+type replica struct {
+	node *consensus.Node
+	log  *storage.Log
+	id   string            // node identity of the data folder
+	peer map[string]string // known node identities of peers
+
+	applied      uint64
+	nextSnapshot uint64
+
+	proposals map[uint64]*request // by log index
+	barriers  []*request          // taken in this turn, not asked yet
+	reads     map[uint64][]*request
+	ready     []readyRead
+	readID    uint64
+	transfers []*request
+
+	refused error // the message or disk that makes the replica stop
+	stalled bool  // the disk refuses writes
+}
+
+// readyRead is a set of barriers that wait for an index to be applied.
+type readyRead struct {
+	index    uint64
+	requests []*request
+}
+
+// IdentityRefused reports that a peer knows this replica under another node identity: its
+// disk was lost or exchanged, and it must not vote.
+type IdentityRefused struct{ Group, ID, Peer, Have, Known string }
+
+func (e *IdentityRefused) Error() string {
+	return fmt.Sprintf("replica %q of group %q has node identity %s, but peer %q knows it as %s: "+
+		"its disk was lost, start it under a new name as a learner", e.ID, e.Group, e.Have, e.Peer, e.Known)
+}
+
+// FailureCode implements errs.Failure.
+func (e *IdentityRefused) FailureCode() errs.Code { return errs.CodeConflict }
+
+// FailureOutcome implements errs.Failure.
+func (e *IdentityRefused) FailureOutcome() errs.Outcome { return errs.NotRun }
+
+func (g *Group) open() error {
+	o := g.opt
+	var first storage.Batch
+	if o.Start == storage.Bootstrap {
+		first = encodeBatch(consensus.Bootstrap(o.Voters))
+	}
+	log, rec, err := storage.Open(o.FS, o.Dir, storage.Options{Group: o.Group, Voter: o.ID, Start: o.Start,
+		First: first, SegmentBytes: o.SegmentBytes, NewNodeID: o.NewNodeID})
+	if err != nil {
+		return err
+	}
+	if rec.Torn != nil {
+		o.Logger.Warn("incomplete last write cut off", "file", rec.Torn.File, "offset", rec.Torn.Offset, "bytes", rec.Torn.Bytes)
+	}
+	in, err := decodeRecovered(rec)
+	if err == nil && in.Snapshot.Index > 0 {
+		err = o.StateMachine.Restore(in.Snapshot.Data)
+	}
+	if err == nil {
+		in.Applied = in.Snapshot.Index
+		g.node, err = consensus.New(consensus.Config{ID: o.ID, Group: o.Group, ElectionTimeout: o.ElectionTimeout,
+			HeartbeatInterval: o.HeartbeatInterval, MaxClockDrift: o.MaxClockDrift, Rand: o.Rand}, in, o.Clock.Now())
+	}
+	if err != nil {
+		_ = log.Close()
+		return errors.WithMessage(err, "open group "+o.Group)
+	}
+	g.log, g.id, g.peer = log, rec.Node, rec.Peers
+	g.applied, g.nextSnapshot = in.Applied, in.Applied+o.SnapshotEvery
+	g.proposals, g.reads = make(map[uint64]*request), make(map[uint64][]*request)
+	return nil
+}
+
+// turn takes all waiting input, up to one batch, and does the resulting work.
+func (g *Group) turn() error {
+	g.drain()
+	if g.refused != nil {
+		return g.refused
+	}
+	if !g.stalled {
+		g.node.Tick(g.opt.Clock.Now())
+		g.askBarriers()
+	}
+	for g.node.HasReady() {
+		if err := g.handleReady(); err != nil {
+			var full *storage.Refused
+			if !errors.As(err, &full) {
+				return err
+			}
+			g.stall(err)
+			break
+		}
+		g.resume()
+	}
+	g.settle()
+	g.publish()
+	return nil
+}
+
+func (g *Group) drain() {
+	for range g.opt.MessageRing {
+		select {
+		case m := <-g.inbox.C():
+			g.receive(m)
+			continue
+		default:
+		}
+		break
+	}
+	for range g.opt.MaxBatch {
+		select {
+		case r := <-g.requests.C():
+			g.take(r)
+			continue
+		default:
+		}
+		break
+	}
+}
+
+// receive checks the node identities of a message and steps it.
+func (g *Group) receive(m consensus.Message) {
+	if g.stalled || g.refused != nil {
+		return
+	}
+	if m.ToNode != "" && m.ToNode != g.id {
+		g.refused = &IdentityRefused{Group: g.opt.Group, ID: g.opt.ID, Peer: m.From, Have: g.id, Known: m.ToNode}
+		return
+	}
+	if m.Node != "" && g.peer[m.From] != m.Node && !g.meet(m) {
+		return
+	}
+	if err := g.node.Step(g.opt.Clock.Now(), m); err != nil {
+		g.opt.Logger.Warn("message refused", "from", m.From, "error", err)
+	}
+}
+
+// meet stores the identity of a peer. It returns false for a peer known under another one:
+// that peer lost its disk, so what it votes and acknowledges does not count. The answer
+// lets it notice.
+func (g *Group) meet(m consensus.Message) bool {
+	err := g.log.RememberPeer(m.From, m.Node)
+	if err == nil {
+		g.peer[m.From] = m.Node
+		return true
+	}
+	if errs.CodeOf(err) == errs.CodeConflict {
+		if g.rejected.Add(1) == 1 {
+			g.opt.Logger.Error("peer lost its disk; its messages are ignored", "peer", m.From, "error", err)
+		}
+		g.opt.Transport.Send(g.opt.Group, []consensus.Message{{Type: consensus.MsgHeartbeatResp, From: g.opt.ID,
+			To: m.From, Node: g.id, ToNode: g.peer[m.From]}})
+		return false
+	}
+	var full *storage.Refused
+	if !errors.As(err, &full) {
+		g.refused = err
+	}
+	return false
+}
+
+// take starts a request.
+func (g *Group) take(r *request) {
+	if r.claimed.Swap(true) {
+		return // the caller gave up
+	}
+	if g.stalled {
+		r.finish(nil, &errs.Overloaded{Resource: "disk of group " + g.opt.Group, After: g.opt.ElectionTimeout})
+		return
+	}
+	now := g.opt.Clock.Now()
+	var err error
+	switch r.kind {
+	case requestPropose:
+		var index uint64
+		if index, r.term, err = g.node.Propose(now, r.cmd); err == nil {
+			g.proposals[index] = r
+		}
+	case requestChange:
+		if err = g.node.ProposeConfChange(now, r.change); err == nil {
+			s := g.node.Status()
+			r.term = s.Term
+			g.proposals[s.Last] = r
+		}
+	case requestBarrier:
+		g.barriers = append(g.barriers, r)
+	case requestTransfer:
+		err = g.startTransfer(now, r)
+	}
+	if err != nil {
+		r.finish(nil, err)
+	}
+}
+
+func (g *Group) startTransfer(now time.Time, r *request) error {
+	s := g.node.Status()
+	if s.Role != consensus.Leader {
+		return &errs.NotLeader{Group: g.opt.Group, Leader: s.Leader}
+	}
+	best := ""
+	for _, id := range s.Voters {
+		if id != g.opt.ID && (best == "" || s.Match[id] > s.Match[best]) {
+			best = id
+		}
+	}
+	if best == "" {
+		return &errs.Unavailable{Resource: "group " + g.opt.Group, Reason: "there is no other voter"}
+	}
+	if err := g.node.TransferLeadership(now, best); err != nil {
+		return err
+	}
+	r.deadline = now.Add(g.opt.ElectionTimeout)
+	g.transfers = append(g.transfers, r)
+	return nil
+}
+
+// askBarriers asks for one read point for all barriers of the turn.
+func (g *Group) askBarriers() {
+	if len(g.barriers) == 0 {
+		return
+	}
+	g.readID++
+	if err := g.node.ReadIndex(g.opt.Clock.Now(), g.readID); err != nil {
+		finishAll(g.barriers, err)
+	} else {
+		g.reads[g.readID] = g.barriers
+	}
+	g.barriers = nil
+}
+
+func finishAll(rs []*request, err error) {
+	for _, r := range rs {
+		r.finish(nil, err)
+	}
+}
+
+// handleReady persists, sends and applies what the node asks for, in this order.
+func (g *Group) handleReady() error {
+	rd := g.node.Ready()
+	if err := g.persist(rd); err != nil {
+		return err
+	}
+	if len(rd.Messages) > 0 {
+		for i := range rd.Messages {
+			m := &rd.Messages[i]
+			m.Node, m.ToNode = g.id, g.peer[m.To]
+		}
+		g.opt.Transport.Send(g.opt.Group, rd.Messages)
+	}
+	if err := g.applyAll(rd); err != nil {
+		return err
+	}
+	for _, read := range rd.Reads {
+		requests := g.reads[read.ID]
+		delete(g.reads, read.ID)
+		if read.Aborted {
+			finishAll(requests, &errs.NotLeader{Group: g.opt.Group, Leader: g.node.Status().Leader})
+		} else {
+			g.ready = append(g.ready, readyRead{read.Index, requests})
+		}
+	}
+	g.node.Advance(rd)
+	return g.maybeSnapshot()
+}
+
+func (g *Group) persist(rd consensus.Ready) error {
+	if rd.Snapshot == nil {
+		return g.log.Append(encodeBatch(consensus.Initial{Entries: rd.Entries, HardState: hardState(rd)}))
+	}
+	if err := g.log.Append(encodeBatch(consensus.Initial{HardState: hardState(rd)})); err != nil {
+		return err
+	}
+	if g.log.SnapshotIndex() < rd.Snapshot.Index { // else stored before a refused append
+		if err := g.log.Snapshot(encodeSnapshot(*rd.Snapshot), rd.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	return g.log.Append(encodeBatch(consensus.Initial{Entries: rd.Entries}))
+}
+
+func hardState(rd consensus.Ready) consensus.HardState {
+	if rd.HardState == nil {
+		return consensus.HardState{}
+	}
+	return *rd.HardState
+}
+
+func (g *Group) applyAll(rd consensus.Ready) error {
+	if rd.Snapshot == nil && len(rd.Committed) == 0 {
+		return nil
+	}
+	g.apply.Lock()
+	defer g.apply.Unlock()
+	if s := rd.Snapshot; s != nil {
+		if err := g.opt.StateMachine.Restore(s.Data); err != nil {
+			return errors.WithMessage(err, "restore snapshot of group "+g.opt.Group)
+		}
+		g.applied, g.nextSnapshot = s.Index, s.Index+g.opt.SnapshotEvery
+	}
+	for _, e := range rd.Committed {
+		if e.Index != g.applied+1 {
+			return &errs.Corrupt{What: "committed log", Offset: int64(e.Index),
+				Detail: fmt.Sprintf("entry %d follows applied entry %d", e.Index, g.applied)}
+		}
+		var result []byte
+		if e.Type == consensus.EntryCommand {
+			result = g.opt.StateMachine.Apply(e.Index, e.Data)
+		}
+		g.applied = e.Index
+		g.answer(e, result)
+	}
+	return nil
+}
+
+func (g *Group) answer(e consensus.Entry, result []byte) {
+	r, ok := g.proposals[e.Index]
+	if !ok {
+		return
+	}
+	delete(g.proposals, e.Index)
+	if r.term == e.Term {
+		r.finish(result, nil)
+		return
+	}
+	r.finish(nil, &errs.Unavailable{Resource: "group " + g.opt.Group, Reason: "another leader's entry took the place of the command"})
+}
+
+// maybeSnapshot stores a snapshot every SnapshotEvery applied entries. A disk that refuses
+// it is tried again later; the log only stays longer meanwhile.
+func (g *Group) maybeSnapshot() error {
+	if g.applied < g.nextSnapshot {
+		return nil
+	}
+	g.nextSnapshot = g.applied + g.opt.SnapshotEvery
+	s, ok := g.node.SnapshotAt(g.applied)
+	if !ok {
+		return nil
+	}
+	g.apply.Lock()
+	data, err := g.opt.StateMachine.Snapshot()
+	g.apply.Unlock()
+	if err != nil {
+		return errors.WithMessage(err, "snapshot of group "+g.opt.Group)
+	}
+	s.Data = data
+	if err := g.log.Snapshot(encodeSnapshot(s), data); err != nil {
+		var full *storage.Refused
+		if errors.As(err, &full) {
+			g.opt.Logger.Warn("snapshot refused by the disk", "error", err)
+			return nil
+		}
+		return err
+	}
+	g.node.Compact(s)
+	return nil
+}
+
+// settle answers the requests that wait for progress of the replica.
+func (g *Group) settle() {
+	now, s := g.opt.Clock.Now(), g.node.Status()
+	kept := g.ready[:0]
+	for _, rr := range g.ready {
+		if rr.index <= g.applied {
+			finishAll(rr.requests, nil)
+		} else {
+			kept = append(kept, rr)
+		}
+	}
+	g.ready = kept
+	if s.Role != consensus.Leader {
+		g.abandon("the replica lost its leadership")
+		finishAll(g.transfers, nil)
+		g.transfers = nil
+	}
+	waiting := g.transfers[:0]
+	for _, r := range g.transfers {
+		if now.Before(r.deadline) {
+			waiting = append(waiting, r)
+		} else {
+			r.finish(nil, &errs.Deadline{Operation: "leadership transfer", Result: errs.Unknown})
+		}
+	}
+	g.transfers = waiting
+}
+
+// abandon ends proposals that may or may not commit.
+func (g *Group) abandon(reason string) {
+	for index, r := range g.proposals {
+		delete(g.proposals, index)
+		r.finish(nil, &errs.Interrupted{Operation: r.kind.String(), Reason: reason})
+	}
+}
+
+func (g *Group) stall(err error) {
+	if !g.stalled {
+		g.opt.Logger.Error("the disk refuses writes; the replica pauses", "error", err)
+		g.abandon("the disk refuses writes")
+	}
+	g.stalled = true
+}
+
+func (g *Group) resume() {
+	if g.stalled {
+		g.opt.Logger.Info("the disk takes writes again")
+	}
+	g.stalled = false
+}
+
+func (g *Group) publish() {
+	p := &published{status: g.node.Status(), stalled: g.stalled}
+	p.leaseUntil, p.leaseOK = g.node.Lease(g.opt.Clock.Now())
+	g.published.Store(p)
+}
+
+// close ends all waiting requests and closes the log.
+func (g *Group) close() {
+	close(g.stopped)
+	g.abandon("the replica stopped")
+	gone := g.stoppedError()
+	finishAll(g.barriers, gone)
+	for _, rs := range g.reads {
+		finishAll(rs, gone)
+	}
+	for _, rr := range g.ready {
+		finishAll(rr.requests, gone)
+	}
+	finishAll(g.transfers, gone)
+	p := *g.published.Load()
+	p.leaseOK, p.status.Role, p.status.Leader = false, consensus.Follower, ""
+	g.published.Store(&p)
+	if err := g.log.Close(); err != nil {
+		g.opt.Logger.Warn("log not closed cleanly", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/group/request.go
@@ -0,0 +1,86 @@
+package group
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"fuchsiaflow/consensus"
+	"fuchsiaflow/errs"
+)
+
+type requestKind uint8
+
+const (
+	requestPropose requestKind = iota
+	requestBarrier
+	requestChange
+	requestTransfer
+)
+
+func (k requestKind) String() string {
+	return [...]string{"propose", "barrier", "membership change", "leadership transfer"}[k]
+}
+
+// request is a call that waits for Run.
+type request struct {
+	kind   requestKind
+	cmd    []byte
+	change consensus.ConfChange
+
+	// claimed is set once, by Run when it takes the request or by the caller when it gives
+	// up before that. The caller then knows that the request did not run.
+	claimed atomic.Bool
+	done    chan reply // capacity one
+
+	term     uint64    // of the appended entry
+	deadline time.Time // of a transfer
+}
+
+type reply struct {
+	result []byte
+	err    error
+}
+
+func (r *request) finish(result []byte, err error) { r.done <- reply{result, err} }
+
+// submit queues a request and waits for its reply.
+func (g *Group) submit(ctx context.Context, r *request) ([]byte, error) {
+	select {
+	case <-g.stopped:
+		return nil, g.stoppedError()
+	default:
+	}
+	r.done = make(chan reply, 1)
+	if err := g.requests.Push(ctx, r); err != nil {
+		return nil, err
+	}
+	select {
+	case rep := <-r.done:
+		return rep.result, rep.err
+	case <-ctx.Done():
+		if !r.claimed.Swap(true) {
+			return nil, &errs.Deadline{Operation: r.kind.String(), Result: errs.NotRun}
+		}
+		return r.last(&errs.Deadline{Operation: r.kind.String(), Result: errs.Unknown})
+	case <-g.stopped:
+		if !r.claimed.Swap(true) {
+			return nil, g.stoppedError()
+		}
+		return r.last(&errs.Interrupted{Operation: r.kind.String(), Reason: "the replica stopped"})
+	}
+}
+
+// last returns the reply if there is one by now, and err otherwise.
+func (r *request) last(err error) ([]byte, error) {
+	select {
+	case rep := <-r.done:
+		return rep.result, rep.err
+	default:
+		return nil, err
+	}
+}
+
+func (g *Group) stoppedError() error {
+	return &errs.Unavailable{Resource: "group " + g.opt.Group, Reason: "the replica has stopped"}
+}
--- /dev/null
+++ b/storage/files.go
@@ -0,0 +1,159 @@
+package storage
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	identityName   = "identity"
+	peersName      = "peers"
+	segmentPrefix  = "wal-"
+	snapshotPrefix = "snap-"
+	tempSuffix     = ".tmp"
+)
+
+type identity struct {
+	Group  string `cbor:"1,keyasint"`
+	Voter  string `cbor:"2,keyasint"`
+	Node   string `cbor:"3,keyasint"`
+	Formed bool   `cbor:"4,keyasint"`
+}
+
+func segmentName(seq uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, seq) }
+
+func snapshotName(index, term uint64) string {
+	return fmt.Sprintf("%s%016x-%016x", snapshotPrefix, index, term)
+}
+
+func segmentSeq(name string) (seq uint64, ok bool) {
+	n, err := fmt.Sscanf(name, segmentPrefix+"%016x", &seq)
+	return seq, err == nil && n == 1 && name == segmentName(seq)
+}
+
+func snapshotID(name string) (index, term uint64, ok bool) {
+	n, err := fmt.Sscanf(name, snapshotPrefix+"%016x-%016x", &index, &term)
+	return index, term, err == nil && n == 2 && name == snapshotName(index, term)
+}
+
+// folder is a data folder.
+type folder struct {
+	fs  FS
+	dir string
+}
+
+func (d folder) path(name string) string { return d.dir + "/" + name }
+
+// replace writes a file so that after a crash either the old or the new content is found.
+// The file has one frame per part.
+func (d folder) replace(name string, parts ...[]byte) error {
+	temp := d.path(name + tempSuffix)
+	f, err := d.fs.Create(temp)
+	if err != nil {
+		return &Refused{Operation: "create " + name, Cause: err.Error()}
+	}
+	offset := uint64(0)
+	for _, part := range parts {
+		buf := append(make([]byte, headerBytes, headerBytes+len(part)), part...)
+		sealFrame(buf, 0, offset)
+		offset += uint64(len(buf))
+		if _, err := f.Write(buf); err != nil {
+			_ = f.Close()
+			_ = d.fs.Remove(temp)
+			return &Refused{Operation: "write " + name, Cause: err.Error()}
+		}
+	}
+	err = f.Sync()
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return &Unusable{Operation: "sync " + name, Cause: err.Error(), First: true}
+	}
+	if err := d.fs.Rename(temp, d.path(name)); err != nil {
+		return &Unusable{Operation: "rename " + name, Cause: err.Error(), First: true}
+	}
+	return d.sync()
+}
+
+func (d folder) sync() error {
+	if err := d.fs.SyncDir(d.dir); err != nil {
+		return &Unusable{Operation: "sync folder " + d.dir, Cause: err.Error(), First: true}
+	}
+	return nil
+}
+
+// read returns the parts of a file written by replace.
+func (d folder) read(name string, count int) ([][]byte, error) {
+	b, err := d.fs.ReadFile(d.path(name))
+	if err != nil {
+		return nil, ioError("read", name, err)
+	}
+	var parts [][]byte
+	offset := 0
+	for range count {
+		payload, size, state := readFrame(b[offset:], 0, uint64(offset))
+		if state != frameGood {
+			return nil, corrupt(name, int64(offset), "frame fails its checksum or is cut short")
+		}
+		parts = append(parts, payload)
+		offset += size
+	}
+	if offset != len(b) {
+		return nil, corrupt(name, int64(offset), "unexpected data after the last frame")
+	}
+	return parts, nil
+}
+
+func (d folder) replaceCBOR(name string, v any) error {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return ioError("encode", name, err)
+	}
+	return d.replace(name, b)
+}
+
+func (d folder) readCBOR(name string, v any) error {
+	parts, err := d.read(name, 1)
+	if err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(parts[0], v); err != nil {
+		return corrupt(name, headerBytes, err.Error())
+	}
+	return nil
+}
+
+// listing is the content of a data folder, by kind.
+type listing struct {
+	identity, peers bool
+	segments        []uint64 // ascending
+	snapshots       []string // ascending by index
+}
+
+// list reads the folder and removes temporary files of interrupted writes.
+func (d folder) list() (listing, error) {
+	var l listing
+	names, err := d.fs.ReadDir(d.dir)
+	if err != nil {
+		return l, ioError("list", d.dir, err)
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, tempSuffix) {
+			if err := d.fs.Remove(d.path(name)); err != nil {
+				return l, ioError("remove", name, err)
+			}
+			continue
+		}
+		if seq, ok := segmentSeq(name); ok {
+			l.segments = append(l.segments, seq)
+		} else if _, _, ok := snapshotID(name); ok {
+			l.snapshots = append(l.snapshots, name)
+		}
+		l.identity = l.identity || name == identityName
+		l.peers = l.peers || name == peersName
+	}
+	return l, nil
+}
--- /dev/null
+++ b/storage/fs.go
@@ -0,0 +1,93 @@
+package storage
+
+import (
+	"io"
+	"os"
+	"slices"
+)
+
+// FS is the part of a file system that the log needs. Names are joined with "/".
+type FS interface {
+	MkdirAll(dir string) error
+	// ReadDir returns the names of the files in dir, sorted.
+	ReadDir(dir string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create makes or empties a file for appending.
+	Create(name string) (File, error)
+	// Append opens an existing file for appending.
+	Append(name string) (File, error)
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes creations, renames and removals in dir durable.
+	SyncDir(dir string) error
+}
+
+// File is an open file. Writes append and are durable after Sync.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+const (
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+
+// ReadDir implements FS.
+func (OS) ReadDir(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Append implements FS.
+func (OS) Append(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Truncate implements FS.
+func (OS) Truncate(name string, size int64) error { return os.Truncate(name, size) }
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	err = d.Sync()
+	if cerr := d.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
