Desk, trainer, claim, quota and payload services of a host

Cause: requests need their path from the HTTP interface to the decisions. A resent OpenStep with a later deadline was a conflict and is now a repetition. Measured: go test ./ledger fails before the change of the digest with the new test (conflict) and passes after it.

--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -53,6 +53,9 @@
 	Max     int    `json:"max"`
 	Version uint64 `json:"version"`
 	WaitMS  int64  `json:"wait_ms"`
+	// AckRevision is the revision of the acknowledged batch. It refuses the acknowledgement
+	// of an answer from which samples were withdrawn after it was sent; 0 skips the check.
+	AckRevision uint64 `json:"ack_revision,omitempty"`
 }
 
 // Sample is one delivered sample.
@@ -67,6 +70,7 @@
 // FetchReply carries one batch. Batch is 0 when no sample became ready in time.
 type FetchReply struct {
 	Batch     uint64   `json:"batch"`
+	Revision  uint64   `json:"revision,omitempty"`
 	Samples   []Sample `json:"samples"`
 	Withdrawn []int    `json:"withdrawn,omitempty"`
 	Remaining int      `json:"remaining"`
--- /dev/null
+++ b/internal/domainstate/claims.go
@@ -0,0 +1,51 @@
+package domainstate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/retry"
+)
+
+// KindClaims is the kind of the claims section.
+const KindClaims = "claims"
+
+// Claims is the section of the claims of unsafe requests.
+type Claims struct{ table *retry.Claims }
+
+// NewClaims returns an empty section.
+func NewClaims() *Claims { return &Claims{table: retry.NewClaims()} }
+
+// Name implements Section.
+func (c *Claims) Name() string { return KindClaims }
+
+// Apply implements Section.
+func (c *Claims) Apply(_ uint64, cmd []byte) ([]byte, error) {
+	var command retry.ClaimCommand
+	if err := cbor.Unmarshal(cmd, &command); err != nil {
+		return nil, &errs.Corrupt{What: "claim command", Detail: err.Error()}
+	}
+	return marshal("claim result", c.table.Apply(command))
+}
+
+// Snapshot implements Section.
+func (c *Claims) Snapshot() ([]byte, error) { return c.table.Snapshot() }
+
+// Restore implements Section.
+func (c *Claims) Restore(snapshot []byte) error {
+	if len(snapshot) == 0 {
+		c.table = retry.NewClaims()
+		return nil
+	}
+	return c.table.Restore(snapshot)
+}
+
+// EncodeClaim returns the log form of a claim command.
+func EncodeClaim(c retry.ClaimCommand) ([]byte, error) { return encodeBody(KindClaims, c) }
+
+// DecodeClaim reads the reply to a claim command.
+func DecodeClaim(b []byte) (retry.ClaimResult, error) {
+	var r retry.ClaimResult
+	err := decode(b, &r)
+	return r, err
+}
--- a/internal/domainstate/wire.go
+++ b/internal/domainstate/wire.go
@@ -8,6 +8,7 @@
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/ledger"
+	"fuchsiaflow/retry"
 )
 
 // Envelope carries a command or a query to one section.
@@ -147,3 +148,36 @@
 	err := decode(b, &r)
 	return r, err
 }
+
+// Stamp sets the time of commands that carry one. Only the leader of the group calls it,
+// because a proposer with a wrong clock could expire the claims of others.
+func Stamp(cmd []byte, nowMs int64) []byte {
+	var e Envelope
+	if err := decMode.Unmarshal(cmd, &e); err != nil {
+		return cmd
+	}
+	var stamped []byte
+	var err error
+	switch e.Kind {
+	case KindClaims:
+		var c retry.ClaimCommand
+		if decMode.Unmarshal(e.Body, &c) != nil {
+			return cmd
+		}
+		c.At = nowMs
+		stamped, err = EncodeClaim(c)
+	case KindQuota:
+		var c QuotaCommand
+		if decMode.Unmarshal(e.Body, &c) != nil {
+			return cmd
+		}
+		c.AtMs = nowMs
+		stamped, err = EncodeQuota(c)
+	default:
+		return cmd
+	}
+	if err != nil {
+		return cmd
+	}
+	return stamped
+}
--- a/internal/host/execute.go
+++ b/internal/host/execute.go
@@ -128,7 +128,6 @@
 	return &rpc.CallReply{RequestId: reply.RequestID, Body: reply.Body, Target: g.Target}, nil
 }
 
-
 // ready checks the target again at the moment of dispatch, because it may have left while
 // the assignment was on its way.
 func (e *executor) ready(g *grant) (addr string, ok bool) {
--- a/internal/host/gossip.go
+++ b/internal/host/gossip.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/kernel"
@@ -35,10 +36,12 @@
 	Pools map[string]routing.PoolSummary `cbor:"1,keyasint"`
 }
 
-// hostEvent reports that a host process is gone: it failed, left or was replaced.
+// hostEvent reports that a host process is gone: it failed, left or was replaced. Upto is
+// the newest incarnation that is gone. A host raises its claim incarnation while it runs, so
+// Upto of a failed host is the time of the report.
 type hostEvent struct {
-	host        string
-	incarnation uint64
+	host string
+	upto uint64
 }
 
 // membershipService runs failure detection over UDP.
@@ -121,7 +124,7 @@
 	for {
 		n, _, err := m.conn.ReadFromUDP(buf)
 		if err != nil {
-			if ctx.Err() != nil || isClosed(err) {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			m.log.Debug("UDP read failed", "error", err)
@@ -163,13 +166,19 @@
 		if !seen || id == m.self.ID {
 			continue
 		}
-		replaced := member.Host.Incarnation > old.Host.Incarnation
-		if replaced || old.State.Live() && !member.State.Live() {
-			_ = m.events.Push(context.Background(), hostEvent{host: id, incarnation: old.Host.Incarnation})
+		switch {
+		case member.Host.Incarnation > old.Host.Incarnation:
+			m.report(hostEvent{host: id, upto: member.Host.Incarnation - 1})
+		case old.State.Live() && !member.State.Live():
+			m.report(hostEvent{host: id, upto: uint64(now.UnixMilli())})
 		}
 	}
 }
 
+func (m *membershipService) report(e hostEvent) {
+	_ = m.events.Push(context.Background(), e) // a DropOldest ring never fails
+}
+
 func decodeSummary(meta []byte) summary {
 	var s summary
 	if len(meta) > 0 {
--- a/internal/host/payloads.go
+++ b/internal/host/payloads.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"fuchsiaflow/errs"
 )
@@ -13,11 +14,16 @@
 
 	mu   sync.Mutex
 	used int
-	data map[string][]byte
+	data map[string]storedPayload
+}
+
+type storedPayload struct {
+	data []byte
+	at   time.Time
 }
 
 func newPayloadStore(limit int) *payloadStore {
-	return &payloadStore{limit: limit, data: make(map[string][]byte)}
+	return &payloadStore{limit: limit, data: make(map[string]storedPayload)}
 }
 
 // Put stores a payload. Storing the same digest again has no effect.
@@ -30,7 +36,7 @@
 	if s.used+len(data) > s.limit {
 		return &errs.Overloaded{Resource: "payload store"}
 	}
-	s.data[digest] = data
+	s.data[digest] = storedPayload{data: data, at: time.Now()}
 	s.used += len(data)
 	return nil
 }
@@ -39,8 +45,8 @@
 func (s *payloadStore) Get(digest string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	data, ok := s.data[digest]
-	return data, ok
+	p, ok := s.data[digest]
+	return p.data, ok
 }
 
 // Drop releases payloads.
@@ -48,11 +54,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, digest := range digests {
-		s.used -= len(s.data[digest])
+		s.used -= len(s.data[digest].data)
 		delete(s.data, digest)
 	}
 }
 
+// DropUnneeded releases the payloads that are older than age and not in needed.
+func (s *payloadStore) DropUnneeded(now time.Time, age time.Duration, needed map[string]bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropped := 0
+	for digest, p := range s.data {
+		if now.Sub(p.at) >= age && !needed[digest] {
+			s.used -= len(p.data)
+			delete(s.data, digest)
+			dropped++
+		}
+	}
+	return dropped
+}
+
 // Size returns the number of payloads and their bytes.
 func (s *payloadStore) Size() (count, bytes int) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/host/trainer.go
@@ -0,0 +1,232 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strconv"
+	"time"
+
+	"fuchsiaflow/confstate"
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/api"
+	"fuchsiaflow/internal/domainstate"
+	"fuchsiaflow/ledger"
+)
+
+// fetchPoll is the interval at which a waiting fetch asks the home for samples.
+const fetchPoll = 50 * time.Millisecond
+
+// trainerService serves trainers. Every decision is a command or a query of the domain
+// group of the tenancy's home; this host only collects the payloads.
+type trainerService struct {
+	config   *configService
+	groups   *groups
+	payloads *payloadService
+	log      *slog.Logger
+}
+
+func (s *trainerService) tenancy(name string) (*confstate.Config, *confstate.Tenancy, error) {
+	cfg := s.config.Current()
+	if cfg == nil {
+		return nil, nil, &errs.Unavailable{Resource: "host", Reason: "no configuration is in force"}
+	}
+	t := cfg.Tenancy(name)
+	if t == nil {
+		return nil, nil, &errs.NotFound{Kind: "tenancy", ID: name}
+	}
+	return cfg, t, nil
+}
+
+// OpenStep implements api.Trainer.
+func (s *trainerService) OpenStep(ctx context.Context, tenancy string, r api.OpenStepRequest) (*api.OpenStepReply, error) {
+	cfg, t, err := s.tenancy(tenancy)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStep(cfg, t, r); err != nil {
+		return nil, err
+	}
+	open := &ledger.OpenStep{
+		Tenancy: tenancy, Step: r.Step, Model: r.Model, Bound: bound(t),
+		DeadlineMs: time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond).UnixMilli(),
+	}
+	for _, g := range r.Groups {
+		open.Groups = append(open.Groups, ledger.Group{Prompt: g.Prompt, Samples: g.Samples, MaxTokens: g.MaxTokens})
+	}
+	result, err := s.apply(ctx, t.Home, ledger.Command{OpenStep: open})
+	if err != nil {
+		return nil, err
+	}
+	return &api.OpenStepReply{Step: r.Step, Slots: result.Opened.Slots}, nil
+}
+
+func bound(t *confstate.Tenancy) uint64 {
+	if t.StalenessBound == nil {
+		return 0
+	}
+	return *t.StalenessBound
+}
+
+func checkStep(cfg *confstate.Config, t *confstate.Tenancy, r api.OpenStepRequest) error {
+	if r.Model != t.Model {
+		return &errs.Invalid{Path: "$.model", Want: "the model of the tenancy, " + t.Model, Got: strconv.Quote(r.Model)}
+	}
+	pool := cfg.Pool(r.Pool)
+	if pool == nil || !slices.Contains(t.Pools, r.Pool) {
+		return &errs.NotFound{Kind: "pool of tenancy " + t.Name, ID: r.Pool}
+	}
+	if pool.Kind != confstate.Engine || !slices.Contains(pool.Models, r.Model) {
+		return &errs.Invalid{Path: "$.pool", Want: "an engine pool that serves model " + r.Model, Got: strconv.Quote(r.Pool)}
+	}
+	return nil
+}
+
+// Publish implements api.Trainer.
+func (s *trainerService) Publish(ctx context.Context, tenancy string, r api.PublishRequest) (*api.PublishReply, error) {
+	_, t, err := s.tenancy(tenancy)
+	if err != nil {
+		return nil, err
+	}
+	if r.Model != t.Model {
+		return nil, &errs.Invalid{Path: "$.model", Want: "the model of the tenancy, " + t.Model, Got: strconv.Quote(r.Model)}
+	}
+	result, err := s.apply(ctx, t.Home, ledger.Command{Publish: &ledger.Publish{Tenancy: tenancy, Model: r.Model, Version: r.Version}})
+	if err != nil {
+		return nil, err
+	}
+	return &api.PublishReply{Model: r.Model, Newest: result.Newest}, nil
+}
+
+// Step implements api.Trainer.
+func (s *trainerService) Step(ctx context.Context, tenancy, step string) (*api.StepStatus, error) {
+	_, t, err := s.tenancy(tenancy)
+	if err != nil {
+		return nil, err
+	}
+	st, err := s.status(ctx, t.Home, tenancy, step)
+	if err != nil {
+		return nil, err
+	}
+	return &api.StepStatus{
+		Step: step, Slots: st.Slots, Acknowledged: st.Acknowledged, Cursor: st.Cursor, Complete: st.Finished,
+	}, nil
+}
+
+// Fetch implements api.Trainer.
+func (s *trainerService) Fetch(ctx context.Context, tenancy, step string, r api.FetchRequest) (*api.FetchReply, error) {
+	_, t, err := s.tenancy(tenancy)
+	if err != nil {
+		return nil, err
+	}
+	until := time.Now().Add(time.Duration(r.WaitMS) * time.Millisecond)
+	for {
+		if err := s.awaitSamples(ctx, t, step, r, until); err != nil {
+			return nil, err
+		}
+		batch, err := s.fetchBatch(ctx, t, step, r)
+		if err != nil {
+			return nil, err
+		}
+		samples, lost := s.payloads.Collect(ctx, batch.Samples)
+		if len(lost) > 0 {
+			if err := s.reportLost(ctx, t, step, lost); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if len(batch.Samples) > 0 || batch.Complete || batch.Closed || !time.Now().Before(until) {
+			return fetchReply(batch, samples), nil
+		}
+		if !pause(ctx, fetchPoll) {
+			return nil, &errs.Deadline{Operation: "fetch", Result: errs.Ran}
+		}
+	}
+}
+
+// awaitSamples waits while a fetch would neither acknowledge nor deliver anything, so that
+// waiting costs no log entries.
+func (s *trainerService) awaitSamples(ctx context.Context, t *confstate.Tenancy, step string, r api.FetchRequest, until time.Time) error {
+	for time.Now().Before(until) {
+		st, err := s.status(ctx, t.Home, t.Name, step)
+		if err != nil {
+			return err
+		}
+		if r.Ack != st.Cursor || r.Version > st.Newest || st.Ready+st.Batched > 0 || st.Closed || st.Finished {
+			return nil
+		}
+		if !pause(ctx, fetchPoll) {
+			return &errs.Deadline{Operation: "fetch", Result: errs.NotRun}
+		}
+	}
+	return nil
+}
+
+func (s *trainerService) fetchBatch(ctx context.Context, t *confstate.Tenancy, step string, r api.FetchRequest) (*ledger.Batch, error) {
+	result, err := s.apply(ctx, t.Home, ledger.Command{Fetch: &ledger.Fetch{
+		Tenancy: t.Name, Step: step, Ack: r.Ack, Max: r.Max, TrainerVersion: r.Version, AckRevision: r.AckRevision,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return result.Batch, nil
+}
+
+func (s *trainerService) reportLost(ctx context.Context, t *confstate.Tenancy, step string, lost []ledger.SampleRef) error {
+	for _, ref := range lost {
+		s.log.Warn("sample payload is lost and its slot is planned again", "tenancy", t.Name, "step", step, "slot", ref.Slot)
+		_, err := s.apply(ctx, t.Home, ledger.Command{PayloadLost: &ledger.PayloadLost{
+			Tenancy: t.Name, Step: step, Slot: ref.Slot, Attempt: ref.Attempt,
+		}})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fetchReply(b *ledger.Batch, samples []api.Sample) *api.FetchReply {
+	reply := &api.FetchReply{
+		Batch: b.Number, Revision: b.Revision, Samples: samples, Withdrawn: b.Withdrawn,
+		Remaining: b.Ready + len(b.Missing), Complete: b.Complete,
+	}
+	if len(samples) == 0 {
+		reply.Batch = 0
+	}
+	if b.Closed {
+		reply.Missing = b.Missing
+	}
+	return reply
+}
+
+func (s *trainerService) apply(ctx context.Context, home string, c ledger.Command) (ledger.Result, error) {
+	data, err := domainstate.EncodeLedger(c)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	data, err = s.groups.ProposeIdempotent(ctx, domainGroup(home), data)
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	result, err := domainstate.DecodeLedgerResult(data)
+	if err != nil {
+		return result, err
+	}
+	return result, result.Failure
+}
+
+func (s *trainerService) status(ctx context.Context, home, tenancy, step string) (ledger.StepStatus, error) {
+	query, err := domainstate.EncodeLedgerQuery(domainstate.LedgerQuery{Tenancy: tenancy, Step: step})
+	if err != nil {
+		return ledger.StepStatus{}, err
+	}
+	data, err := s.groups.Read(ctx, domainGroup(home), query)
+	if err != nil {
+		return ledger.StepStatus{}, err
+	}
+	list, err := domainstate.DecodeSteps(data)
+	if err != nil {
+		return ledger.StepStatus{}, err
+	}
+	return list[0], nil
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -162,8 +162,12 @@
 	return slots, nil
 }
 
+// contentDigest leaves out the deadline, which the serving host computes anew when a caller
+// resends the same step.
 func contentDigest(c *OpenStep) (Digest, error) {
-	b, err := marshal("step content", c)
+	content := *c
+	content.DeadlineMs = 0
+	b, err := marshal("step content", &content)
 	if err != nil {
 		return Digest{}, err
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -144,3 +144,16 @@
 		}
 	}
 }
+
+// Guards against a conflict for a step that is resent after a lost answer: the serving host
+// computes another deadline each time.
+func TestResentStepWithLaterDeadlineIsRepeated(t *testing.T) {
+	l := New()
+	first := open("s", 1, Group{Prompt: "p", Samples: 2, MaxTokens: 10})
+	l.Apply(first)
+	first.OpenStep.DeadlineMs += 250
+	r := l.Apply(first)
+	if r.Failure != nil || !r.Opened.Repeated {
+		t.Errorf("resent step: %+v, %v", r.Opened, r.Failure)
+	}
+}
--- a/limits/host.go
+++ b/limits/host.go
@@ -90,6 +90,15 @@
 	return a
 }
 
+// SetCutOff replaces the amounts that may be spent without a lease, as after a change of the
+// configuration.
+func (h *Host) SetCutOff(cutOff map[string]Amount) {
+	h.cfg.CutOff = cutOff
+	for name, a := range h.accounts {
+		a.cutOffQ = cutOff[name]
+	}
+}
+
 // Forget drops a tenancy that no longer exists.
 func (h *Host) Forget(tenancy string) {
 	delete(h.accounts, tenancy)
