--- a/ledger/view.go
+++ b/ledger/view.go
@@ -96,3 +96,22 @@
 	}
 	return list
 }
+
+// Published is the newest version of a tenancy's model.
+type Published struct {
+	Tenancy string
+	Model   string
+	Version uint64
+}
+
+// Published lists the newest versions by tenancy and model.
+func (l *Ledger) Published() []Published {
+	var list []Published
+	for _, name := range slices.Sorted(maps.Keys(l.state.Tenancies)) {
+		newest := l.state.Tenancies[name].Newest
+		for _, model := range slices.Sorted(maps.Keys(newest)) {
+			list = append(list, Published{Tenancy: name, Model: model, Version: newest[model]})
+		}
+	}
+	return list
+}
