observe: JSON log, metrics with bounded labels, traces

Cause: a host must show ring depths and drops, and one span per hop, without series that grow with what callers send. Change: logger with trace ids; counters, gauges and histograms whose label values come from a list or are limited to 64, the rest counted as "other"; a collector for kernel rings; a tracer provider with the exporters none, stdout and OTLP over gRPC; HTTP middleware and injection into HTTP and gRPC requests. Conclusion: usable once go.mod and go.sum list the modules that client_golang imports: beorn7/perks v1.0.1, munnerz/goautoneg, prometheus/client_model v0.6.3, prometheus/common v0.72.0, prometheus/procfs v0.22.0 and kylelemons/godebug v1.1.0.

--- /dev/null
+++ b/internal/observe/log.go
@@ -0,0 +1,38 @@
+// Package observe provides the logs, metrics and traces of a host.
+package observe
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"go.opentelemetry.io/otel/trace"
+)
+
+// NewLogger returns a logger that writes JSON lines. Lines of a request carry its trace id.
+func NewLogger(w io.Writer, level slog.Leveler, host string) *slog.Logger {
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	return slog.New(&traceHandler{h}).With("host", host)
+}
+
+// traceHandler adds the ids of the span that the context carries.
+type traceHandler struct{ slog.Handler }
+
+// Handle implements slog.Handler.
+func (h *traceHandler) Handle(ctx context.Context, r slog.Record) error {
+	if sc := trace.SpanContextFromContext(ctx); sc.IsValid() {
+		r = r.Clone()
+		r.AddAttrs(slog.String("trace_id", sc.TraceID().String()), slog.String("span_id", sc.SpanID().String()))
+	}
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (h *traceHandler) WithAttrs(a []slog.Attr) slog.Handler {
+	return &traceHandler{h.Handler.WithAttrs(a)}
+}
+
+// WithGroup implements slog.Handler.
+func (h *traceHandler) WithGroup(name string) slog.Handler {
+	return &traceHandler{h.Handler.WithGroup(name)}
+}
--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,159 @@
+package observe
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.opentelemetry.io/otel/trace"
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/settings"
+)
+
+func tracing(t *testing.T, o settings.Trace, w io.Writer) *Tracing {
+	t.Helper()
+	tr, err := NewTracing(t.Context(), o, "e1", "Yeka", w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tr
+}
+
+// Guards against label values that grow without bound with what callers send.
+func TestLabelsAreBounded(t *testing.T) {
+	m := NewMetrics()
+	c := m.Counter("requests_total", "Requests.", Label{Name: "pool"}, Label{Name: "outcome", Values: []string{"ran"}})
+	for i := range 3 * maxValues {
+		c.Inc(fmt.Sprint("pool-", i), "ran")
+	}
+	c.Inc("pool-0", "surprise")
+	c.Inc("pool-0")
+	families, err := m.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() == "fuchsiaflow_requests_total" && len(f.GetMetric()) != maxValues+2 {
+			t.Errorf("%d series, want %d", len(f.GetMetric()), maxValues+2)
+		}
+	}
+}
+
+// Guards against rings whose depth and drops nobody sees.
+func TestRingMetrics(t *testing.T) {
+	m := NewMetrics()
+	r := kernel.NewRing[int]("inbox", 2, kernel.DropOldest)
+	m.WatchRings(r)
+	for i := range 5 {
+		if err := r.Push(t.Context(), i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, line := range []string{`fuchsiaflow_ring_depth{ring="inbox"} 2`, `fuchsiaflow_ring_drops_total{ring="inbox"} 3`} {
+		if !strings.Contains(w.Body.String(), line) {
+			t.Errorf("metrics lack %s", line)
+		}
+	}
+}
+
+// Guards against a trace that breaks at the HTTP interface or is missing in the log, with
+// and without an exporter.
+func TestTraceContinues(t *testing.T) {
+	const parent = "00-0102030405060708090a0b0c0d0e0f10-0102030405060708-01"
+	for _, exporter := range []settings.Exporter{settings.ExporterNone, settings.ExporterStdout} {
+		var spans, logs bytes.Buffer
+		tr := tracing(t, settings.Trace{Exporter: exporter}, &spans)
+		log := NewLogger(&logs, slog.LevelInfo, "e1")
+		mux := http.NewServeMux()
+		mux.HandleFunc("POST /v1/steps/{id}/fetch", func(w http.ResponseWriter, r *http.Request) {
+			log.InfoContext(r.Context(), "fetch")
+			h := http.Header{}
+			InjectHTTP(r.Context(), h)
+			md, _ := metadata.FromOutgoingContext(InjectGRPC(r.Context()))
+			if diff := cmp.Diff(md.Get("traceparent"), h.Values("Traceparent")); diff != "" {
+				t.Error(diff)
+			}
+			w.Header().Set("X-Outgoing", h.Get("traceparent"))
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				t.Errorf("streams are not possible: %v", err)
+			}
+		})
+		r := httptest.NewRequest(http.MethodPost, "/v1/steps/s1/fetch", nil)
+		r.Header.Set("traceparent", parent)
+		w := httptest.NewRecorder()
+		tr.Middleware(mux).ServeHTTP(w, r)
+		if err := tr.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+		out := w.Header().Get("X-Outgoing")
+		if !strings.HasPrefix(out, parent[:36]) || out[36:52] == parent[36:52] {
+			t.Errorf("%s: outgoing context %q", exporter, out)
+		}
+		if !strings.Contains(logs.String(), `"trace_id":"`+parent[3:35]) {
+			t.Errorf("%s: log %s", exporter, logs.String())
+		}
+		if exported := strings.Contains(spans.String(), `"POST /v1/steps/{id}/fetch"`); exported != (exporter == settings.ExporterStdout) {
+			t.Errorf("%s: spans %s", exporter, spans.String())
+		}
+	}
+}
+
+type fakeCollector struct {
+	collector.UnimplementedTraceServiceServer
+	names chan string
+}
+
+func (c *fakeCollector) Export(_ context.Context, r *collector.ExportTraceServiceRequest) (*collector.ExportTraceServiceResponse, error) {
+	c.names <- r.ResourceSpans[0].ScopeSpans[0].Spans[0].Name
+	return &collector.ExportTraceServiceResponse{}, nil
+}
+
+// Guards against spans that do not reach an OTLP collector, and against a collector that is
+// gone holding up the stop of a host.
+func TestOTLP(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fake := &fakeCollector{names: make(chan string, 1)}
+	s := grpc.NewServer()
+	collector.RegisterTraceServiceServer(s, fake)
+	var done sync.WaitGroup
+	done.Go(func() { _ = s.Serve(l) })
+	o := settings.Trace{Exporter: settings.ExporterOTLP, Endpoint: l.Addr().String()}
+	tr := tracing(t, o, nil)
+	_, span := tr.Span(t.Context(), "swap")
+	End(span, nil)
+	if err := tr.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if name := <-fake.names; name != "swap" {
+		t.Errorf("span %q", name)
+	}
+	s.Stop()
+	done.Wait()
+	tr = tracing(t, o, nil)
+	_, span = tr.ClientSpan(t.Context(), "swap")
+	if !span.SpanContext().IsValid() || trace.SpanFromContext(t.Context()).IsRecording() {
+		t.Error("no span")
+	}
+	End(span, net.ErrClosed)
+	if err := tr.Stop(t.Context()); err != nil {
+		t.Errorf("a missing collector fails the stop: %v", err)
+	}
+}
