--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -40,6 +40,7 @@
 	members  *membershipService
 	peer     func(host string) (rpc.PeerClient, error)
 	executor *executor
+	metrics  *hostMetrics
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -60,8 +61,10 @@
 	if err := d.quota.Reserve(ctx, r.RequestID, t, reserved); err != nil {
 		return nil, err
 	}
+	start := time.Now()
 	reply, err := d.serve(ctx, t, pool, r, emit)
 	d.settle(r, reply, err)
+	d.metrics.deskRequest(time.Since(start), err)
 	return reply, err
 }
 
--- a/internal/host/execute.go
+++ b/internal/host/execute.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/engine"
+	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/routing"
 )
@@ -41,6 +43,7 @@
 	dispatcher *dispatcher
 	targets    *targetService
 	client     *engine.Client
+	tracing    *observe.Tracing
 }
 
 // job is a request with what the dispatcher needs to know of it.
@@ -63,7 +66,7 @@
 
 // Generate runs an engine request and passes on each chunk. A failure with outcome not_run
 // means that no byte reached a target, or that the target stated that it did not start.
-func (e *executor) Generate(ctx context.Context, j *job, emit func(*rpc.GenerateChunk) error) error {
+func (e *executor) Generate(ctx context.Context, j *job, emit func(*rpc.GenerateChunk) error) (err error) {
 	g, err := e.dispatcher.Acquire(ctx, j.routing(ctx, e.targets.domain))
 	if err != nil {
 		return err
@@ -73,6 +76,8 @@
 		g.Done(routing.ResultRefused, 0, 0)
 		return &errs.Unavailable{Resource: "target " + g.Target, Reason: "it left before dispatch"}
 	}
+	ctx, span := e.tracing.ClientSpan(ctx, "target generate", attribute.String("target", g.Target), attribute.String("tenancy", j.Tenancy))
+	defer func() { observe.End(span, err) }()
 	start := time.Now()
 	tokens, first := 0, time.Duration(0)
 	err = e.client.Generate(ctx, addr, engine.Request{
@@ -119,9 +124,11 @@
 		g.Done(routing.ResultRefused, 0, 0)
 		return nil, &errs.Unavailable{Resource: "target " + g.Target, Reason: "it left before dispatch"}
 	}
+	ctx, span := e.tracing.ClientSpan(ctx, "target call", attribute.String("target", g.Target), attribute.String("tenancy", r.Tenancy))
 	start := time.Now()
 	reply, err := e.client.Call(ctx, addr, engine.CallRequest{RequestID: r.RequestId, Body: json.RawMessage(r.Body), Unsafe: r.Unsafe})
 	g.Done(resultKind(ctx, err), 1, time.Since(start))
+	observe.End(span, err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/groups.go
+++ b/internal/host/groups.go
@@ -133,7 +133,7 @@
 	if !ok {
 		return nil, &errs.NotLeader{Group: group}
 	}
-	return r.group.Propose(ctx, command)
+	return r.group.Propose(ctx, stampCommand(group, command))
 }
 
 func (g *groups) readLocal(ctx context.Context, group string, query []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/host/peerserver.go
@@ -0,0 +1,227 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/consensus"
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/api"
+	"fuchsiaflow/internal/domainstate"
+	"fuchsiaflow/internal/group"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/rpc"
+	"fuchsiaflow/routing"
+)
+
+// peerServer implements the service that hosts offer each other.
+type peerServer struct {
+	rpc.UnimplementedPeerServer
+	domain   string
+	addr     string
+	server   *grpc.Server
+	groups   *groups
+	local    map[string]*group.Group
+	config   *configService
+	executor *executor
+	targets  *targetService
+	payloads *payloadStore
+	work     *workService
+	orders   *orderService
+	inflight *inflight
+	log      *slog.Logger
+}
+
+// Start implements kernel.Service.
+func (s *peerServer) Start(_ context.Context, k *kernel.Kernel) error {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return &errs.Unavailable{Resource: "peer address " + s.addr, Reason: err.Error()}
+	}
+	rpc.RegisterPeerServer(s.server, s)
+	k.Go("peer/serve", func(context.Context) error {
+		if err := s.server.Serve(listener); err != nil {
+			return &errs.Unavailable{Resource: "peer server", Reason: err.Error()}
+		}
+		return nil
+	})
+	return nil
+}
+
+// Stop implements kernel.Service. It waits for the calls in progress until ctx ends.
+func (s *peerServer) Stop(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.server.Stop)
+	defer stop()
+	s.server.GracefulStop()
+	return nil
+}
+
+// Raft implements rpc.PeerServer.
+func (s *peerServer) Raft(_ context.Context, r *rpc.RaftRequest) (*rpc.RaftReply, error) {
+	g, ok := s.local[r.Group]
+	if !ok {
+		return nil, &errs.NotFound{Kind: "group", ID: r.Group}
+	}
+	var messages []consensus.Message
+	if err := cbor.Unmarshal(r.Messages, &messages); err != nil {
+		return nil, &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
+	}
+	g.Deliver(messages)
+	return &rpc.RaftReply{}, nil
+}
+
+// Propose implements rpc.PeerServer.
+func (s *peerServer) Propose(ctx context.Context, r *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+	result, err := s.groups.proposeLocal(ctx, r.Group, r.Command)
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.ProposeReply{Result: result}, nil
+}
+
+// Read implements rpc.PeerServer.
+func (s *peerServer) Read(ctx context.Context, r *rpc.ReadRequest) (*rpc.ReadReply, error) {
+	result, err := s.groups.readLocal(ctx, r.Group, r.Query)
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.ReadReply{Result: result}, nil
+}
+
+// catchUp makes a request wait until the sender's configuration is in force here, and counts
+// it as in progress.
+func (s *peerServer) catchUp(ctx context.Context) (done func(), err error) {
+	done, err = s.inflight.Begin()
+	if err != nil {
+		return nil, err
+	}
+	sender, _ := rpc.SenderFrom(ctx)
+	if err := s.config.CatchUp(ctx, sender.ConfigVersion); err != nil {
+		done()
+		return nil, err
+	}
+	return done, nil
+}
+
+// Generate implements rpc.PeerServer.
+func (s *peerServer) Generate(r *rpc.GenerateRequest, stream grpc.ServerStreamingServer[rpc.GenerateChunk]) error {
+	ctx, cancel := context.WithTimeout(stream.Context(), timeoutOf(r.TimeoutMs))
+	defer cancel()
+	done, err := s.catchUp(ctx)
+	if err != nil {
+		return err
+	}
+	defer done()
+	return s.executor.Generate(ctx, &job{GenerateRequest: r, kind: routing.Desk}, stream.Send)
+}
+
+// Call implements rpc.PeerServer.
+func (s *peerServer) Call(ctx context.Context, r *rpc.CallRequest) (*rpc.CallReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r.TimeoutMs))
+	defer cancel()
+	done, err := s.catchUp(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	return s.executor.Call(ctx, r)
+}
+
+func timeoutOf(ms int64) time.Duration {
+	if ms <= 0 {
+		return api.DefaultTimeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// LeaseWork implements rpc.PeerServer.
+func (s *peerServer) LeaseWork(ctx context.Context, r *rpc.LeaseWorkRequest) (*rpc.LeaseWorkReply, error) {
+	if s.work == nil || r.Domain != s.domain {
+		return nil, &errs.NotLeader{Group: domainGroup(r.Domain)}
+	}
+	sender, _ := rpc.SenderFrom(ctx)
+	return s.work.LeaseWork(sender.Host, r)
+}
+
+// ReportWork implements rpc.PeerServer.
+func (s *peerServer) ReportWork(ctx context.Context, r *rpc.ReportWorkRequest) (*rpc.ReportWorkReply, error) {
+	if s.work == nil || r.Domain != s.domain {
+		return nil, &errs.NotLeader{Group: domainGroup(r.Domain)}
+	}
+	return s.work.ReportWork(ctx, r)
+}
+
+// PutPayload implements rpc.PeerServer.
+func (s *peerServer) PutPayload(_ context.Context, r *rpc.PutPayloadRequest) (*rpc.PutPayloadReply, error) {
+	for _, p := range r.Payloads {
+		if payloadDigest(p.Data).String() != p.Digest {
+			return nil, &errs.Corrupt{What: "payload " + p.Digest, Detail: "the digest does not match"}
+		}
+		if err := s.payloads.Put(p.Digest, p.Data); err != nil {
+			return nil, err
+		}
+	}
+	return &rpc.PutPayloadReply{}, nil
+}
+
+// GetPayload implements rpc.PeerServer.
+func (s *peerServer) GetPayload(_ context.Context, r *rpc.GetPayloadRequest) (*rpc.GetPayloadReply, error) {
+	reply := &rpc.GetPayloadReply{}
+	for _, digest := range r.Digests {
+		if data, ok := s.payloads.Get(digest); ok {
+			reply.Payloads = append(reply.Payloads, &rpc.Payload{Digest: digest, Data: data})
+		}
+	}
+	return reply, nil
+}
+
+// DropPayload implements rpc.PeerServer.
+func (s *peerServer) DropPayload(_ context.Context, r *rpc.DropPayloadRequest) (*rpc.DropPayloadReply, error) {
+	s.payloads.Drop(r.Digests)
+	return &rpc.DropPayloadReply{}, nil
+}
+
+// Announce implements rpc.PeerServer.
+func (s *peerServer) Announce(_ context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceReply, error) {
+	if r.LeavingTarget != "" {
+		return &rpc.AnnounceReply{}, s.targets.acceptLeave(r.LeavingTarget, r.LeavingIncarnation)
+	}
+	var a api.Announcement
+	if err := json.Unmarshal(r.Announcement, &a); err != nil {
+		return nil, &errs.Corrupt{What: "announcement", Detail: err.Error()}
+	}
+	return &rpc.AnnounceReply{}, s.targets.accept(a)
+}
+
+// CacheEvents implements rpc.PeerServer.
+func (s *peerServer) CacheEvents(_ context.Context, r *rpc.CacheEventsRequest) (*rpc.CacheEventsReply, error) {
+	var e api.CacheEvents
+	if err := json.Unmarshal(r.Events, &e); err != nil {
+		return nil, &errs.Corrupt{What: "cache events", Detail: err.Error()}
+	}
+	s.targets.acceptCacheEvents(r.Target, e)
+	return &rpc.CacheEventsReply{}, nil
+}
+
+// ReportTargets implements rpc.PeerServer.
+func (s *peerServer) ReportTargets(ctx context.Context, r *rpc.ReportTargetsRequest) (*rpc.ReportTargetsReply, error) {
+	if s.orders == nil {
+		return nil, &errs.NotLeader{Group: domainGroup(s.domain)}
+	}
+	sender, _ := rpc.SenderFrom(ctx)
+	return s.orders.Report(sender.Host, r)
+}
+
+// stampCommand sets the time of domain commands on the leader.
+func stampCommand(name string, command []byte) []byte {
+	if name == controlGroup {
+		return command
+	}
+	return domainstate.Stamp(command, time.Now().UnixMilli())
+}
--- a/internal/host/sampler.go
+++ b/internal/host/sampler.go
@@ -397,4 +397,3 @@
 	})
 	return reply, err
 }
-
--- a/internal/host/trainer.go
+++ b/internal/host/trainer.go
@@ -24,6 +24,7 @@
 	groups   *groups
 	payloads *payloadService
 	log      *slog.Logger
+	metrics  *hostMetrics
 }
 
 func (s *trainerService) tenancy(name string) (*confstate.Config, *confstate.Tenancy, error) {
@@ -136,6 +137,7 @@
 			continue
 		}
 		if len(batch.Samples) > 0 || batch.Complete || batch.Closed || !time.Now().Before(until) {
+			s.metrics.delivered.Add(float64(len(samples)))
 			return fetchReply(batch, samples), nil
 		}
 		if !pause(ctx, fetchPoll) {
