Command line and demo: the whole path in one process

Cause: the path from a trainer's step to engines must run before it is improved. Change: kong commands run, check, apply, status, drain, demo; the demo runs nine hosts in three failure domains with fakes, a crash, a kill, a configuration change and a graceful shutdown, and fails when a guarantee is broken.

--- /dev/null
+++ b/cmd/fuchsiaflow/demo.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/demo"
+	"fuchsiaflow/internal/observe"
+)
+
+// demoTimeout is the longest time that the demo may take.
+const demoTimeout = 28 * time.Second
+
+type demoCommand struct {
+	JSON    bool `name:"json" help:"Print one JSON object and nothing else."`
+	Verbose bool `short:"v" help:"Print the hosts' log."`
+}
+
+// Run fails when a guarantee is broken.
+func (c *demoCommand) Run() error {
+	dir, err := os.MkdirTemp("", "fuchsiaflow-demo-")
+	if err != nil {
+		return &errs.Unavailable{Resource: "temporary folder", Reason: err.Error()}
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	progress, level := io.Writer(os.Stdout), slog.LevelError
+	if c.JSON {
+		progress = io.Discard
+	}
+	if c.Verbose {
+		level = slog.LevelDebug
+	}
+	report, err := demo.Run(ctx, dir, progress, observe.NewLogger(os.Stderr, level, "demo"))
+	if report == nil {
+		return err
+	}
+	if c.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		if encodeErr := enc.Encode(report); encodeErr != nil {
+			return encodeErr
+		}
+		return err
+	}
+	report.Print(os.Stdout)
+	return err
+}
--- a/cmd/fuchsiaflow/main.go
+++ b/cmd/fuchsiaflow/main.go
@@ -2,18 +2,64 @@
 package main
 
 import (
+	"fmt"
+	"os"
+
 	"github.com/alecthomas/kong"
+
+	"fuchsiaflow/errs"
 )
 
 // version is the release of the binary.
 const version = "0.1.0"
 
+// Exit codes. Scripts rely on them; docs/operations.md lists them.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitInvalid  = 3 // a file or a value is not valid
+	exitConflict = 4 // the configuration conflicts with the one in force
+	exitUnknown  = 5 // the outcome of a request is not known
+)
+
 type cli struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
+
+	Run    runCommand    `cmd:"" help:"Run a host until it is stopped or drained."`
+	Check  checkCommand  `cmd:"" help:"Check a configuration or settings file without a host."`
+	Apply  applyCommand  `cmd:"" help:"Apply a configuration file as one unit."`
+	Status statusCommand `cmd:"" help:"Show the state of a host."`
+	Drain  drainCommand  `cmd:"" help:"Shut a host down without cutting off a request."`
+	Demo   demoCommand   `cmd:"" help:"Run a small system in one process and check its guarantees."`
 }
 
 func main() {
 	var c cli
-	kong.Parse(&c, kong.Name("fuchsiaflow"), kong.Vars{"version": version},
-		kong.Description("Rollout service for reinforcement learning on donated hosts."))
+	parser := kong.Must(&c, kong.Name("fuchsiaflow"), kong.Vars{"version": version},
+		kong.Description("Rollout service for reinforcement learning on donated hosts."),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitUsage
+			}
+			os.Exit(code)
+		}))
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "fuchsiaflow:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	switch errs.CodeOf(err) {
+	case errs.CodeInvalid:
+		return exitInvalid
+	case errs.CodeConflict:
+		return exitConflict
+	}
+	if _, ok := err.(errs.Failure); ok && errs.OutcomeOf(err) == errs.Unknown {
+		return exitUnknown
+	}
+	return exitFailed
 }
--- /dev/null
+++ b/cmd/fuchsiaflow/run.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"fuchsiaflow/internal/host"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/settings"
+)
+
+type runCommand struct {
+	Settings string `required:"" type:"existingfile" help:"Settings file in JSON."`
+}
+
+// Run starts a host and stops it gracefully on SIGTERM, SIGINT or an operator's drain.
+func (c *runCommand) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := observe.NewLogger(os.Stderr, s.Log.Level, s.Host)
+	h, err := host.New(host.Options{Settings: s, Log: log, Spans: os.Stdout})
+	if err != nil {
+		return err
+	}
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := h.Start(context.Background()); err != nil {
+		return err
+	}
+	failure := wait(signals, h, log)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*s.Timing.DrainTimeout)
+	defer cancel()
+	if err := h.Shutdown(ctx); failure == nil {
+		return err
+	}
+	return failure
+}
+
+// wait returns when the host is to stop, with the failure of a duty if that is the reason.
+func wait(signals context.Context, h *host.Host, log *slog.Logger) error {
+	select {
+	case <-signals.Done():
+		log.Info("signal received")
+		return nil
+	case <-h.Drained():
+		return nil
+	case err := <-h.Failed():
+		return err
+	}
+}
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,214 @@
+// Package demo runs a small system inside one process: hosts in three failure domains on
+// loopback ports, fake targets, a trainer and a desk.
+package demo
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"fuchsiaflow/confstate"
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/host"
+	"fuchsiaflow/internal/settings"
+)
+
+// Tokens of the demo. They protect nothing, because everything runs on loopback.
+const (
+	OperatorToken = "demo-operator"
+	ClusterToken  = "demo-cluster"
+	TrainerToken  = "demo-trainer"
+	DeskToken     = "demo-desk"
+)
+
+// Domains are the failure domains of the demo.
+var Domains = []string{"kolfe", "akaki", "yeka"}
+
+// Cluster is a set of hosts in this process.
+type Cluster struct {
+	log      *slog.Logger
+	settings map[string]*settings.Settings
+	order    []string
+	hosts    map[string]*host.Host
+}
+
+// freeAddress returns an IP:port of the loopback interface that is free for TCP and UDP.
+func freeAddress() (string, error) {
+	for range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", &errs.Unavailable{Resource: "loopback port", Reason: err.Error()}
+		}
+		addr := l.Addr().String()
+		_ = l.Close()
+		u, err := net.ListenPacket("udp", addr)
+		if err == nil {
+			_ = u.Close()
+			return addr, nil
+		}
+	}
+	return "", &errs.Unavailable{Resource: "loopback port", Reason: "no port is free for TCP and UDP"}
+}
+
+// NewCluster prepares perDomain hosts in each failure domain. All of them have a data
+// folder under dir and vote in the group of their domain; one of each domain votes in the
+// control group.
+func NewCluster(perDomain int, dir string, log *slog.Logger) (*Cluster, error) {
+	c := &Cluster{log: log, settings: make(map[string]*settings.Settings), hosts: make(map[string]*host.Host)}
+	groups := settings.Groups{Domains: make(map[string][]string)}
+	var list []settings.Host
+	for _, domain := range Domains {
+		for i := range perDomain {
+			name := domain + "-" + strconv.Itoa(i+1)
+			http, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			peer, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, settings.Host{Host: name, FailureDomain: domain, Peer: peer, HTTP: http})
+			groups.Domains[domain] = append(groups.Domains[domain], name)
+			if i == 0 {
+				groups.Control = append(groups.Control, name)
+			}
+		}
+	}
+	for _, h := range list {
+		c.order = append(c.order, h.Host)
+		c.settings[h.Host] = &settings.Settings{
+			Host: h.Host, FailureDomain: h.FailureDomain, HTTP: h.HTTP, Peer: h.Peer,
+			DataDir:       filepath.Join(dir, h.Host),
+			OperatorToken: OperatorToken, ClusterToken: ClusterToken,
+			Hosts: list, Groups: groups, Bootstrap: true,
+			Trace:  settings.Trace{Exporter: settings.ExporterNone},
+			Timing: timing(),
+		}
+	}
+	return c, nil
+}
+
+// timing is faster than the defaults, so that the demo shows recovery within its 30 s.
+func timing() settings.Timing {
+	return settings.Timing{
+		Heartbeat: 50 * time.Millisecond, Election: 500 * time.Millisecond, Probe: 300 * time.Millisecond,
+		TargetLease: 3 * time.Second, WorkLease: 20 * time.Second, ConfigPoll: 250 * time.Millisecond, DrainTimeout: 20 * time.Second,
+	}
+}
+
+// Hosts returns the names of all hosts.
+func (c *Cluster) Hosts() []string { return c.order }
+
+// Host returns a running host, or nil.
+func (c *Cluster) Host(name string) *host.Host { return c.hosts[name] }
+
+// URLs returns the base URLs of the hosts of a failure domain, or of all for "".
+func (c *Cluster) URLs(domain string) []string {
+	var list []string
+	for _, name := range c.order {
+		if s := c.settings[name]; domain == "" || s.FailureDomain == domain {
+			list = append(list, "http://"+s.HTTP)
+		}
+	}
+	return list
+}
+
+// Start starts one host.
+func (c *Cluster) Start(ctx context.Context, name string) error {
+	h, err := host.New(host.Options{Settings: c.settings[name], Log: c.log.With("host", name)})
+	if err != nil {
+		return err
+	}
+	c.hosts[name] = h
+	return h.Start(ctx)
+}
+
+// StartAll starts all hosts.
+func (c *Cluster) StartAll(ctx context.Context) error {
+	for _, name := range c.order {
+		if err := c.Start(ctx, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until every running host is ready.
+func (c *Cluster) AwaitReady(ctx context.Context) error {
+	for _, name := range c.order {
+		h := c.hosts[name]
+		for h != nil {
+			ok, reason := h.Ready()
+			if ok {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return &errs.Unavailable{Resource: "host " + name, Reason: reason}
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Stop shuts one host down gracefully.
+func (c *Cluster) Stop(ctx context.Context, name string) error {
+	h := c.hosts[name]
+	delete(c.hosts, name)
+	return h.Shutdown(ctx)
+}
+
+// Kill stops one host without draining. What it had in memory is lost.
+func (c *Cluster) Kill(ctx context.Context, name string) error {
+	h := c.hosts[name]
+	delete(c.hosts, name)
+	return h.Kill(ctx)
+}
+
+// KillAll stops all hosts at the end.
+func (c *Cluster) KillAll(ctx context.Context) {
+	for _, name := range c.order {
+		if c.hosts[name] != nil {
+			_ = c.Kill(ctx, name)
+		}
+	}
+}
+
+// Config returns the configuration of the demo: one trainer homed in kolfe and one desk
+// homed in akaki, with the sizes of the Drumworks deployment.
+func Config(version uint64) *confstate.Config {
+	bound := uint64(2)
+	safe := false
+	return &confstate.Config{
+		Version: version,
+		Tenancies: []confstate.Tenancy{
+			{
+				Name: "sorting", Kind: confstate.Trainer, Home: "kolfe", TokenSHA256: confstate.TokenDigest(TrainerToken),
+				Model: "sorter", Pools: []string{"sorting"}, StalenessBound: &bound,
+				Policy: &confstate.Policy{IdleWeight: 0.7, StalenessWeight: 0.3}, Weight: 1,
+				Limits: &confstate.Limits{RequestsPerMinute: 60000, TokensPerMinute: 6000000, CutOffShare: 0.1},
+			},
+			{
+				Name: "intake", Kind: confstate.Desk, Home: "akaki", TokenSHA256: confstate.TokenDigest(DeskToken),
+				Pools: []string{"sorting", "intake-log"}, Weight: 1,
+				Limits: &confstate.Limits{RequestsPerMinute: 60000, TokensPerMinute: 6000000, CutOffShare: 0.1},
+			},
+		},
+		Pools: []confstate.Pool{
+			{
+				Name: "sorting", Kind: confstate.Engine, Models: []string{"sorter"}, ChecksFence: true,
+				MaxUnavailablePercent: 40, InFlight: confstate.Finish, Targets: confstate.Targets{Admit: []string{"engine-*"}},
+			},
+			{
+				Name: "intake-log", Kind: confstate.Service, Targets: confstate.Targets{Admit: []string{"log-*"}}, RetrySafe: &safe,
+			},
+		},
+		WeightStore: confstate.WeightStore{LoadsPerSecond: 60, MaxConcurrent: 12},
+		Queues:      confstate.Queues{Desk: 256, Samples: 1024},
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,407 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"fuchsiaflow/confstate"
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/fakes"
+)
+
+// Sizes of the demo. It takes about ten seconds.
+const (
+	engines        = 9
+	services       = 3
+	steps          = 6
+	groupsPerStep  = 12
+	samplesInGroup = 8
+	maxTokens      = 64
+	tokenTime      = 2 * time.Millisecond
+	swapTime       = 150 * time.Millisecond
+	deskInterval   = 60 * time.Millisecond
+	stalenessBound = 2
+	stepTimeout    = 20 * time.Second
+	// readyTimeout bounds the start of the hosts.
+	readyTimeout = 15 * time.Second
+)
+
+// Report is what the demo did.
+type Report struct {
+	SamplesRequested     int               `json:"samples_requested"`
+	SamplesDelivered     int               `json:"samples_delivered"`
+	SamplesDuplicated    int               `json:"samples_duplicated"`
+	SamplesLost          int               `json:"samples_lost"`
+	SamplesOverStaleness int               `json:"samples_over_staleness"`
+	SamplesMislabelled   int               `json:"samples_mislabelled"`
+	SamplesWrong         int               `json:"samples_wrong"`
+	SamplesWithdrawn     int               `json:"samples_withdrawn"`
+	StalenessMean        float64           `json:"staleness_mean"`
+	StalenessMax         uint64            `json:"staleness_max"`
+	TrainerIdleSeconds   float64           `json:"trainer_idle_seconds"`
+	DeskRequests         int               `json:"desk_requests"`
+	DeskAnswers          int               `json:"desk_answers"`
+	DeskWrong            int               `json:"desk_wrong"`
+	DeskNotRun           int               `json:"desk_not_run"`
+	DeskUnknown          int               `json:"desk_unknown"`
+	UnsafeExecutedTwice  int               `json:"unsafe_executed_twice"`
+	RanAfterNotRun       int               `json:"ran_after_not_run"`
+	ConfigVersions       map[string]uint64 `json:"config_versions"`
+	Events               []string          `json:"events"`
+	Seconds              float64           `json:"seconds"`
+}
+
+// Broken reports a guarantee that the run did not keep.
+type Broken struct {
+	Guarantee string
+	Count     int
+}
+
+func (e *Broken) Error() string {
+	return fmt.Sprintf("guarantee is broken: %s (%d times)", e.Guarantee, e.Count)
+}
+
+// FailureCode implements errs.Failure.
+func (e *Broken) FailureCode() errs.Code { return errs.CodeInternal }
+
+// FailureOutcome implements errs.Failure.
+func (e *Broken) FailureOutcome() errs.Outcome { return errs.Ran }
+
+// Check returns the first guarantee that the run broke, or nil.
+func (r *Report) Check() error {
+	checks := []Broken{
+		{"every sample is delivered", r.SamplesLost + r.SamplesRequested - r.SamplesDelivered},
+		{"no sample is delivered twice", r.SamplesDuplicated},
+		{"no sample is older than the bound", r.SamplesOverStaleness},
+		{"every sample names its versions", r.SamplesMislabelled},
+		{"every sample is whole", r.SamplesWrong},
+		{"every desk answer is whole", r.DeskWrong},
+		{"unsafe requests run at most once", r.UnsafeExecutedTwice},
+		{"not run means not run", r.RanAfterNotRun},
+	}
+	for _, c := range checks {
+		if c.Count != 0 {
+			return &c
+		}
+	}
+	for host, version := range r.ConfigVersions {
+		if version != finalVersion {
+			return &Broken{Guarantee: "the newest configuration is in force on host " + host, Count: 1}
+		}
+	}
+	return nil
+}
+
+const finalVersion = 2
+
+// run is one execution of the demo.
+type run struct {
+	cluster  *Cluster
+	truth    *fakes.Truth
+	engines  []*fakes.Engine
+	services []*fakes.Service
+	trainer  *fakes.Trainer
+	desks    map[string]*fakes.Desk
+	progress io.Writer
+	report   *Report
+}
+
+// Run executes the demo with its data under dir and prints progress to w.
+func Run(ctx context.Context, dir string, w io.Writer, log *slog.Logger) (*Report, error) {
+	start := time.Now()
+	cluster, err := NewCluster(3, dir, log)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{cluster: cluster, truth: fakes.NewTruth(), progress: w, report: &Report{ConfigVersions: make(map[string]uint64)}}
+	defer r.stop()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	if err := r.work(ctx); err != nil {
+		return r.report, err
+	}
+	r.tally()
+	r.report.Seconds = time.Since(start).Seconds()
+	return r.report, r.report.Check()
+}
+
+func (r *run) event(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.report.Events = append(r.report.Events, text)
+	fmt.Fprintln(r.progress, text)
+}
+
+func (r *run) start(ctx context.Context) error {
+	if err := r.cluster.StartAll(ctx); err != nil {
+		return err
+	}
+	r.event("started %d hosts in %d failure domains", len(r.cluster.Hosts()), len(Domains))
+	if err := r.apply(ctx, 1); err != nil {
+		return err
+	}
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := r.cluster.AwaitReady(readyCtx); err != nil {
+		return err
+	}
+	r.event("configuration 1 is in force on all hosts")
+	if err := r.startTargets(); err != nil {
+		return err
+	}
+	r.startCallers()
+	return r.awaitTargets(readyCtx)
+}
+
+// apply sends a configuration to the first running host, as an operator would.
+func (r *run) apply(ctx context.Context, version uint64) error {
+	body := confstate.Canonical(Config(version))
+	for _, name := range r.cluster.Hosts() {
+		if h := r.cluster.Host(name); h != nil {
+			_, err := h.Apply(ctx, body)
+			return err
+		}
+	}
+	return &errs.Unavailable{Resource: "cluster", Reason: "no host is running"}
+}
+
+func (r *run) startTargets() error {
+	for i := range engines {
+		domain := Domains[i%len(Domains)]
+		e, err := fakes.NewEngine(fakes.EngineOptions{
+			TargetOptions: fakes.TargetOptions{
+				ID: "engine-" + strconv.Itoa(i+1), FailureDomain: domain, Pool: "sorting", Slots: 8,
+				Hosts: r.cluster.URLs(domain), Interval: 500 * time.Millisecond,
+			},
+			Models: map[string]uint64{"sorter": 1}, TokenInterval: tokenTime, SwapDuration: swapTime, CheckFence: true, Truth: r.truth,
+		})
+		if err != nil {
+			return err
+		}
+		r.engines = append(r.engines, e)
+	}
+	for i := range services {
+		domain := Domains[i%len(Domains)]
+		s, err := fakes.NewService(fakes.TargetOptions{
+			ID: "log-" + strconv.Itoa(i+1), FailureDomain: domain, Pool: "intake-log", Slots: 8,
+			Hosts: r.cluster.URLs(domain), Interval: 500 * time.Millisecond,
+		})
+		if err != nil {
+			return err
+		}
+		r.services = append(r.services, s)
+	}
+	return nil
+}
+
+func (r *run) startCallers() {
+	urls := r.cluster.URLs("")
+	r.trainer = fakes.NewTrainer(fakes.TrainerOptions{
+		Hosts: urls, Token: TrainerToken, Model: "sorter", Pool: "sorting", Bound: stalenessBound, Truth: r.truth,
+		LoseAnswers: 0.05, Seed: 1,
+	})
+	r.desks = map[string]*fakes.Desk{
+		"sorting":    fakes.NewDesk(fakes.DeskOptions{Hosts: urls, Token: DeskToken, Pool: "sorting", Truth: r.truth}),
+		"intake-log": fakes.NewDesk(fakes.DeskOptions{Hosts: urls, Token: DeskToken, Pool: "intake-log"}),
+	}
+}
+
+// awaitTargets waits until the hosts own all targets.
+func (r *run) awaitTargets(ctx context.Context) error {
+	for {
+		owned := 0
+		for _, name := range r.cluster.Hosts() {
+			owned += r.cluster.Host(name).OwnedTargets()
+		}
+		if owned == engines+services {
+			r.event("%d engines and %d services announced themselves", engines, services)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &errs.Unavailable{Resource: "targets", Reason: fmt.Sprintf("only %d are owned", owned)}
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// work runs the trainer's steps and the desk side by side, with failures in between.
+func (r *run) work(ctx context.Context) error {
+	deskCtx, stopDesk := context.WithCancel(ctx)
+	var desk sync.WaitGroup
+	desk.Go(func() { r.desk(deskCtx, ctx) })
+	defer desk.Wait()
+	defer stopDesk()
+	if err := r.trainer.Publish(ctx, 1); err != nil {
+		return err
+	}
+	for i := range steps {
+		if err := r.disturb(ctx, i); err != nil {
+			return err
+		}
+		began := time.Now()
+		if err := r.trainer.RunStep(ctx, "step-"+strconv.Itoa(i+1), r.groups(i), stepTimeout); err != nil {
+			return err
+		}
+		r.event("step %d: %d samples in %.2f s", i+1, groupsPerStep*samplesInGroup, time.Since(began).Seconds())
+		if err := r.trainer.Publish(ctx, uint64(i+2)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) groups(step int) []fakes.Group {
+	groups := make([]fakes.Group, groupsPerStep)
+	for i := range groups {
+		groups[i] = fakes.Group{
+			Prompt: fmt.Sprintf("drum head %d of round %d: reuse or pulp?", i, step), Samples: samplesInGroup, MaxTokens: maxTokens,
+		}
+	}
+	return groups
+}
+
+// disturb makes something fail before a step.
+func (r *run) disturb(ctx context.Context, step int) error {
+	switch step {
+	case 1:
+		r.engines[0].Crash()
+		r.event("engine-1 crashed")
+	case 2:
+		r.event("host yeka-2 is killed")
+		if err := r.engines[0].Restart(); err != nil {
+			return err
+		}
+		return r.cluster.Kill(ctx, "yeka-2")
+	case 3:
+		if err := r.apply(ctx, finalVersion); err != nil {
+			return err
+		}
+		r.event("configuration %d is accepted", finalVersion)
+		r.event("host yeka-2 is started again")
+		return r.cluster.Start(ctx, "yeka-2")
+	case 4:
+		r.event("host akaki-3 is shut down gracefully")
+		return r.cluster.Stop(ctx, "akaki-3")
+	}
+	return nil
+}
+
+// desk sends requests until its context ends: generations, safe calls and unsafe calls.
+func (r *run) desk(until, ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for i := 0; until.Err() == nil; i++ {
+		calls.Go(func() { r.deskRequest(ctx, i) })
+		select {
+		case <-until.Done():
+		case <-time.After(deskInterval):
+		}
+	}
+}
+
+func (r *run) deskRequest(ctx context.Context, i int) {
+	if i%2 == 0 {
+		_, _ = r.desks["sorting"].Do(ctx, fakes.DeskRequest{
+			Model: "sorter", Prompt: fmt.Sprintf("arrival %d: which shelf?", i), MaxTokens: 24, Timeout: 10 * time.Second,
+		})
+		return
+	}
+	body, _ := json.Marshal(map[string]int{"drum_head": i})
+	_, _ = r.desks["intake-log"].Do(ctx, fakes.DeskRequest{
+		Body: body, Key: "log-" + strconv.Itoa(i), Unsafe: true, Timeout: 10 * time.Second,
+	})
+}
+
+func (r *run) tally() {
+	t := r.trainer.Tally()
+	rep := r.report
+	rep.SamplesRequested, rep.SamplesDelivered, rep.SamplesDuplicated = t.Requested, t.Delivered, t.Duplicated
+	rep.SamplesLost, rep.SamplesOverStaleness, rep.SamplesMislabelled = t.Lost, t.Stale, t.Mislabelled
+	rep.SamplesWrong, rep.SamplesWithdrawn = t.Wrong+t.OutOfOrder, t.Withdrawn
+	rep.TrainerIdleSeconds = t.Idle.Seconds()
+	var sum uint64
+	for _, s := range t.Staleness {
+		sum += s
+		rep.StalenessMax = max(rep.StalenessMax, s)
+	}
+	if len(t.Staleness) > 0 {
+		rep.StalenessMean = float64(sum) / float64(len(t.Staleness))
+	}
+	for _, d := range r.desks {
+		r.tallyDesk(d.Audit(r.executions))
+	}
+	for _, name := range r.cluster.Hosts() {
+		if h := r.cluster.Host(name); h != nil {
+			rep.ConfigVersions[name] = h.ConfigVersion()
+		}
+	}
+}
+
+func (r *run) tallyDesk(d fakes.DeskTally) {
+	rep := r.report
+	rep.DeskRequests += d.Requests
+	rep.DeskAnswers += d.Answers
+	rep.DeskWrong += d.Wrong + d.Mislabelled
+	rep.DeskNotRun += d.NotRun
+	rep.DeskUnknown += d.Unknown
+	rep.UnsafeExecutedTwice += d.UnsafeTwice
+	rep.RanAfterNotRun += d.RanAfterNotRun
+}
+
+// executions counts how often the fakes ran a request.
+func (r *run) executions(input string) int {
+	n := 0
+	for _, e := range r.engines {
+		n += e.ExecutionsOf(input)
+	}
+	for _, s := range r.services {
+		n += s.ExecutionsOf(input)
+	}
+	return n
+}
+
+// stopTimeout bounds the end of the demo.
+const stopTimeout = 5 * time.Second
+
+func (r *run) stop() {
+	if r.trainer != nil {
+		r.trainer.Close()
+	}
+	for _, d := range r.desks {
+		d.Close()
+	}
+	for _, e := range r.engines {
+		e.Close()
+	}
+	for _, s := range r.services {
+		s.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	r.cluster.KillAll(ctx)
+}
+
+// Print writes the report as text.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "\nsamples   requested %d  delivered %d  duplicated %d  lost %d  withdrawn and generated again %d\n",
+		r.SamplesRequested, r.SamplesDelivered, r.SamplesDuplicated, r.SamplesLost, r.SamplesWithdrawn)
+	fmt.Fprintf(w, "staleness mean %.2f  max %d  over the bound %d  mislabelled %d\n",
+		r.StalenessMean, r.StalenessMax, r.SamplesOverStaleness, r.SamplesMislabelled)
+	fmt.Fprintf(w, "desk      requests %d  answers %d  not run %d  unknown %d  unsafe executed twice %d\n",
+		r.DeskRequests, r.DeskAnswers, r.DeskNotRun, r.DeskUnknown, r.UnsafeExecutedTwice)
+	for _, name := range sortedKeys(r.ConfigVersions) {
+		fmt.Fprintf(w, "host      %-8s configuration version %d\n", name, r.ConfigVersions[name])
+	}
+	fmt.Fprintf(w, "took %.1f s\n", r.Seconds)
+}
+
+func sortedKeys(m map[string]uint64) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -439,3 +439,9 @@
 	want := h.settings.OperatorToken.Reveal()
 	return want != "" && subtle.ConstantTimeCompare([]byte(token), []byte(want)) == 1
 }
+
+// OwnedTargets returns the number of targets that this host owns.
+func (h *Host) OwnedTargets() int { return len(h.targets.Owned()) }
+
+// ConfigVersion returns the version of the configuration in force, or 0.
+func (h *Host) ConfigVersion() uint64 { return h.config.Version() }
