A host that does not know its configuration refuses as not run

Cause: a restarted host answered 401 to valid tokens until it had read the configuration, which ended a trainer's step; requests right after a start were refused because no summary of other hosts had arrived. Change: callers get 503 with outcome not_run until the configuration is confirmed; a request waits up to 1 s for a first target.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -85,10 +85,9 @@
 // asCaller authenticates a tenancy of the given kind.
 func (h *handler) asCaller(kind string, next callerHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		token := bearer(r)
-		id, ok := h.Auth.Caller(token)
-		if token == "" || !ok {
-			writeError(w, &errs.Unauthenticated{Realm: "callers"})
+		id, err := h.Auth.Caller(bearer(r))
+		if err != nil {
+			writeError(w, err)
 			return
 		}
 		if id.Kind != kind {
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -18,8 +18,9 @@
 
 // Authenticator checks bearer tokens.
 type Authenticator interface {
-	// Caller returns the tenancy that owns the token.
-	Caller(token string) (Identity, bool)
+	// Caller returns the tenancy that owns the token. A host that does not know the tenancies
+	// yet fails with errs.Unavailable, so that a valid token is never refused as wrong.
+	Caller(token string) (Identity, error)
 	// Operator reports whether the token is the operators' token.
 	Operator(token string) bool
 }
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -207,7 +207,7 @@
 	if number > 1 {
 		id += "." + strconv.Itoa(number)
 	}
-	host, err := d.pickHost(r, id, t.Name)
+	host, err := d.pickHost(ctx, r, id, t.Name)
 	if err != nil {
 		return nil, err
 	}
@@ -217,22 +217,33 @@
 	return d.generate(ctx, host, t, r, id, emit)
 }
 
-func (d *deskService) pickHost(r api.DeskRequest, id, tenancy string) (string, error) {
-	now := time.Now()
+// targetWait bounds how long a request waits for a first target of its pool, as after the
+// start of a host, whose view of the others fills within a gossip round.
+const (
+	targetWait  = time.Second
+	targetPause = 25 * time.Millisecond
+)
+
+func (d *deskService) pickHost(ctx context.Context, r api.DeskRequest, id, tenancy string) (string, error) {
 	request := routing.Request{
 		ID: id, Kind: routing.Desk, Tenancy: tenancy, Pool: r.Pool, Model: r.Model, Domain: d.domain,
 	}
 	if r.Prompt != "" {
 		request.PrefixKeys = prefixKeys(r.Prompt)
 	}
-	summaries := d.members.Summaries(now)
-	d.mu.Lock()
-	host, ok := routing.PickHost(now, request, summaries, d.random)
-	d.mu.Unlock()
-	if !ok {
-		return "", &errs.Unavailable{Resource: "pool " + r.Pool, Reason: "no target is known"}
+	for until := time.Now().Add(targetWait); ; {
+		now := time.Now()
+		summaries := d.members.Summaries(now)
+		d.mu.Lock()
+		host, ok := routing.PickHost(now, request, summaries, d.random)
+		d.mu.Unlock()
+		if ok {
+			return host, nil
+		}
+		if now.After(until) || !pause(ctx, targetPause) {
+			return "", &errs.Unavailable{Resource: "pool " + r.Pool, Reason: "no target is known"}
+		}
 	}
-	return host, nil
 }
 
 func (d *deskService) call(ctx context.Context, host string, t *confstate.Tenancy, r api.DeskRequest, id string, emit func(api.DeskChunk) error) (*api.DeskReply, error) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -422,16 +422,16 @@
 }
 
 // Caller implements api.Authenticator.
-func (h *Host) Caller(token string) (api.Identity, bool) {
+func (h *Host) Caller(token string) (api.Identity, error) {
 	cfg := h.config.Current()
-	if cfg == nil || token == "" {
-		return api.Identity{}, false
+	if cfg == nil || !h.config.Ready() {
+		return api.Identity{}, &errs.Unavailable{Resource: "host", Reason: "the newest configuration is not confirmed yet"}
 	}
 	t := cfg.TenancyByToken(token)
-	if t == nil {
-		return api.Identity{}, false
+	if t == nil || token == "" {
+		return api.Identity{}, &errs.Unauthenticated{Realm: "callers"}
 	}
-	return api.Identity{Tenancy: t.Name, Kind: string(t.Kind)}, true
+	return api.Identity{Tenancy: t.Name, Kind: string(t.Kind)}, nil
 }
 
 // Operator implements api.Authenticator.
--- a/internal/host/targets.go
+++ b/internal/host/targets.go
@@ -39,7 +39,6 @@
 	mu       sync.Mutex
 	registry *membership.Targets
 	targets  map[string]api.Announcement
-	admitted func(pool, id string) bool
 }
 
 func newTargetService(self, domain string, lease time.Duration, members *membershipService,
