--- /dev/null
+++ b/internal/measure/planner.go
@@ -0,0 +1,77 @@
+package measure
+
+import (
+	"slices"
+	"time"
+)
+
+// SwapOrder tells a target to load a version.
+type SwapOrder struct {
+	Target  string
+	Model   string
+	Version uint64
+}
+
+// Planner plans weight swaps of one failure domain; weights.Planner can be put behind it.
+type Planner interface {
+	Desire(now time.Time, model string, version uint64)
+	Report(now time.Time, target string, loaded map[string]uint64)
+	Tick(now time.Time) []SwapOrder
+	Result(now time.Time, o SwapOrder, ok bool)
+}
+
+// wavePlanner is the simple Planner: at most a fixed number of targets swap at once.
+type wavePlanner struct {
+	maxUnavailable int
+	desired        map[string]uint64
+	models         []string
+	targets        []string
+	loaded         map[string]map[string]uint64
+	busy           map[string]bool
+}
+
+func newWavePlanner(maxUnavailable int) *wavePlanner {
+	return &wavePlanner{maxUnavailable: maxUnavailable, desired: make(map[string]uint64),
+		loaded: make(map[string]map[string]uint64), busy: make(map[string]bool)}
+}
+
+// Desire implements Planner.
+func (p *wavePlanner) Desire(_ time.Time, model string, version uint64) {
+	if !slices.Contains(p.models, model) {
+		p.models = append(p.models, model)
+	}
+	p.desired[model] = max(version, p.desired[model])
+}
+
+// Report implements Planner.
+func (p *wavePlanner) Report(_ time.Time, target string, loaded map[string]uint64) {
+	if p.loaded[target] == nil {
+		p.targets = append(p.targets, target)
+	}
+	p.loaded[target] = loaded
+}
+
+// Tick implements Planner.
+func (p *wavePlanner) Tick(time.Time) []SwapOrder {
+	var out []SwapOrder
+	for _, m := range p.models {
+		for _, t := range p.targets {
+			if len(p.busy) >= p.maxUnavailable {
+				return out
+			}
+			if !p.busy[t] && p.loaded[t][m] < p.desired[m] {
+				p.busy[t] = true
+				out = append(out, SwapOrder{t, m, p.desired[m]})
+			}
+		}
+	}
+	return out
+}
+
+// Result implements Planner.
+func (p *wavePlanner) Result(_ time.Time, o SwapOrder, ok bool) {
+	delete(p.busy, o.Target)
+	if ok {
+		p.loaded[o.Target][o.Model] = o.Version
+	}
+}
--- a/routing/targets.go
+++ b/routing/targets.go
@@ -81,3 +81,24 @@
 	}
 	return max(0, free-p.queued())
 }
+
+// Summary returns what the host tells others about a pool, for PickHost.
+func (d *Dispatcher) Summary(now time.Time, pool string) PoolSummary {
+	s := PoolSummary{Versions: make(map[string]uint64)}
+	p := d.pools[pool]
+	if p == nil {
+		return s
+	}
+	s.Load = p.queued()
+	for _, ep := range p.endpoints {
+		s.Load += len(ep.inflight)
+		if !ep.Healthy(now) {
+			continue
+		}
+		s.Capacity += ep.Window()
+		for m, v := range ep.state.Loaded {
+			s.Versions[m] = max(v, s.Versions[m])
+		}
+	}
+	return s
+}
