routing: window follows engine queueing, quiet targets adapt to the batch slowdown

Cause: prefill on cold caches made first tokens look late, so windows of lightly used targets fell to one; a weight swap's pause made targets look slow; quiet targets took 40% of a pool. Change: the window shrinks on reported engine queues and on first tokens late by half the service time, measurements across a change of loaded models are skipped, and the sample limit on quiet targets follows their time per token.

--- a/routing/config.go
+++ b/routing/config.go
@@ -30,9 +30,9 @@
 	PrefixEntries int
 	// PrefixHalfLife is the age at which a cache entry counts half.
 	PrefixHalfLife time.Duration
-	// QuietShare is the share of a target's slots that may be in use on the few targets that
-	// are kept quiet for desk requests while a pool serves both kinds.
-	QuietShare float64
+	// DeskSlowdown bounds the time per token on the few targets that are kept quiet for desk
+	// requests while a pool serves both kinds, relative to the best time seen in the pool.
+	DeskSlowdown float64
 	// Profile chooses among endpoints; DefaultProfile where nil.
 	Profile *Profile
 }
@@ -49,7 +49,7 @@
 	defaultCandidates       = 16
 	defaultPrefixEntries    = 1 << 16
 	defaultPrefixHalfLife   = 2 * time.Minute
-	defaultQuietShare       = 0.4
+	defaultDeskSlowdown     = 1.3
 )
 
 func orDefault[T int | float64 | time.Duration](v, d T) T {
@@ -71,7 +71,7 @@
 	c.Candidates = orDefault(c.Candidates, defaultCandidates)
 	c.PrefixEntries = orDefault(c.PrefixEntries, defaultPrefixEntries)
 	c.PrefixHalfLife = orDefault(c.PrefixHalfLife, defaultPrefixHalfLife)
-	c.QuietShare = orDefault(c.QuietShare, defaultQuietShare)
+	c.DeskSlowdown = orDefault(c.DeskSlowdown, defaultDeskSlowdown)
 	if c.Profile == nil {
 		c.Profile = DefaultProfile()
 	}
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -49,7 +49,7 @@
 func (d *Dispatcher) pool(name string) *pool {
 	p := d.pools[name]
 	if p == nil {
-		p = &pool{name: name}
+		p = &pool{name: name, slowdown: d.cfg.DeskSlowdown}
 		d.pools[name] = p
 		d.order = append(d.order, p)
 	}
@@ -304,7 +304,7 @@
 	if it == nil || it.endpoint == nil || tokens <= it.progress || it.endpoint.gone {
 		return
 	}
-	if it.progress > 0 {
+	if it.progress > 0 && it.progressAt.After(it.endpoint.changed) {
 		it.endpoint.observeTokenTime(now, now.Sub(it.progressAt).Seconds()/float64(tokens-it.progress), false)
 	}
 	it.progress, it.progressAt = tokens, now
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -22,9 +22,9 @@
 	windowDecrease   = 0.85
 	firstTokenFactor = 4
 	// queueShare is the part of the service time by which first tokens may be late before the
-	// window shrinks. Prefill varies with cache hits; waiting for an engine slot is of the
-	// order of the service time divided by the slots.
-	queueShare      = 0.1
+	// window shrinks. Prefill alone varies by several tenths of a second with cache hits; with
+	// 0.1 targets with cold caches shrank to a window of one.
+	queueShare      = 0.5
 	failuresAllowed = 3 // consecutive failures that suspend a target
 	probesToReturn  = 2 // consecutive good probes that end a suspension
 	goodProbeFactor = 2 // a good probe's time per token, relative to the pool
@@ -55,6 +55,7 @@
 	service    average   // seconds
 	bestFirst  float64
 	adjusted   time.Time // last decrease of the window
+	changed    time.Time // last change of the loaded models, during which the target may pause
 
 	suspended  bool
 	failures   int
@@ -101,17 +102,11 @@
 func (e *Endpoint) Room(k Kind) int {
 	limit := e.Window()
 	if k == Sample && e.quiet {
-		limit = min(limit, e.quietSamples())
+		limit = min(limit, max(1, int(e.pool.quietLimit)))
 	}
 	return max(0, limit-e.Load())
 }
 
-// quietSamples is the number of samples that a quiet target may run: half of its quiet
-// share, the other half is left to desk requests.
-func (e *Endpoint) quietSamples() int {
-	return int(float64(e.maxWindow()) * e.cfg.QuietShare / 2)
-}
-
 // Healthy reports whether the target may receive ordinary work.
 func (e *Endpoint) Healthy(now time.Time) bool {
 	return !e.gone && !e.state.Leaving && !e.suspended && !e.silent(now)
@@ -148,6 +143,9 @@
 	}
 	e.foreign = max(0, l.Running+l.Queued-own)
 	e.heard = now
+	if l.Queued > 0 {
+		e.shrink(now) // the engine runs fewer requests at once than the window allows
+	}
 }
 
 func (e *Endpoint) remove(now time.Time, it *item) {
@@ -176,7 +174,7 @@
 		return
 	}
 	e.heard, e.failures = now, 0
-	if r.Tokens <= 0 || r.Duration <= 0 {
+	if r.Tokens <= 0 || r.Duration <= 0 || !it.started.After(e.changed) {
 		return
 	}
 	perToken := max(r.Duration-r.FirstToken, time.Microsecond).Seconds() / float64(r.Tokens)
@@ -198,7 +196,7 @@
 		e.suspend(now)
 		return
 	}
-	e.pool.tokenTime.add(seconds, poolWeight)
+	e.pool.observeTokenTime(seconds)
 }
 
 func (e *Endpoint) judgeProbe(seconds float64) {
@@ -226,11 +224,14 @@
 	} else {
 		e.bestFirst += 0.002 * (seconds - e.bestFirst) // lets the best value follow lasting change
 	}
+	if e.Load()+1 < e.Window() {
+		return // the window does not limit the target
+	}
 	if e.firstToken.value > firstTokenFactor*e.bestFirst+queueShare*e.service.value {
 		e.shrink(now)
 		return
 	}
-	if e.Load()+1 >= e.Window() {
+	if now.Sub(e.adjusted) > time.Second {
 		e.window = min(float64(e.maxWindow()), e.window+1)
 	}
 }
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -10,11 +10,16 @@
 	// deskDecay is the share of the observed desk concurrency that is kept per tick; with one
 	// tick a second it halves in about 30 s.
 	deskDecay = 0.977
+	// deskPerQuiet is the desk concurrency that one quiet target is kept for.
+	deskPerQuiet = 4
+	// bestDrift lets the best time per token follow a lasting change of the targets.
+	bestDrift = 0.0005
 )
 
 // pool is the queue and the endpoints of one pool.
 type pool struct {
 	name      string
+	slowdown  float64
 	endpoints []*Endpoint
 	free      []*Endpoint // endpoints with room for a desk request
 	probes    []*Endpoint // suspended and silent endpoints
@@ -24,6 +29,8 @@
 
 	tokenTime  average
 	firstToken average
+	bestToken  float64 // best time per token, in seconds
+	quietLimit float64 // requests on a quiet target above which it gets no samples
 	deskFlight int
 	deskPeak   float64
 	slots      int // sum of the windows of healthy endpoints at the last tick
@@ -111,6 +118,37 @@
 	p.probes = slices.DeleteFunc(p.probes, func(ep *Endpoint) bool { return ep.Healthy(now) })
 	p.deskPeak = max(p.deskPeak*deskDecay, float64(p.deskFlight+p.desk.queued))
 	p.chooseQuiet(now)
+	p.adaptQuiet()
+}
+
+func (p *pool) observeTokenTime(seconds float64) {
+	p.tokenTime.add(seconds, poolWeight)
+	if p.bestToken == 0 || seconds < p.bestToken {
+		p.bestToken = seconds
+	} else {
+		p.bestToken += bestDrift * (seconds - p.bestToken)
+	}
+}
+
+// adaptQuiet moves the limit of samples on quiet targets to where their time per token stays
+// within the allowed slowdown, because how much a batch slows requests differs by engine.
+func (p *pool) adaptQuiet() {
+	sum, n, top := 0.0, 0.0, 1.0
+	for _, ep := range p.endpoints {
+		top = max(top, float64(ep.maxWindow()))
+		if ep.quiet && ep.tokenTime.value > 0 {
+			sum += ep.tokenTime.value
+			n++
+		}
+	}
+	switch {
+	case p.quietLimit == 0:
+		p.quietLimit = top / 2
+	case n > 0 && sum/n > p.slowdown*p.bestToken:
+		p.quietLimit = max(1, p.quietLimit-1)
+	case n > 0:
+		p.quietLimit = min(top, p.quietLimit+0.25)
+	}
 }
 
 // chooseQuiet marks as many endpoints as the recent desk concurrency needs. Desk requests
@@ -124,7 +162,7 @@
 	for _, ep := range p.endpoints {
 		ep.quiet = need > 0 && left > 0 && ep.Healthy(now) && len(ep.state.Loaded) > 0
 		if ep.quiet {
-			need -= max(1, float64(ep.maxWindow())*ep.cfg.QuietShare/2)
+			need -= deskPerQuiet
 			left--
 		}
 		p.place(ep)
--- a/routing/targets.go
+++ b/routing/targets.go
@@ -21,6 +21,9 @@
 		d.addTarget(now, s)
 		return
 	}
+	if !maps.Equal(old.state.Loaded, s.Loaded) {
+		old.changed = now
+	}
 	old.state = s
 	old.window = min(old.window, float64(old.maxWindow()))
 	old.report(now, s.Load)
