--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,9 +19,10 @@
 	// MaxOpenSteps is the limit of unfinished steps of a tenancy. It bounds the memory
 	// that a trainer can take without fetching.
 	MaxOpenSteps = 16
-	// KeepFinished is the number of finished steps of a tenancy that still answer a
-	// repeated Fetch or CloseStep.
-	KeepFinished = 4
+	// KeepFinished is the number of finished steps of a tenancy that still answer Fetch and
+	// CloseStep. It is above MaxOpenSteps: when all open steps close at one deadline, the
+	// trainer can still read what is missing from each.
+	KeepFinished = 2 * MaxOpenSteps
 	// KeepNames is the number of removed steps of a tenancy whose name and content digest
 	// are kept, so that a late repetition of OpenStep does not run the step again.
 	KeepNames = 1024
--- a/ledger/step.go
+++ b/ledger/step.go
@@ -22,7 +22,7 @@
 	Bound      uint64
 	DeadlineMs int64
 	Content    Digest
-	Groups     []Group // without prompts once the step is finished
+	Groups     []Group // nil once the step is finished
 	Size       int
 	Closed     bool
 	Finished   bool
@@ -316,9 +316,6 @@
 	s.Closed = true
 	s.Lost = s.missing()
 	s.Finished = true
-	for i := range s.Groups {
-		s.Groups[i].Prompt = ""
-	}
-	s.Batch, s.States, s.Attempts, s.VersionIndex, s.HolderIndex = nil, nil, nil, nil, nil
+	s.Groups, s.Batch, s.States, s.Attempts, s.VersionIndex, s.HolderIndex = nil, nil, nil, nil, nil, nil
 	s.Tokens, s.Digests, s.Versions, s.Holders = nil, nil, nil, nil
 }
