weights: select targets with a heap instead of sorting the fleet

Cause: Tick sorted and visited every target that is behind.

Change: targets with an outstanding order and waiting targets are separate sets; waiting targets go through a heap from which only as many are taken as the store's rate allows.

--- a/weights/bench_test.go
+++ b/weights/bench_test.go
@@ -15,7 +15,7 @@
 			now, version := t0, uint64(1)
 			for b.Loop() {
 				b.StopTimer()
-				if len(p.behind) < n/2 { // start the next version; half to all targets are behind
+				if p.Stats().Behind < n/2 { // start the next version; half to all targets are behind
 					version++
 					p.Desire(now, "m", version)
 				}
--- a/weights/tick.go
+++ b/weights/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"maps"
 	"slices"
 	"strconv"
@@ -15,7 +16,7 @@
 // targets are out of service until they report again.
 func (p *Planner) Tick(now time.Time, a Authority) []Order {
 	p.fill(now)
-	if len(p.behind) == 0 {
+	if len(p.waiting)+len(p.swapping) == 0 {
 		return nil
 	}
 	expires, ok := p.authority(now, a)
@@ -23,18 +24,8 @@
 		p.stats.NoAuthority++
 		return nil
 	}
-	candidates := p.candidates()
-	p.expire(now, candidates)
-	var orders []Order
-	for _, t := range candidates {
-		if t.lastFence > Fence(a.Term, maxSequence) {
-			continue // a newer leader gave this target orders
-		}
-		if o, ok := p.orderFor(now, t, expires); ok {
-			orders = append(orders, o)
-		}
-	}
-	return orders
+	orders := p.continueSwaps(now, expires)
+	return append(orders, p.startSwaps(now, expires)...)
 }
 
 // authority adopts the term and returns the expiry of orders given now.
@@ -54,7 +45,7 @@
 }
 
 func (p *Planner) forgetOrders() {
-	for t := range p.behind {
+	for t := range p.swapping {
 		for _, m := range t.models {
 			if m.order != nil {
 				m.end()
@@ -74,71 +65,111 @@
 	}
 }
 
-// candidates lists the targets with something to swap: first those that are out of service
-// already, then idle ones, then by name.
-func (p *Planner) candidates() []*target {
-	list := slices.Collect(maps.Keys(p.behind))
-	slices.SortFunc(list, func(a, b *target) int {
-		if a.out != b.out {
-			return rank(b.out) - rank(a.out)
-		}
-		return cmp.Or(rank(a.busy)-rank(b.busy), cmp.Compare(a.id, b.id))
-	})
-	return list
-}
-
-func rank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// expire fails swaps whose version was not reported in time.
-func (p *Planner) expire(now time.Time, candidates []*target) {
-	for _, t := range candidates {
+// continueSwaps fails the swaps whose version was not reported in time and repeats the orders
+// of the others.
+func (p *Planner) continueSwaps(now, expires time.Time) (orders []Order) {
+	list := slices.SortedFunc(maps.Keys(p.swapping), func(a, b *target) int { return cmp.Compare(a.id, b.id) })
+	for _, t := range list {
 		for _, name := range slices.Sorted(maps.Keys(t.models)) {
-			if m := t.models[name]; m.order != nil {
+			m := t.models[name]
+			if m.order != nil {
 				p.timeout(now, m)
 			}
+			if m.order != nil && !m.order.done && !now.Before(m.order.last.Add(p.cfg.RepeatInterval)) && p.commands(t) {
+				p.stats.Repeats++
+				orders = append(orders, p.give(t, m, now, expires, true))
+			}
 		}
 		p.refresh(t)
 	}
+	return orders
 }
 
-// orderFor repeats the order of a target or gives it a new one. A target has one order at a
-// time, so that a failure concerns one model.
-func (p *Planner) orderFor(now time.Time, t *target, expires time.Time) (Order, bool) {
-	names := slices.Sorted(maps.Keys(t.models))
-	for _, name := range names {
-		m := t.models[name]
-		if m.order == nil {
-			continue
-		}
-		if m.order.done || now.Before(m.order.last.Add(p.cfg.RepeatInterval)) {
-			return Order{}, false
-		}
-		p.stats.Repeats++
-		return p.give(now, t, m, expires, true), true
+// startSwaps gives new orders as far as the store's rate and the pools allow. A target has one
+// order at a time, so that a failure concerns one model.
+func (p *Planner) startSwaps(now, expires time.Time) (orders []Order) {
+	if p.tokens < 1 {
+		return nil
 	}
-	for _, name := range names {
-		m := t.models[name]
-		if !p.wants(name, m) || !m.mayOrder(now, p.desired[name]) {
+	queue := p.candidates(now)
+	for p.tokens >= 1 && len(queue) > 0 {
+		t := heap.Pop(&queue).(*target)
+		m := p.next(now, t)
+		if m == nil || !t.out && !p.mayStop(t.pool) {
 			continue
 		}
-		if p.tokens < 1 || !t.out && !p.mayStop(t.pool) {
-			return Order{}, false
-		}
 		p.tokens--
-		m.order = &outstanding{version: p.desired[name], first: now}
-		o := p.give(now, t, m, expires, false)
+		m.order = &outstanding{version: p.desired[m.name], first: now}
+		orders = append(orders, p.give(t, m, now, expires, false))
 		p.refresh(t)
-		return o, true
 	}
-	return Order{}, false
+	return orders
+}
+
+// candidates returns the targets that may get a new order.
+func (p *Planner) candidates(now time.Time) targetQueue {
+	var queue targetQueue
+	for t := range p.waiting {
+		if (t.out || p.mayStop(t.pool)) && p.commands(t) {
+			queue = append(queue, t)
+		}
+	}
+	heap.Init(&queue)
+	return queue
+}
+
+// commands reports whether no newer leader gave the target orders.
+func (p *Planner) commands(t *target) bool { return t.lastFence <= Fence(p.term, maxSequence) }
+
+// next returns the first model by name that needs an order now, or nil.
+func (p *Planner) next(now time.Time, t *target) *model {
+	var first *model
+	for name, m := range t.models {
+		if p.wants(name, m) && m.mayOrder(now, p.desired[name]) && (first == nil || name < first.name) {
+			first = m
+		}
+	}
+	return first
+}
+
+// targetQueue is a heap: first the targets that are out of service already, then idle ones,
+// then by name.
+type targetQueue []*target
+
+func (q targetQueue) Len() int { return len(q) }
+
+func (q targetQueue) Less(i, j int) bool {
+	a, b := q[i], q[j]
+	if a.out != b.out {
+		return a.out
+	}
+	if a.busy != b.busy {
+		return b.busy
+	}
+	return a.id < b.id
+}
+
+func (q targetQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *targetQueue) Push(x any) { *q = append(*q, x.(*target)) }
+
+// Pop implements heap.Interface.
+func (q *targetQueue) Pop() any {
+	last := len(*q) - 1
+	t := (*q)[last]
+	*q = (*q)[:last]
+	return t
+}
+
+func rank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
-func (p *Planner) give(now time.Time, t *target, m *model, expires time.Time, repeat bool) Order {
+func (p *Planner) give(t *target, m *model, now, expires time.Time, repeat bool) Order {
 	if t.lastFence>>fenceTermShift == p.term {
 		p.seq = max(p.seq, t.lastFence&maxSequence)
 	}
--- a/weights/weights.go
+++ b/weights/weights.go
@@ -108,23 +108,24 @@
 	Failures    uint64
 	OldFences   uint64
 	NoAuthority uint64 // calls of Tick without a usable lease while targets are behind
-	Behind      int
-	Swapping    int
+	Behind      int    // targets with a model to swap
+	Swapping    int    // of these, targets with an outstanding order
 }
 
 // Planner gives swap orders. It is soft state of the domain leader and is not safe for
 // concurrent use.
 type Planner struct {
-	cfg     Config
-	desired map[string]uint64
-	pools   map[string]*pool
-	targets map[string]*target
-	behind  map[*target]struct{} // targets with at least one model to swap
-	term    uint64
-	seq     uint64
-	tokens  float64
-	refill  time.Time
-	stats   Stats
+	cfg      Config
+	desired  map[string]uint64
+	pools    map[string]*pool
+	targets  map[string]*target
+	swapping map[*target]struct{} // targets with an outstanding order
+	waiting  map[*target]struct{} // other targets with a model to swap
+	term     uint64
+	seq      uint64
+	tokens   float64
+	refill   time.Time
+	stats    Stats
 }
 
 type pool struct {
@@ -183,7 +184,7 @@
 	setDefault(&cfg.RetryDelay, defaultRetryDelay)
 	setDefault(&cfg.LeaseMargin, defaultLeaseMargin)
 	return &Planner{cfg: cfg, desired: map[string]uint64{}, pools: map[string]*pool{}, targets: map[string]*target{},
-		behind: map[*target]struct{}{}, tokens: cfg.StoreBurst}
+		swapping: map[*target]struct{}{}, waiting: map[*target]struct{}{}, tokens: cfg.StoreBurst}
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -331,7 +332,8 @@
 	p.count(t, false, false)
 	delete(t.pool.targets, id)
 	delete(p.targets, id)
-	delete(p.behind, t)
+	delete(p.swapping, t)
+	delete(p.waiting, t)
 }
 
 func (t *target) addModels(names []string) {
@@ -408,17 +410,23 @@
 
 // refresh restores the counts and indexes that depend on a target.
 func (p *Planner) refresh(t *target) {
-	out, active, behind := false, false, false
+	out, active, swapping, wanted := false, false, false, false
 	for name, m := range t.models {
 		out = out || !m.serving()
 		active = active || !m.serving() && !m.quarant
-		behind = behind || m.order != nil || p.wants(name, m)
+		swapping = swapping || m.order != nil
+		wanted = wanted || p.wants(name, m)
 	}
 	p.count(t, out, out && !active)
-	if behind {
-		p.behind[t] = struct{}{}
+	setMember(p.swapping, t, swapping)
+	setMember(p.waiting, t, wanted && !swapping)
+}
+
+func setMember(set map[*target]struct{}, t *target, member bool) {
+	if member {
+		set[t] = struct{}{}
 	} else {
-		delete(p.behind, t)
+		delete(set, t)
 	}
 }
 
@@ -461,13 +469,7 @@
 // Stats returns the counts of events and the present state.
 func (p *Planner) Stats() Stats {
 	st := p.stats
-	st.Behind = len(p.behind)
-	for t := range p.behind {
-		for _, m := range t.models {
-			if m.order != nil {
-				st.Swapping++
-			}
-		}
-	}
+	st.Swapping = len(p.swapping)
+	st.Behind = len(p.waiting) + len(p.swapping)
 	return st
 }
