ledger: release of payloads, exact list of withdrawn slots

Cause: hosts hold payloads in memory and need to know when to drop them.

Change: Result.Released lists payloads that are acknowledged, withdrawn, lost or abandoned. Withdrawn leaves out slots of the open batch.

--- a/ledger/command.go
+++ b/ledger/command.go
@@ -154,6 +154,9 @@
 	Closed   *Closed   `cbor:"5,keyasint,omitempty"`
 	// Replanned lists slots that were accepted and are to be generated again.
 	Replanned []SlotID `cbor:"6,keyasint,omitempty"`
+	// Released lists samples whose payload is not needed any more: acknowledged, withdrawn,
+	// lost or abandoned. It is for the observer on the leader and is not encoded.
+	Released []Held `cbor:"-"`
 }
 
 // Opened is the result of OpenStep.
@@ -183,8 +186,9 @@
 	Number   uint64
 	Revision uint64 // 1 for a new batch, raised when samples are withdrawn from it
 	Samples  []SampleRef
-	// Withdrawn lists slots withdrawn since the last acknowledgement. An earlier answer
-	// may have contained them; the trainer must not use them.
+	// Withdrawn lists slots withdrawn since the last acknowledgement that are not in Samples.
+	// An earlier answer with the same number may have contained them; each answer replaces
+	// the earlier ones.
 	Withdrawn Slots
 	Missing   Slots // not accepted yet, or never delivered when the step is closed
 	Ready     int   // accepted and not part of this batch
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -176,15 +176,17 @@
 		return fail(&errs.Invalid{Path: "$", Want: "a tenancy, a model and a version above 0", Got: c.Tenancy + "/" + c.Model + "/" + strconv.FormatUint(c.Version, 10)})
 	}
 	t := l.tenancy(c.Tenancy)
-	replanned := l.raise(c.Tenancy, t, c.Model, c.Version)
-	return Result{Newest: t.Newest[c.Model], Replanned: replanned}
+	var r Result
+	l.raise(&r, c.Tenancy, t, c.Model, c.Version)
+	r.Newest = t.Newest[c.Model]
+	return r
 }
 
 // raise sets the newest version and withdraws what became too old. It spares open batches:
 // the trainer may have used one already and acknowledges it with its next Fetch.
-func (l *Ledger) raise(name string, t *tenancy, model string, version uint64) (replanned []SlotID) {
+func (l *Ledger) raise(r *Result, name string, t *tenancy, model string, version uint64) {
 	if version <= t.Newest[model] {
-		return nil
+		return
 	}
 	t.Newest[model] = version
 	for _, id := range slices.Sorted(maps.Keys(t.Steps)) {
@@ -194,20 +196,20 @@
 		}
 		slots := s.withdraw(version, false)
 		l.state.Counters.Withdrawn += uint64(len(slots))
-		replanned = appendReplanned(replanned, name, id, s, slots)
+		r.takenBack(name, id, s, slots)
 		l.finishIfDone(t, id, s)
 	}
-	return replanned
 }
 
-func appendReplanned(list []SlotID, tenancy, id string, s *step, slots []int) []SlotID {
+// takenBack adds slots that were withdrawn or lost to a result.
+func (r *Result) takenBack(tenancy, id string, s *step, slots []int) {
+	r.Released = s.appendHeld(r.Released, tenancy, id, slots)
 	if s.Closed {
-		return list
+		return
 	}
 	for _, slot := range slots {
-		list = append(list, SlotID{Tenancy: tenancy, Step: id, Slot: slot})
+		r.Replanned = append(r.Replanned, SlotID{Tenancy: tenancy, Step: id, Slot: slot})
 	}
-	return list
 }
 
 func (l *Ledger) accept(c *Accept) Result {
@@ -234,17 +236,22 @@
 	}
 	// The acknowledgement comes before the withdrawal, because the trainer used the
 	// acknowledged samples before it made the version that it now reports.
-	ackErr := s.acknowledge(c)
-	replanned := l.raise(c.Tenancy, t, s.Model, c.TrainerVersion)
-	if ackErr != nil {
-		return Result{Failure: ackErr, Newest: t.Newest[s.Model], Replanned: replanned}
+	var r Result
+	acknowledged, err := s.acknowledge(c)
+	r.Released = s.appendHeld(nil, c.Tenancy, c.Step, acknowledged)
+	l.raise(&r, c.Tenancy, t, s.Model, c.TrainerVersion)
+	r.Newest = t.Newest[s.Model]
+	if err != nil {
+		r.Failure = err
+		return r
 	}
-	slots := s.withdraw(t.Newest[s.Model], true)
+	slots := s.withdraw(r.Newest, true)
 	l.state.Counters.Withdrawn += uint64(len(slots))
-	replanned = appendReplanned(replanned, c.Tenancy, c.Step, s, slots)
+	r.takenBack(c.Tenancy, c.Step, s, slots)
 	s.fillBatch(c.Max)
 	l.finishIfDone(t, c.Step, s)
-	return Result{Batch: s.batch(), Newest: t.Newest[s.Model], Replanned: replanned}
+	r.Batch = s.batch()
+	return r
 }
 
 func (l *Ledger) payloadLost(c *PayloadLost) Result {
@@ -256,9 +263,10 @@
 		return Result{}
 	}
 	l.state.Counters.PayloadsLost++
-	replanned := appendReplanned(nil, c.Tenancy, c.Step, s, []int{c.Slot})
+	var r Result
+	r.takenBack(c.Tenancy, c.Step, s, []int{c.Slot})
 	l.finishIfDone(t, c.Step, s)
-	return Result{Replanned: replanned}
+	return r
 }
 
 func (l *Ledger) closeStep(c *CloseStep) Result {
@@ -269,9 +277,9 @@
 	if !s.Closed && !c.Abandon && s.Counts[slotPlanned] > 0 && c.NowMs < s.DeadlineMs {
 		return fail(&BeforeDeadline{Step: c.Step, DeadlineMs: s.DeadlineMs, NowMs: c.NowMs})
 	}
-	s.close(c.Abandon)
+	released := s.appendHeld(nil, c.Tenancy, c.Step, s.close(c.Abandon))
 	l.finishIfDone(t, c.Step, s)
-	return Result{Closed: &Closed{Missing: s.missing()}}
+	return Result{Closed: &Closed{Missing: s.missing()}, Released: released}
 }
 
 // finishIfDone releases the slots of a step that has nothing left to deliver or to
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -135,6 +135,7 @@
 			t.Error(err, diff)
 		}
 		r := l.Apply(back)
+		r.Released = nil // not encoded
 		if b, err = r.Encode(); err != nil {
 			t.Fatal(err)
 		}
--- a/ledger/step.go
+++ b/ledger/step.go
@@ -29,7 +29,7 @@
 	Acked      uint64 // number of the last acknowledged batch
 	Revision   uint64 // of the open batch, 0 right after an acknowledgement
 	Batch      []int  // slots of the open batch
-	Withdrawn  []int  // since the last acknowledgement, ascending
+	Withdrawn  []int  // since the last acknowledgement and not in the open batch, ascending
 	Counts     [slotStateEnd]int
 	Lost       Slots // missing slots of a finished step
 
@@ -136,24 +136,26 @@
 	return Accepted
 }
 
-// acknowledge moves the cursor when Ack names the open batch.
-func (s *step) acknowledge(c *Fetch) error {
+// acknowledge moves the cursor when Ack names the open batch, and returns the slots that are
+// acknowledged by it.
+func (s *step) acknowledge(c *Fetch) ([]int, error) {
 	if c.Ack == s.Acked {
-		return nil
+		return nil, nil
 	}
 	open := uint64(0)
 	if len(s.Batch) > 0 {
 		open = s.Acked + 1
 	}
 	if open == 0 || c.Ack != open || (c.AckRevision != 0 && c.AckRevision != s.Revision) {
-		return &CursorMismatch{Step: c.Step, Acknowledged: s.Acked, Open: open, Revision: s.Revision,
+		return nil, &CursorMismatch{Step: c.Step, Acknowledged: s.Acked, Open: open, Revision: s.Revision,
 			Ack: c.Ack, AckRevision: c.AckRevision}
 	}
 	for _, slot := range s.Batch {
 		s.set(slot, slotAcked)
 	}
+	slots := s.Batch
 	s.Acked, s.Revision, s.Batch, s.Withdrawn = c.Ack, 0, nil, nil
-	return nil
+	return slots, nil
 }
 
 // withdraw returns samples outside the staleness bound to planned, or to missing in a
@@ -239,6 +241,7 @@
 	for _, slot := range s.Batch {
 		s.set(slot, slotBatched)
 	}
+	s.Withdrawn = slices.DeleteFunc(s.Withdrawn, func(slot int) bool { return s.States[slot] == slotBatched })
 	s.Revision++
 }
 
@@ -299,19 +302,25 @@
 	return missing
 }
 
-func (s *step) close(abandon bool) {
+// close gives up planned slots and returns the accepted slots that it abandons.
+func (s *step) close(abandon bool) (abandoned []int) {
 	if s.Finished {
-		return
+		return nil
 	}
 	s.Closed = true
 	for slot, st := range s.States {
-		if st == slotPlanned || abandon && (st == slotReady || st == slotBatched) {
+		accepted := st == slotReady || st == slotBatched
+		if accepted && abandon {
+			abandoned = append(abandoned, slot)
+		}
+		if st == slotPlanned || accepted && abandon {
 			s.set(slot, slotMissing)
 		}
 	}
 	if abandon {
 		s.Batch = nil
 	}
+	return abandoned
 }
 
 // done reports whether nothing is left to generate, deliver or acknowledge.
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -24,7 +24,7 @@
 	Newest       uint64 `cbor:"15,keyasint"`
 }
 
-// Held is an accepted sample that is not acknowledged, with the hosts of its payload.
+// Held is an accepted sample with the hosts of its payload.
 type Held struct {
 	SlotID
 	Attempt uint64
@@ -84,15 +84,17 @@
 
 func (s *step) heldBy(list []Held, host, tenancy, id string) []Held {
 	for slot, st := range s.States {
-		if st != slotReady && st != slotBatched {
-			continue
+		if (st == slotReady || st == slotBatched) && slices.Contains(s.Holders[s.HolderIndex[slot]], host) {
+			list = s.appendHeld(list, tenancy, id, []int{slot})
 		}
-		holders := s.Holders[s.HolderIndex[slot]]
-		if !slices.Contains(holders, host) {
-			continue
-		}
-		list = append(list, Held{SlotID: SlotID{Tenancy: tenancy, Step: id, Slot: slot},
-			Attempt: s.Attempts[slot], Digest: s.digest(slot), Holders: slices.Clone(holders)})
+	}
+	return list
+}
+
+func (s *step) appendHeld(list []Held, tenancy, id string, slots []int) []Held {
+	for _, slot := range slots {
+		list = append(list, Held{SlotID: SlotID{Tenancy: tenancy, Step: id, Slot: slot}, Attempt: s.Attempts[slot],
+			Digest: s.digest(slot), Holders: slices.Clone(s.Holders[s.HolderIndex[slot]])})
 	}
 	return list
 }
