--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,9 @@
 	maxDelay time.Duration
 	bytes    int
 	sent     int
+	tamper   func(*Node) // deliberate fault
+	// deafToSelf drops what a packet says about its receiver; it is a deliberate fault.
+	deafToSelf bool
 }
 
 type simHost struct {
@@ -34,6 +38,8 @@
 	inc  uint64
 	up   bool
 	side int
+	// paused hosts run no code, but packets wait for them.
+	paused bool
 }
 
 type simPacket struct {
@@ -100,15 +106,25 @@
 			if !p.to.up || p.from.side != p.to.side {
 				continue
 			}
+			if p.to.paused {
+				w.inFlight[w.step()+1] = append(w.inFlight[w.step()+1], p)
+				continue
+			}
 			var pkt Packet
 			if err := cbor.Unmarshal(p.data, &pkt); err != nil {
 				w.t.Fatal(err)
 			}
+			if w.deafToSelf {
+				pkt.Updates = slices.DeleteFunc(pkt.Updates, func(u Update) bool { return u.Host.ID == p.to.id })
+			}
 			w.send(p.to, p.to.node.Receive(w.now, p.from.id, pkt))
 		}
 		delete(w.inFlight, w.step())
 		for _, h := range w.hosts {
-			if h.up {
+			if h.up && !h.paused {
+				if w.tamper != nil {
+					w.tamper(h.node)
+				}
 				w.send(h, h.node.Tick(w.now))
 			}
 		}
