membership, retry, confstate: fix a suspicion extended by a pause; add benchmarks

Packets that had waited for a paused host started suspicions, and the next Tick extended these by the whole pause, so that a dead host stayed a suspect.

--- /dev/null
+++ b/confstate/bench_test.go
@@ -0,0 +1,93 @@
+package confstate
+
+import (
+	"fmt"
+	"testing"
+)
+
+// largeConfig has the size of two years from now: 8 trainers, 27 desks and 50 pools.
+func largeConfig() *Config {
+	c := &Config{Version: 1, WeightStore: WeightStore{50, 8}, Queues: Queues{256, 2048}}
+	bound := uint64(2)
+	for i := range 50 {
+		p := Pool{Name: fmt.Sprint("pool-", i), Kind: Engine, Models: []string{"model"}}
+		p.Targets = Targets{Admit: []string{fmt.Sprintf("pool-%d-*", i)}, Retire: []string{fmt.Sprintf("pool-%d-3", i)}}
+		c.Pools = append(c.Pools, p)
+	}
+	for i := range 35 {
+		t := Tenancy{
+			Name: fmt.Sprint("tenancy-", i), Kind: Desk, Home: fmt.Sprint("domain-", i%19), Model: "model",
+			TokenSHA256: TokenDigest(fmt.Sprint(i)), Pools: []string{"pool-1", fmt.Sprint("pool-", 2+i)},
+			Limits: &Limits{6000, 1_000_000, 0.1},
+		}
+		if i < 8 {
+			t.Kind, t.StalenessBound, t.Policy = Trainer, &bound, &Policy{3, 1}
+		}
+		c.Tenancies = append(c.Tenancies, t)
+	}
+	return c
+}
+
+func BenchmarkParse(b *testing.B) {
+	body := Canonical(largeConfig())
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for range b.N {
+		if _, err := Parse(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	c := largeConfig()
+	b.ReportAllocs()
+	for range b.N {
+		Digest(c)
+	}
+}
+
+// BenchmarkCatchUp measures a host that applies the versions it missed, or a snapshot in their
+// place, and activates the newest one.
+func BenchmarkCatchUp(b *testing.B) {
+	c := largeConfig()
+	var changes []Change
+	for v := range uint64(501) {
+		c.Version = v + 1
+		changes = append(changes, NewChange(c, "operator"))
+	}
+	activate := func(b *testing.B, s *Store) {
+		a := NewActivator()
+		if ok, err := a.Confirm(s.Current()); !ok || err != nil {
+			b.Fatal(err)
+		}
+		if _, err := a.Active().Config(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	full := NewStore()
+	for _, ch := range changes {
+		full.Apply(ch)
+	}
+	snapshot, _ := full.Snapshot()
+	for _, behind := range []int{1, 500} {
+		b.Run(fmt.Sprint("log/behind=", behind), func(b *testing.B) {
+			for range b.N {
+				s := NewStore()
+				for _, ch := range changes[len(changes)-behind:] {
+					s.Apply(ch)
+				}
+				activate(b, s)
+			}
+		})
+	}
+	b.Run("snapshot/behind=500", func(b *testing.B) {
+		for range b.N {
+			s := NewStore()
+			if err := s.Restore(snapshot); err != nil {
+				b.Fatal(err)
+			}
+			activate(b, s)
+		}
+	})
+}
--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -75,7 +75,7 @@
 	"no refutation": nil,
 	"no contact after a partition": func(n *Node) {
 		if n.joined {
-			n.nextSeed = n.lastTick.Add(time.Hour)
+			n.nextSeed = n.lastRun.Add(time.Hour)
 		}
 		for _, r := range n.table.gone {
 			r.State = Left
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// Guards against a pause of the process that extends a suspicion which began after it; found by
+// TestMembershipConverges with -rapid.seed=96153. Suspicion itself must not move ownership.
+func TestPauseDoesNotExtendLaterSuspicion(t *testing.T) {
+	w := newNetwork(t, 3, 3)
+	w.mustConverge(30*time.Second, "join")
+	n := w.hosts[0].node
+	now := w.now.Add(time.Minute)
+	m, _ := n.Member("host-002")
+	p := Packet{Kind: Gossip, From: w.hosts[1].node.Self(), Updates: []Update{{Host: m.Host, Refutation: 9, State: Suspect}}}
+	n.Receive(now, "host-001", p)
+	n.Tick(now)
+	if m, _ := n.Member("host-002"); m.State != Suspect || len(n.Live("")) != 3 {
+		t.Fatalf("state %s, live %v", m.State, n.Live(""))
+	}
+	for range 2 * DefaultSuspicionPeriods {
+		now = now.Add(DefaultProbeInterval / 2)
+		n.Tick(now)
+	}
+	if m, _ := n.Member("host-002"); m.State != Dead {
+		t.Errorf("state after the suspicion timeout = %s", m.State)
+	}
+}
+
 // Guards against a change of owner that is not caused by the host that joined or failed.
 func TestOwnerMovesOnlyOwnTargets(t *testing.T) {
 	hosts := []string{"a", "b", "c", "d", "e"}
--- a/membership/node.go
+++ b/membership/node.go
@@ -30,7 +30,7 @@
 	seq       uint64
 	relays    map[uint64]relay
 
-	lastTick    time.Time
+	lastRun     time.Time
 	nextProbe   time.Time
 	nextSeed    time.Time
 	nextCompare time.Time
@@ -42,7 +42,7 @@
 	cfg = cfg.withDefaults()
 	n := &Node{
 		cfg: cfg, table: newTable(), states: newQueue(), metas: newQueue(),
-		relays: map[uint64]relay{}, lastTick: now, nextProbe: now, nextSeed: now, nextCompare: now,
+		relays: map[uint64]relay{}, lastRun: now, nextProbe: now, nextSeed: now, nextCompare: now,
 	}
 	n.self.Update = Update{Host: cfg.Self, State: Alive}
 	n.table.toggle(n.self.Update)
@@ -134,6 +134,7 @@
 	if p.From.ID != from || from == n.self.Host.ID {
 		return nil
 	}
+	n.forgivePause(now)
 	if p.Kind == Join {
 		return n.answerJoin(now, p)
 	}
@@ -180,7 +181,7 @@
 		n.mergeSelf(u)
 		return
 	}
-	if u.Host.ID == "" || u.State > Left {
+	if u.Host.ID == "" || u.State > Left || !u.Host.fits() {
 		return
 	}
 	r := n.table.records[u.Host.ID]
--- a/membership/packet.go
+++ b/membership/packet.go
@@ -22,6 +22,18 @@
 	Incarnation uint64
 }
 
+// Bounds of the strings of a Host. Hosts above them are ignored, because an update that does not
+// fit into a packet would hold up all news behind it.
+const (
+	MaxIDBytes     = 128
+	MaxDomainBytes = 128
+	MaxAddrBytes   = 256
+)
+
+func (h Host) fits() bool {
+	return len(h.ID) <= MaxIDBytes && len(h.Domain) <= MaxDomainBytes && len(h.Addr) <= MaxAddrBytes
+}
+
 // State is what the local host believes about a host.
 type State uint8
 
@@ -152,8 +164,8 @@
 	DefaultForgetAfter      = time.Hour
 	// DefaultGossipBytes has room for one summary of MaxMetaBytes and several updates.
 	DefaultGossipBytes = 800
-	// minGossipBytes has room for one summary of a host with an ID of 128 bytes.
-	minGossipBytes = MaxMetaBytes + 128 + metaOverhead
+	// minGossipBytes has room for the largest summary and for the largest update.
+	minGossipBytes = MaxMetaBytes + MaxIDBytes + metaOverhead
 )
 
 // Config holds the settings of a Node. Rand is required.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -53,11 +53,12 @@
 	return out
 }
 
-// forgivePause moves all deadlines by the time in which this process did not run. Without it,
-// a host that was paused would declare hosts dead whose answers it never read.
+// forgivePause moves the open deadlines by the time in which this process did not run. Without
+// it, a host that was paused would declare hosts dead whose answers it never read. Packets call
+// it too: a suspicion that arrives after the pause must not be extended by the pause.
 func (n *Node) forgivePause(now time.Time) {
-	gap := now.Sub(n.lastTick)
-	n.lastTick = now
+	gap := now.Sub(n.lastRun)
+	n.lastRun = now
 	if gap <= n.cfg.ProbeInterval {
 		return
 	}
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -79,6 +79,10 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
+		// 200 bytes hold the header: kind, two hosts, sequence number, refutation and view.
+		if o.Packet.Kind < Join && len(data) > DefaultGossipBytes+200 {
+			w.t.Fatalf("packet of kind %d has %d bytes", o.Packet.Kind, len(data))
+		}
 		w.bytes += len(data)
 		w.sent++
 		var i int
--- a/retry/claims.go
+++ b/retry/claims.go
@@ -16,6 +16,7 @@
 	// MaxClaimTTL bounds the time for which an answer is kept.
 	MaxClaimTTL = 24 * time.Hour
 	// MaxAnswerBytes bounds a stored answer, because it is part of the log and of snapshots.
+	// A host finishes a request with a larger answer as Unknown.
 	MaxAnswerBytes = 1 << 20
 	// maxSnapshotClaims is passed to the decoder, whose default of 131,072 elements is fewer
 	// than the unsafe requests of a day.
