--- a/confstate/config.go
+++ b/confstate/config.go
@@ -75,7 +75,7 @@
 	// Policy is required for trainers and not accepted for desks.
 	Policy *Policy `json:"policy,omitempty"`
 	// Weight is the share in fair queueing.
-	Weight float64 `json:"weight,omitempty"`
+	Weight float64 `json:"weight,omitempty" conf:"nonzero"`
 	// Limits is nil when the tenancy has no quota.
 	Limits *Limits `json:"limits,omitempty"`
 }
@@ -103,8 +103,8 @@
 	Models []string `json:"models,omitempty"`
 	// ChecksFence states that the targets refuse orders with an old fencing number.
 	ChecksFence           bool     `json:"checks_fence,omitempty"`
-	MaxUnavailablePercent uint64   `json:"max_unavailable_percent,omitempty"`
-	InFlight              InFlight `json:"in_flight,omitempty"`
+	MaxUnavailablePercent uint64   `json:"max_unavailable_percent,omitempty" conf:"nonzero"`
+	InFlight              InFlight `json:"in_flight,omitempty" conf:"nonzero"`
 	Targets               Targets  `json:"targets"`
 	// RetrySafe applies to requests that do not state whether they may be repeated. It
 	// defaults to true for engines and false for services.
--- a/confstate/confstate_test.go
+++ b/confstate/confstate_test.go
@@ -65,6 +65,8 @@
 		{`"name": "log"`, `"name": "sorting"`, "$.pools[1].name"},
 		{`"in_flight": "resume"`, `"in_flight": "drop"`, "$.pools[0].in_flight"},
 		{`"max_unavailable_percent": 20`, `"max_unavailable_percent": 101`, "$.pools[0].max_unavailable_percent"},
+		{`"max_unavailable_percent": 20`, `"max_unavailable_percent": 0`, "$.pools[0].max_unavailable_percent"},
+		{`"weight": 2`, `"weight": 0`, "$.tenancies[0].weight"},
 		{`"log-?"`, `"log-["`, "$.pools[1].targets.admit[0]"},
 		{`"loads_per_second": 50`, `"loads_per_second": 0`, "$.weight_store.loads_per_second"},
 		{`"desk": 256`, `"desk": 0`, "$.queues.desk"},
--- a/confstate/decode.go
+++ b/confstate/decode.go
@@ -115,6 +115,9 @@
 		if err := d.value(join(path, key), v.Field(i)); err != nil {
 			return err
 		}
+		if fields[i].nonzero && v.Field(i).IsZero() {
+			return &errs.Invalid{Path: join(path, key), Want: "a value other than zero, or no field for the default", Got: "zero"}
+		}
 	}
 	for i, f := range fields {
 		if !f.optional && !seen[f.name] {
@@ -142,17 +145,21 @@
 	return nil
 }
 
+// field describes a JSON field. A field with the tag conf:"nonzero" has a default, and its zero
+// value must not be stated: a stated 0 would silently become the default.
 type field struct {
 	name     string
 	optional bool
+	nonzero  bool
 }
 
 // fieldsOf returns the JSON fields of a struct in the order of its Go fields.
 func fieldsOf(t reflect.Type) []field {
 	out := make([]field, t.NumField())
 	for i := range out {
-		name, option, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		out[i] = field{name: name, optional: option == "omitempty"}
+		tag := t.Field(i).Tag
+		name, option, _ := strings.Cut(tag.Get("json"), ",")
+		out[i] = field{name: name, optional: option == "omitempty", nonzero: tag.Get("conf") == "nonzero"}
 	}
 	return out
 }
--- a/confstate/validate.go
+++ b/confstate/validate.go
@@ -20,7 +20,7 @@
 	MaxWeight         = 1000
 	MaxLoadsPerSecond = 100_000
 	MaxConcurrent     = 100_000
-	// MaxQueueDepth times about 1 KiB per queued request stays under the 64 MB of a host.
+	// MaxQueueDepth requests of 1 KiB take half of the 64 MB of a host.
 	MaxQueueDepth = 32_768
 	maxPercent    = 100
 )
@@ -35,8 +35,8 @@
 	return &errs.Invalid{Path: path, Want: want, Got: got}
 }
 
-// validName accepts composed letters only. The decomposed form of an accented letter contains
-// a mark, which is not a letter, so a name has one byte sequence.
+// validName accepts composed letters only: the decomposed form of an accented letter contains a
+// mark, which is not a letter. Two spellings of "Sololá" would be two failure domains.
 func validName(s string, model bool) bool {
 	if s == "" || len(s) > MaxNameBytes {
 		return false
@@ -113,7 +113,7 @@
 		return invalid(at+".in_flight", "finish, resume or discard", quoted(string(p.InFlight)))
 	}
 	if p.MaxUnavailablePercent > maxPercent {
-		return invalid(at+".max_unavailable_percent", "an integer from 1 to 100, or 0 for the default", strconv.FormatUint(p.MaxUnavailablePercent, 10))
+		return invalid(at+".max_unavailable_percent", "an integer from 1 to 100", strconv.FormatUint(p.MaxUnavailablePercent, 10))
 	}
 	if err := names(at+".models", p.Models, wantModel, func(s string) bool { return validName(s, true) }); err != nil {
 		return err
@@ -185,7 +185,7 @@
 		return invalid(at+".model", wantModel, quoted(t.Model))
 	}
 	if t.Weight < 0 || t.Weight > MaxWeight {
-		return invalid(at+".weight", fmt.Sprintf("a number above 0 and up to %d, or 0 for the default", MaxWeight), number(t.Weight))
+		return invalid(at+".weight", fmt.Sprintf("a number above 0 and up to %d", MaxWeight), number(t.Weight))
 	}
 	if err := validateKind(at, t); err != nil {
 		return err
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -14,6 +15,19 @@
 	return w
 }
 
+// metaAge returns the mean age in seconds of the summaries that hosts hold of each other.
+func (w *network) metaAge(seconds int) float64 {
+	age, count := 0, 0
+	for _, h := range w.hosts {
+		for _, m := range h.node.Members() {
+			at, _ := strconv.Atoi(string(m.Meta)) // no summary counts as one of the start
+			age += seconds - 1 - at
+			count++
+		}
+	}
+	return float64(age) / float64(count)
+}
+
 // BenchmarkTraffic simulates one second of all hosts per operation. It reports the bytes sent
 // and the processor time, encoding included, per host and second.
 func BenchmarkTraffic(b *testing.B) {
@@ -44,6 +58,9 @@
 				b.ReportMetric(float64(w.bytes)/per, "B/s/host")
 				b.ReportMetric(float64(w.sent)/per, "packets/s/host")
 				b.ReportMetric(float64(b.Elapsed().Microseconds())/per, "cpu-us/s/host")
+				if load == "meta" {
+					b.ReportMetric(w.metaAge(b.N), "s-meta-age")
+				}
 			})
 		}
 	}
--- a/retry/claims.go
+++ b/retry/claims.go
@@ -269,7 +269,7 @@
 func (c *Claims) Time() int64 { return c.now }
 
 type claimsState struct {
-	Claims []claim    `cbor:"1,keyasint"`
+	Claims []*claim   `cbor:"1,keyasint"`
 	Lost   []lostHost `cbor:"2,keyasint"`
 	Grants uint64     `cbor:"3,keyasint"`
 	Now    int64      `cbor:"4,keyasint"`
@@ -277,14 +277,14 @@
 
 // Snapshot encodes the table. Replicas with the same history give the same bytes.
 func (c *Claims) Snapshot() ([]byte, error) {
-	st := claimsState{Grants: c.grants, Now: c.now}
+	st := claimsState{Grants: c.grants, Now: c.now, Claims: make([]*claim, 0, len(c.claims))}
 	for _, cl := range c.claims {
-		st.Claims = append(st.Claims, *cl)
+		st.Claims = append(st.Claims, cl)
 	}
 	for _, l := range c.lost {
 		st.Lost = append(st.Lost, l)
 	}
-	slices.SortFunc(st.Claims, func(a, b claim) int {
+	slices.SortFunc(st.Claims, func(a, b *claim) int {
 		return cmp.Or(strings.Compare(a.Tenancy, b.Tenancy), strings.Compare(a.Key, b.Key))
 	})
 	slices.SortFunc(st.Lost, func(a, b lostHost) int { return strings.Compare(a.Host, b.Host) })
@@ -306,9 +306,8 @@
 		return &errs.Corrupt{What: "claim snapshot", Detail: err.Error()}
 	}
 	fresh := NewClaims()
-	for i := range st.Claims {
-		cl := &st.Claims[i]
-		if cl.State < claimOpen || cl.State > claimUnknown || cl.Grant > st.Grants {
+	for _, cl := range st.Claims {
+		if cl == nil || cl.State < claimOpen || cl.State > claimUnknown || cl.Grant > st.Grants {
 			return &errs.Corrupt{What: "claim snapshot", Detail: "a claim has an impossible state or grant"}
 		}
 		fresh.claims[claimKey{cl.Tenancy, cl.Key}] = cl
