tests: run each oracle check and its faults through one function

Change: verify runs a check without a fault and with each fault; detection and healing share one benchmark.

Conclusion: same checks, less code.

--- a/confstate/fuzz_test.go
+++ b/confstate/fuzz_test.go
@@ -150,33 +150,35 @@
 	return ""
 }
 
-// Guards against a configuration that goes backwards on a host, and against replicas that
-// decide a race of equal versions differently (P9).
-func TestConfigurationNeverGoesBack(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		if bad := runWorld(rt, ""); bad != "" {
-			rt.Fatal(bad)
-		}
-	})
-}
-
-// Guards against a check that cannot fail: each fault must be found.
-func TestConfigurationFaultsAreFound(t *testing.T) {
-	for _, fault := range []string{"last write wins", "snapshot without history", "ready without a read", "older offer accepted"} {
-		t.Run(fault, func(t *testing.T) {
+// verify runs a check against an oracle: without a fault it must pass, and each deliberate
+// fault must be found, which shows that the check can fail.
+func verify(t *testing.T, run func(rt *rapid.T, fault string) string, faults ...string) {
+	for _, fault := range append([]string{""}, faults...) {
+		t.Run("fault="+fault, func(t *testing.T) {
 			found := ""
 			rapid.Check(t, func(rt *rapid.T) {
 				if found == "" {
-					found = runWorld(rt, fault)
+					found = run(rt, fault)
+				}
+				if found != "" && fault == "" {
+					bad := found
+					found = "" // the next call is a step of minimization
+					rt.Fatal(bad)
 				}
 			})
-			if t.Log(found); found == "" {
+			if t.Log(found); found == "" && fault != "" {
 				t.Error("fault was not found")
 			}
 		})
 	}
 }
 
+// Guards against a configuration that goes backwards on a host, and against replicas that
+// decide a race of equal versions differently (P9).
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	verify(t, runWorld, "last write wins", "snapshot without history", "ready without a read", "older offer accepted")
+}
+
 // Guards against a panic or an accepted value that does not survive its canonical form, for
 // files with random damage.
 func TestParseDamaged(t *testing.T) {
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -66,69 +66,54 @@
 	}
 }
 
-// BenchmarkDetection reports the probe intervals until the first host suspects a failed host,
-// until the first host declares it dead and until all do.
-func BenchmarkDetection(b *testing.B) {
+// until runs the network until enough hosts see host i in a state that accept takes. It returns
+// the probe intervals since began.
+func (w *network) until(began time.Time, i, enough int, accept func(State) bool) float64 {
+	for seen := 0; seen < enough; {
+		w.run(simStep)
+		seen = 0
+		for _, h := range w.hosts {
+			if m, _ := h.node.Member(w.hosts[i].id); h.up && accept(m.State) {
+				seen++
+			}
+		}
+	}
+	return float64(w.now.Sub(began)) / float64(DefaultProbeInterval)
+}
+
+// BenchmarkFaults reports the probe intervals until the first host suspects a failed host,
+// until the first host declares it dead and until all do. Then it cuts the hosts into halves
+// for two minutes, and reports the probe intervals until all agree again and the traffic.
+func BenchmarkFaults(b *testing.B) {
+	dead := func(s State) bool { return s == Dead }
 	for _, hosts := range []int{10, 50, 100, 410} {
 		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
 			w := joinedNetwork(b, hosts)
-			var first, dead, all float64
-			b.ResetTimer()
+			sums := map[string]float64{}
 			for n := range b.N {
 				i := 2 + n%(hosts-2)
 				w.hosts[i].up = false
-				count := func(accept func(State) bool) int {
-					seen := 0
-					for _, h := range w.hosts {
-						if m, _ := h.node.Member(w.hosts[i].id); h.up && accept(m.State) {
-							seen++
-						}
-					}
-					return seen
-				}
 				began := w.now
-				until := func(want int, accept func(State) bool) float64 {
-					for count(accept) < want {
-						w.run(simStep)
-					}
-					return float64(w.now.Sub(began)) / float64(DefaultProbeInterval)
-				}
-				first += until(1, func(s State) bool { return s != Alive })
-				dead += until(1, func(s State) bool { return s == Dead })
-				all += until(hosts-1, func(s State) bool { return s == Dead })
+				sums["intervals-to-suspect"] += w.until(began, i, 1, func(s State) bool { return s != Alive })
+				sums["intervals-to-dead"] += w.until(began, i, 1, dead)
+				sums["intervals-to-all"] += w.until(began, i, hosts-1, dead)
 				w.boot(i)
 				w.mustConverge(time.Minute, "restart")
-			}
-			b.ReportMetric(first/float64(b.N), "intervals-to-suspect")
-			b.ReportMetric(dead/float64(b.N), "intervals-to-dead")
-			b.ReportMetric(all/float64(b.N), "intervals-to-all")
-		})
-	}
-}
-
-// BenchmarkHeal reports the probe intervals until all hosts agree after a partition into
-// halves that lasted long enough for each half to declare the other one dead.
-func BenchmarkHeal(b *testing.B) {
-	for _, hosts := range []int{10, 50, 100, 410} {
-		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
-			w := joinedNetwork(b, hosts)
-			var total time.Duration
-			bytes := 0
-			b.ResetTimer()
-			for range b.N {
-				for i, h := range w.hosts {
-					h.side = i % 2
+				for j, h := range w.hosts {
+					h.side = j % 2
 				}
 				w.run(2 * time.Minute)
 				for _, h := range w.hosts {
 					h.side = 0
 				}
 				before := w.bytes
-				total += w.mustConverge(10*time.Minute, "heal")
-				bytes += w.bytes - before
+				took := w.mustConverge(10*time.Minute, "heal").Seconds()
+				sums["intervals-to-heal"] += took / DefaultProbeInterval.Seconds()
+				sums["heal-B/s/host"] += float64(w.bytes-before) / float64(hosts) / took
+			}
+			for name, sum := range sums {
+				b.ReportMetric(sum/float64(b.N), name)
 			}
-			b.ReportMetric(float64(total)/float64(DefaultProbeInterval)/float64(b.N), "intervals-to-heal")
-			b.ReportMetric(float64(bytes)/float64(hosts)/total.Seconds(), "B/s/host")
 		})
 	}
 }
--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,35 +87,34 @@
 	"suspects never die": func(n *Node) { n.suspects = nil },
 }
 
-// Guards against hosts that stay lost, stay listed or are seen under an old incarnation after
-// the faults have ended.
-func TestMembershipConverges(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		if bad := runFaults(t, rt, ""); bad != "" {
-			rt.Fatal(bad)
-		}
-	})
-}
-
-func mustFind(t *testing.T, run func(*rapid.T) string) {
-	found := ""
-	rapid.Check(t, func(rt *rapid.T) {
-		if found == "" {
-			found = run(rt)
-		}
-	})
-	if t.Log(found); found == "" {
-		t.Error("fault was not found")
+// verify runs a check against an oracle: without a fault it must pass, and each deliberate
+// fault must be found, which shows that the check can fail.
+func verify(t *testing.T, run func(rt *rapid.T, fault string) string, faults ...string) {
+	for _, fault := range append([]string{""}, faults...) {
+		t.Run("fault="+fault, func(t *testing.T) {
+			found := ""
+			rapid.Check(t, func(rt *rapid.T) {
+				if found == "" {
+					found = run(rt, fault)
+				}
+				if found != "" && fault == "" {
+					bad := found
+					found = "" // the next call is a step of minimization
+					rt.Fatal(bad)
+				}
+			})
+			if t.Log(found); found == "" && fault != "" {
+				t.Error("fault was not found")
+			}
+		})
 	}
 }
 
-// Guards against a check that cannot fail: each fault must be found.
-func TestMembershipFaultsAreFound(t *testing.T) {
-	for fault := range tampers {
-		t.Run(fault, func(t *testing.T) {
-			mustFind(t, func(rt *rapid.T) string { return runFaults(t, rt, fault) })
-		})
-	}
+// Guards against hosts that stay lost, stay listed or are seen under an old incarnation after
+// the faults have ended.
+func TestMembershipConverges(t *testing.T) {
+	run := func(rt *rapid.T, fault string) string { return runFaults(t, rt, fault) }
+	verify(t, run, slices.Sorted(maps.Keys(tampers))...)
 }
 
 // oracleTarget is what the test knows about one target.
@@ -179,18 +180,5 @@
 // Guards against new work for a target that left, is retired or is silent, whatever the order
 // of messages (P7).
 func TestLeftTargetIsNeverDispatchable(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		if bad := runTargets(rt, ""); bad != "" {
-			rt.Fatal(bad)
-		}
-	})
-}
-
-// Guards against a check that cannot fail: each fault must be found.
-func TestTargetFaultsAreFound(t *testing.T) {
-	for _, fault := range []string{"policy not applied", "departures forgotten", "lease not checked"} {
-		t.Run(fault, func(t *testing.T) {
-			mustFind(t, func(rt *rapid.T) string { return runTargets(rt, fault) })
-		})
-	}
+	verify(t, runTargets, "policy not applied", "departures forgotten", "lease not checked")
 }
--- a/retry/fuzz_test.go
+++ b/retry/fuzz_test.go
@@ -185,30 +185,32 @@
 	return ""
 }
 
-// Guards against a second run of an unsafe request under resends, lost hosts, restarts from a
-// snapshot and expiry (P6).
-func TestClaimNeverRunsTwice(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		if bad := runWorld(rt, ""); bad != "" {
-			rt.Fatal(bad)
-		}
-	})
-}
-
-// Guards against a check that cannot fail: each fault must be found.
-func TestClaimFaultsAreFound(t *testing.T) {
-	faults := []string{"grant not checked", "holder not checked", "tenancies share keys", "lost host releases", "unknown expires", "snapshot drops open claims"}
-	for _, fault := range faults {
-		t.Run(fault, func(t *testing.T) {
+// verify runs a check against an oracle: without a fault it must pass, and each deliberate
+// fault must be found, which shows that the check can fail.
+func verify(t *testing.T, run func(rt *rapid.T, fault string) string, faults ...string) {
+	for _, fault := range append([]string{""}, faults...) {
+		t.Run("fault="+fault, func(t *testing.T) {
 			found := ""
 			rapid.Check(t, func(rt *rapid.T) {
 				if found == "" {
-					found = runWorld(rt, fault)
+					found = run(rt, fault)
+				}
+				if found != "" && fault == "" {
+					bad := found
+					found = "" // the next call is a step of minimization
+					rt.Fatal(bad)
 				}
 			})
-			if t.Log(found); found == "" {
+			if t.Log(found); found == "" && fault != "" {
 				t.Error("fault was not found")
 			}
 		})
 	}
 }
+
+// Guards against a second run of an unsafe request under resends, lost hosts, restarts from a
+// snapshot and expiry (P6).
+func TestClaimNeverRunsTwice(t *testing.T) {
+	verify(t, runWorld, "grant not checked", "holder not checked", "tenancies share keys",
+		"lost host releases", "unknown expires", "snapshot drops open claims")
+}
