membership: send summaries of the own failure domain in packets of their own

Hosts choose among the hosts of their own domain first.

Change: one more packet per probe interval, only while a host has news, carries the summaries of the own domain to one host of it.

--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -15,11 +15,15 @@
 	return w
 }
 
-// metaAge returns the mean age in seconds of the summaries that hosts hold of each other.
-func (w *network) metaAge(seconds int) float64 {
+// metaAge returns the mean age in seconds of the summaries that hosts hold of each other, within
+// a failure domain or of all hosts.
+func (w *network) metaAge(seconds int, inDomain bool) float64 {
 	age, count := 0, 0
 	for _, h := range w.hosts {
 		for _, m := range h.node.Members() {
+			if inDomain && m.Host.Domain != h.node.Self().Domain {
+				continue
+			}
 			at, _ := strconv.Atoi(string(m.Meta)) // no summary counts as one of the start
 			age += seconds - 1 - at
 			count++
@@ -59,7 +63,8 @@
 				b.ReportMetric(float64(w.sent)/per, "packets/s/host")
 				b.ReportMetric(float64(b.Elapsed().Microseconds())/per, "cpu-us/s/host")
 				if load == "meta" {
-					b.ReportMetric(w.metaAge(b.N), "s-meta-age")
+					b.ReportMetric(w.metaAge(b.N, false), "s-meta-age")
+					b.ReportMetric(w.metaAge(b.N, true), "s-domain-meta-age")
 				}
 			})
 		}
--- a/membership/node.go
+++ b/membership/node.go
@@ -23,6 +23,9 @@
 
 	states *queue
 	metas  *queue
+	// domainMetas holds the summaries of the own failure domain. They are also sent in
+	// packets of their own, because hosts choose among the hosts of their domain first.
+	domainMetas *queue
 
 	suspects  []*record
 	probe     *probe
@@ -41,7 +44,7 @@
 func New(cfg Config, now time.Time) *Node {
 	cfg = cfg.withDefaults()
 	n := &Node{
-		cfg: cfg, table: newTable(), states: newQueue(), metas: newQueue(),
+		cfg: cfg, table: newTable(cfg.Self.Domain), states: newQueue(), metas: newQueue(), domainMetas: newQueue(),
 		relays: map[uint64]relay{}, lastRun: now, nextProbe: now, nextSeed: now, nextCompare: now,
 	}
 	n.self.Update = Update{Host: cfg.Self, State: Alive}
@@ -106,7 +109,7 @@
 	n.self.meta = slices.Clone(meta)
 	n.self.metaIncarnation = n.self.Host.Incarnation
 	n.self.metaVersion++
-	n.metas.add(n.self.Host.ID)
+	n.spreadMeta(&n.self)
 	return nil
 }
 
@@ -227,7 +230,7 @@
 	n.states.add(own.Host.ID)
 	if n.self.metaVersion > 0 && n.self.metaIncarnation != own.Host.Incarnation {
 		n.self.metaIncarnation = own.Host.Incarnation
-		n.metas.add(own.Host.ID)
+		n.spreadMeta(&n.self)
 	}
 }
 
@@ -240,7 +243,14 @@
 		return
 	}
 	r.meta, r.metaIncarnation, r.metaVersion = m.Meta, m.Incarnation, m.Version
-	n.metas.add(m.ID)
+	n.spreadMeta(r)
+}
+
+func (n *Node) spreadMeta(r *record) {
+	n.metas.add(r.Host.ID)
+	if r.Host.Domain == n.table.domain {
+		n.domainMetas.add(r.Host.ID)
+	}
 }
 
 func (n *Node) record(id string) *record {
@@ -279,7 +289,11 @@
 		p.Updates = append(p.Updates, r.Update)
 		return true
 	})
-	n.metas.take(limit, func(id string) bool {
+	n.fillMetas(n.metas, limit, room, p)
+}
+
+func (n *Node) fillMetas(q *queue, limit, room int, p *Packet) {
+	q.take(limit, func(id string) bool {
 		r := n.record(id)
 		if r == nil {
 			return true
@@ -294,6 +308,20 @@
 	})
 }
 
+// gossipInDomain sends the summaries of the own failure domain to one host of it.
+func (n *Node) gossipInDomain() []Outgoing {
+	if n.domainMetas.len() == 0 {
+		return nil
+	}
+	var out []Outgoing
+	for _, r := range pick(n.cfg.Rand, n.table.peers, 1, anyRecord) {
+		p := Packet{Kind: Gossip, From: n.self.Host, Refutation: n.self.Refutation, View: n.table.view}
+		n.fillMetas(n.domainMetas, bits.Len(uint(len(n.table.peers)+1))+extraTransmits, n.cfg.GossipBytes, &p)
+		out = append(out, Outgoing{Host: r.Host.ID, Addr: r.Host.Addr, Packet: p})
+	}
+	return out
+}
+
 func (r *record) metaUpdate() MetaUpdate {
 	return MetaUpdate{ID: r.Host.ID, Incarnation: r.metaIncarnation, Version: r.metaVersion, Meta: r.meta}
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -45,6 +45,7 @@
 		n.finishProbe(now)
 		out = append(out, n.startProbe(now)...)
 		out = append(out, n.probeGone()...)
+		out = append(out, n.gossipInDomain()...)
 		n.expireRelays(now)
 	}
 	if !now.Before(n.nextSeed) {
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -10,7 +10,11 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-const simStep = 50 * time.Millisecond
+const (
+	simStep = 50 * time.Millisecond
+	// simDomainHosts is the size of a failure domain: 410 hosts in 19 domains.
+	simDomainHosts = 21
+)
 
 // network delivers encoded packets between in-memory nodes in simulated time. It can lose,
 // delay, duplicate and thereby reorder packets, and cut hosts off from each other.
@@ -54,6 +58,8 @@
 	}
 	for i := range hosts {
 		w.hosts = append(w.hosts, &simHost{id: fmt.Sprintf("host-%03d", i), inc: 1})
+	}
+	for i := range hosts {
 		w.boot(i)
 	}
 	return w
@@ -66,7 +72,7 @@
 	h.up = true
 	seeds := []string{w.hosts[0].id + ":1", fmt.Sprintf("host-%03d:1", 1)}
 	h.node = New(Config{
-		Self:  Host{ID: h.id, Domain: fmt.Sprintf("domain-%d", i%3), Addr: h.id + ":1", Incarnation: h.inc},
+		Self:  Host{ID: h.id, Domain: fmt.Sprintf("domain-%d", i%max(2, len(w.hosts)/simDomainHosts)), Addr: h.id + ":1", Incarnation: h.inc},
 		Seeds: seeds, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), uint64(i))),
 	}, w.now)
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -54,6 +54,7 @@
 		n.table.remove(r)
 		n.states.remove(r.Host.ID)
 		n.metas.remove(r.Host.ID)
+		n.domainMetas.remove(r.Host.ID)
 	}
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -12,10 +12,12 @@
 // hosts a bucket holds 13 hosts, which fit into one Sync packet.
 const bucketCount = 32
 
-// record is the state of one host. Index is its position in the live or gone list.
+// record is the state of one host. Index is its position in the live or gone list, and
+// peerIndex its position in the list of live hosts of the own failure domain.
 type record struct {
 	Update
 	index           int
+	peerIndex       int
 	meta            []byte
 	metaIncarnation uint64
 	metaVersion     uint64
@@ -34,16 +36,18 @@
 // table holds all known hosts but the local one. Lists are slices and not maps, because the
 // order of random choices must depend on the random source only.
 type table struct {
+	domain  string // of the local host
 	records map[string]*record
 	live    []*record
+	peers   []*record // the live hosts of domain
 	gone    []*record
 	addrs   map[string]int // live hosts by address
 	buckets [bucketCount]uint64
 	view    uint64
 }
 
-func newTable() *table {
-	return &table{records: map[string]*record{}, addrs: map[string]int{}}
+func newTable(domain string) *table {
+	return &table{domain: domain, records: map[string]*record{}, addrs: map[string]int{}}
 }
 
 // set stores an update and moves the record between the lists.
@@ -63,6 +67,10 @@
 func (t *table) attach(r *record) {
 	if r.State.Live() {
 		t.live = push(t.live, r)
+		if r.Host.Domain == t.domain {
+			r.peerIndex = len(t.peers)
+			t.peers = append(t.peers, r)
+		}
 		t.addrs[r.Host.Addr]++
 		t.toggle(r.Update)
 		return
@@ -76,6 +84,12 @@
 		return
 	}
 	t.live = pull(t.live, r)
+	if r.Host.Domain == t.domain {
+		last := len(t.peers) - 1
+		t.peers[r.peerIndex] = t.peers[last]
+		t.peers[r.peerIndex].peerIndex = r.peerIndex
+		t.peers = t.peers[:last]
+	}
 	t.toggle(r.Update)
 	if t.addrs[r.Host.Addr]--; t.addrs[r.Host.Addr] <= 0 {
 		delete(t.addrs, r.Host.Addr)
