engine, rpc, fakes: close gaps that changed code did not fail

State, a GET, was repeated by net/http on a reused connection. The test of silent gRPC connections passed without the pool's probe, because the keep-alive of grpc-go ended the call after 13 s. Nothing failed when a resume used an idle connection, when a connection that took no byte counted as handed over, or when a redirect was followed. Change: State uses a new connection. Tests for each gap; the silent connection must be given up within half the keep-alive interval. TestEngineOrders asked a restarted engine over a connection of before the crash, which may rightly end as unknown; it now closes idle connections first.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -203,6 +204,10 @@
 	dead.Close()
 	answer := func(status int, body string) string {
 		addr, _ := target(t, func(n int64, w http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				t.Errorf("a request was sent again after status %d", status)
+			}
+			w.Header().Set("Location", r.URL.Path)
 			w.WriteHeader(status)
 			_, _ = io.WriteString(w, body)
 		})
@@ -218,7 +223,7 @@
 		"stated not_run":        {answer(503, `{"not_run":true}`), errs.CodeUnavailable, errs.NotRun},
 		"503 without statement": {answer(503, `{}`), errs.CodeUnavailable, errs.Unknown},
 		"500 with statement":    {answer(500, `{"not_run":true}`), errs.CodeUnavailable, errs.Unknown},
-		"redirect":              {answer(307, ``), errs.CodeUnavailable, errs.Unknown},
+		"redirect":              {answer(302, ``), errs.CodeUnavailable, errs.Unknown},
 		"other request":         {answer(200, `{"request_id":"x"}`), errs.CodeCorrupt, errs.Unknown},
 		"not JSON":              {answer(200, `abc`), errs.CodeCorrupt, errs.Unknown},
 		"too large":             {answer(200, strings.Repeat(" ", 2000)), errs.CodeTooLarge, errs.Unknown},
@@ -323,3 +328,24 @@
 		t.Errorf("cancel of an unknown request: %v", err)
 	}
 }
+
+// Guards against counting a connection that took no byte as handed over, and one that took
+// a part of the request as untouched.
+func TestHandoverCountsBytes(t *testing.T) {
+	near, far := net.Pipe()
+	conn := &countedConn{Conn: near}
+	h := &handover{}
+	httptrace.ContextClientTrace(h.trace(t.Context())).GotConn(httptrace.GotConnInfo{Conn: conn})
+	far.Close()
+	if _, err := conn.Write([]byte("POST")); err == nil || h.happened() {
+		t.Errorf("err %v, happened %v without a byte", err, h.happened())
+	}
+	near, far = net.Pipe()
+	conn.Conn = near
+	read := make(chan struct{})
+	go func() { _, _ = far.Read(make([]byte, 1)); far.Close(); close(read) }()
+	if _, err := conn.Write([]byte("POST")); err == nil || !h.happened() {
+		t.Errorf("err %v, happened %v after one byte", err, h.happened())
+	}
+	<-read
+}
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -55,10 +55,11 @@
 	return err
 }
 
-// State reads the state of a target.
+// State reads the state of a target. It uses a new connection, because net/http repeats a
+// GET by itself when a reused connection breaks.
 func (c *Client) State(ctx context.Context, addr string) (State, error) {
 	var s State
-	err := c.exchange(ctx, c.reused, "state", addr, c.builder(addr).Get("/v1/state"), &s)
+	err := c.exchange(ctx, c.fresh, "state", addr, c.builder(addr).Get("/v1/state"), &s)
 	return s, err
 }
 
--- a/internal/fakes/fakes_test.go
+++ b/internal/fakes/fakes_test.go
@@ -72,6 +72,28 @@
 	}
 }
 
+// Guards against resuming on another connection that went silent at the same time: the
+// client has two idle ones and may resume once only.
+func TestSilentIdleConnections(t *testing.T) {
+	e, _ := newEngine(t, EngineOptions{TokenInterval: time.Millisecond})
+	c := engine.New(engine.Options{FirstTimeout: 100 * time.Millisecond, MaxResumes: 1})
+	defer c.Close()
+	if _, err := generateWhole(c, e, "outer", 8, func(n int) {
+		if n == 1 {
+			if _, err := generateWhole(c, e, "inner", 8, nil); err != nil {
+				t.Error(err)
+			}
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	e.Silence()
+	r := engine.Request{RequestID: "r", Model: "m", MaxTokens: 8, Resumable: true}
+	if err := c.Generate(t.Context(), e.Addr(), r, func(engine.Chunk) error { return nil }); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against fakes that do not fail in the way a test asks for.
 func TestEngineOrders(t *testing.T) {
 	e, c := newEngine(t, EngineOptions{CheckFence: true})
@@ -99,6 +121,7 @@
 	if _, err := c.State(t.Context(), e.Addr()); errs.OutcomeOf(err) != errs.NotRun {
 		t.Errorf("crashed engine: %v", err)
 	}
+	c.Close() // an idle connection of before the crash may look usable for a moment
 	if err := e.Restart(); err != nil || e.Incarnation() != 2 {
 		t.Errorf("restart: %v, incarnation %d", err, e.Incarnation())
 	}
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -217,11 +217,19 @@
 		time.Sleep(time.Millisecond)
 	}
 	clock.Add(5)
-	p.Check(t.Context()) // the peer answers the probe, so the slow call goes on
+	p.Check(t.Context())
+	if len(p.snapshot()) != 1 {
+		t.Error("a connection whose peer answers the probe was closed")
+	}
 	proxy.silence()
 	clock.Add(5)
 	p.Check(t.Context())
-	wantFailure(t, <-failed, errs.CodeInterrupted, errs.Unknown)
+	select {
+	case err := <-failed:
+		wantFailure(t, err, errs.CodeInterrupted, errs.Unknown)
+	case <-time.After(keepAliveTime / 2):
+		t.Fatal("the call was left to the keep-alive")
+	}
 	c, err := p.Peer("e2")
 	if err != nil {
 		t.Fatal(err)
