rpc, settings, fakes: probes before catch-up, names of domains, cancel

Cause: a probe would have waited for the hook that catches up with the sender, so a receiver that is far behind would have looked like a silent connection. Names of failure domains in groups were not checked. Nothing failed when a fake engine ignored a cancel or did not go silent. Change: the health check skips the hook; domain names are checked; tests for cancel, crashed swaps and silent connections; goleak over the rpc, engine and fakes tests; SetSwapDuration for a slow weight store. One output is limited to 1 Mi characters (12 MB in the assembler) instead of 4 Mi.

--- a/internal/engine/assembler.go
+++ b/internal/engine/assembler.go
@@ -8,8 +8,9 @@
 	"fuchsiaflow/errs"
 )
 
-// maxOutputChars bounds one output, so that a wrong offset cannot exhaust the memory.
-const maxOutputChars = 4 << 20
+// maxOutputChars bounds one output, so that a wrong offset cannot exhaust the memory. An
+// output of this length takes 12 MB here.
+const maxOutputChars = 1 << 20
 
 // absent marks a position of the output that has not been received.
 const absent rune = -1
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -16,10 +16,13 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/goleak"
 
 	"fuchsiaflow/errs"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 const whole = "Quetzaltenango"
 
 // target serves h and counts the requests that reach it.
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -98,6 +98,13 @@
 	e.failSwaps = n
 }
 
+// SetSwapDuration changes the time to load a version, as a slow weight store would.
+func (e *Engine) SetSwapDuration(d time.Duration) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.eo.SwapDuration = d
+}
+
 // Mislabel makes the engine report the version before the one that it uses. It proves that
 // the check of labels can fail.
 func (e *Engine) Mislabel(on bool) {
--- a/internal/fakes/fakes_test.go
+++ b/internal/fakes/fakes_test.go
@@ -12,11 +12,14 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/engine"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func newEngine(t *testing.T, o EngineOptions) (*Engine, *engine.Client) {
 	t.Helper()
 	if o.Models == nil {
@@ -88,9 +91,35 @@
 		t.Fatal(err)
 	}
 	e.Silence()
+	began := time.Now()
 	r := engine.Request{RequestID: "r", Model: "m", MaxTokens: 8, Resumable: true}
-	if err := c.Generate(t.Context(), e.Addr(), r, func(engine.Chunk) error { return nil }); err != nil {
-		t.Error(err)
+	if err := c.Generate(t.Context(), e.Addr(), r, func(engine.Chunk) error { return nil }); err != nil || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("err %v after %s; a silent connection does not answer", err, time.Since(began))
+	}
+}
+
+// Guards against a cancelled stream that goes on, and against weights that change after the
+// engine that loaded them crashed.
+func TestEngineCancelAndCrashedSwap(t *testing.T) {
+	e, c := newEngine(t, EngineOptions{SwapDuration: time.Hour, TokenInterval: 20 * time.Millisecond})
+	a, err := generateWhole(c, e, "long-43", 300, func(n int) {
+		if n == 1 {
+			if err := c.Cancel(t.Context(), e.Addr(), "long-43"); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	if errs.OutcomeOf(err) != errs.Unknown || a.Complete() {
+		t.Errorf("cancelled stream: %v", err)
+	}
+	ordered := make(chan error, 1)
+	go func() { ordered <- c.Order(context.Background(), e.Addr(), load(2, 1)) }()
+	for len(e.Orders()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.Crash()
+	if err := <-ordered; errs.OutcomeOf(err) != errs.Unknown || len(e.Changes()) != 0 {
+		t.Errorf("crashed swap: %v, changes %v", err, e.Changes())
 	}
 }
 
--- a/internal/fakes/orders.go
+++ b/internal/fakes/orders.go
@@ -25,7 +25,7 @@
 	life := e.life()
 	e.swap.Lock() // orders are carried out one at a time
 	defer e.swap.Unlock()
-	fail, status, reason := e.accept(o)
+	fail, took, status, reason := e.accept(o)
 	if status != http.StatusOK {
 		reply(w, status, engine.Refusal{NotRun: true, Reason: reason})
 		return
@@ -35,7 +35,7 @@
 		return
 	}
 	// The order goes on when the host that gave it is gone, so only a crash ends it.
-	took, to := e.eo.SwapDuration, o.Version
+	to := o.Version
 	if fail {
 		took, to, status = took/2, 0, http.StatusInternalServerError
 	}
@@ -45,29 +45,29 @@
 	reply(w, status, engine.Refusal{Reason: http.StatusText(status)})
 }
 
-// accept checks an order and records it.
-func (e *Engine) accept(o engine.OrderBody) (fail bool, status int, reason string) {
+// accept checks an order and records it. It returns whether the load is to fail and how
+// long it takes.
+func (e *Engine) accept(o engine.OrderBody) (fail bool, took time.Duration, status int, reason string) {
 	e.state.Lock()
 	defer e.state.Unlock()
 	switch {
 	case e.eo.CheckFence && o.Fence < e.fence:
-		return false, http.StatusConflict, "old fence number"
+		return false, 0, http.StatusConflict, "old fence number"
 	case time.Now().UnixMilli() > o.ExpiresMS:
-		return false, http.StatusServiceUnavailable, "the order has expired"
+		return false, 0, http.StatusServiceUnavailable, "the order has expired"
 	case o.Kind != engine.OrderLoad && o.Kind != engine.OrderRole:
-		return false, http.StatusBadRequest, "unknown kind of order"
+		return false, 0, http.StatusBadRequest, "unknown kind of order"
 	}
 	e.fence = max(e.fence, o.Fence)
 	e.orders = append(e.orders, o)
 	if o.Kind == engine.OrderRole {
 		e.role = o.Role
-		return false, http.StatusOK, ""
+		return false, 0, http.StatusOK, ""
 	}
-	if e.failSwaps > 0 {
+	if fail = e.failSwaps > 0; fail {
 		e.failSwaps--
-		return true, http.StatusOK, ""
 	}
-	return false, http.StatusOK, ""
+	return fail, e.eo.SwapDuration, http.StatusOK, ""
 }
 
 // change sets a version, unless the engine has crashed since the order began.
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/health/grpc_health_v1"
 
 	"fuchsiaflow/errs"
 )
@@ -53,6 +54,8 @@
 	return &errs.Overloaded{Resource: "pool " + r.Pool, After: time.Second}
 }
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func quiet() *slog.Logger { return slog.New(slog.NewJSONHandler(io.Discard, nil)) }
 
 func serve(t *testing.T, o ServerOptions) (string, *peerServer) {
@@ -96,34 +99,31 @@
 
 // Guards against losing the sender, the failure type, or the whole process to one call.
 func TestCalls(t *testing.T) {
-	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-	t.Run("calls", func(t *testing.T) {
-		addr, impl := serve(t, ServerOptions{})
-		_, c := pool(t, addr, Options{MaxMessageBytes: 1 << 20})
-		_, err := c.Propose(t.Context(), &ProposeRequest{Group: "panic"})
-		wantFailure(t, err, errs.CodeInternal, errs.Unknown)
-		_, err = c.Propose(t.Context(), &ProposeRequest{Group: "follower"})
-		if diff := cmp.Diff(error(&errs.NotLeader{Group: "control", Leader: "e2"}), err); diff != "" {
-			t.Error(diff)
-		}
-		_, err = c.Propose(t.Context(), &ProposeRequest{Command: make([]byte, 1<<20)})
-		wantFailure(t, err, errs.CodeTooLarge, errs.NotRun)
-		if _, err = c.Propose(t.Context(), &ProposeRequest{}); err != nil {
-			t.Error(err)
-		}
-		if diff := cmp.Diff(self, <-impl.senders); diff != "" {
-			t.Error(diff)
-		}
-		stream, err := c.Generate(t.Context(), &GenerateRequest{RequestId: "r", Pool: "sorting"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if m, err := stream.Recv(); err != nil || m.RequestId != "r" {
-			t.Errorf("chunk = %v, %v", m, err)
-		}
-		_, err = stream.Recv()
-		wantFailure(t, err, errs.CodeOverloaded, errs.NotRun)
-	})
+	addr, impl := serve(t, ServerOptions{})
+	_, c := pool(t, addr, Options{MaxMessageBytes: 1 << 20})
+	_, err := c.Propose(t.Context(), &ProposeRequest{Group: "panic"})
+	wantFailure(t, err, errs.CodeInternal, errs.Unknown)
+	_, err = c.Propose(t.Context(), &ProposeRequest{Group: "follower"})
+	if diff := cmp.Diff(error(&errs.NotLeader{Group: "control", Leader: "e2"}), err); diff != "" {
+		t.Error(diff)
+	}
+	_, err = c.Propose(t.Context(), &ProposeRequest{Command: make([]byte, 1<<20)})
+	wantFailure(t, err, errs.CodeTooLarge, errs.NotRun)
+	if _, err = c.Propose(t.Context(), &ProposeRequest{}); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(self, <-impl.senders); diff != "" {
+		t.Error(diff)
+	}
+	stream, err := c.Generate(t.Context(), &GenerateRequest{RequestId: "r", Pool: "sorting"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := stream.Recv(); err != nil || m.RequestId != "r" {
+		t.Errorf("chunk = %v, %v", m, err)
+	}
+	_, err = stream.Recv()
+	wantFailure(t, err, errs.CodeOverloaded, errs.NotRun)
 }
 
 // Guards against serving a caller without the cluster token.
@@ -145,12 +145,16 @@
 	addr, impl := serve(t, ServerOptions{OnSender: func(_ context.Context, s Sender) error {
 		return &errs.Unavailable{Resource: "configuration", Reason: "behind"}
 	}})
-	_, c := pool(t, addr, Options{})
+	p, c := pool(t, addr, Options{})
 	_, err := c.Propose(t.Context(), &ProposeRequest{})
 	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
 	if len(impl.senders) != 0 {
 		t.Error("the handler ran")
 	}
+	health := grpc_health_v1.NewHealthClient(p.snapshot()[0].cc)
+	if _, err := health.Check(t.Context(), &grpc_health_v1.HealthCheckRequest{}); err != nil {
+		t.Errorf("a probe depends on the configuration: %v", err)
+	}
 }
 
 // Guards against a refused dial that counts as unknown, which would block safe retries.
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -65,12 +65,13 @@
 	return s
 }
 
-func (o ServerOptions) admit(ctx context.Context) (context.Context, error) {
+func (o ServerOptions) admit(ctx context.Context, method string) (context.Context, error) {
 	sender, err := incoming(ctx, o.Token)
 	if err != nil {
 		return nil, err
 	}
-	if o.OnSender != nil {
+	// Catching up may take long; a probe that waits for it would look like a silent connection.
+	if o.OnSender != nil && method != grpc_health_v1.Health_Check_FullMethodName {
 		if err := o.OnSender(ctx, sender); err != nil {
 			return nil, err
 		}
@@ -81,7 +82,7 @@
 func (o ServerOptions) unary(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (reply any, err error) {
 	defer func() { err = errs.GRPC(err) }()
 	defer o.recover(info.FullMethod, &err)
-	if ctx, err = o.admit(ctx); err != nil {
+	if ctx, err = o.admit(ctx, info.FullMethod); err != nil {
 		return nil, err
 	}
 	return next(ctx, req)
@@ -90,7 +91,7 @@
 func (o ServerOptions) stream(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) (err error) {
 	defer func() { err = errs.GRPC(err) }()
 	defer o.recover(info.FullMethod, &err)
-	ctx, err := o.admit(ss.Context())
+	ctx, err := o.admit(ss.Context(), info.FullMethod)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -89,6 +89,7 @@
 	domains := o.need("domains")
 	m := r.anyObject(domains)
 	for _, domain := range slices.Sorted(maps.Keys(m)) {
+		r.name(node{domains.path + "." + domain, domain})
 		g.Domains[domain] = r.voters(node{domains.path + "." + domain, m[domain]})
 	}
 	return g
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,6 +57,7 @@
 		{`"control":["e1","e2"]`, `"control":["e1","e9"]`, "$.groups.control[1]", "$.hosts"},
 		{`"control":["e1","e2"]`, `"control":[]`, "$.groups.control", "at least one"},
 		{`"Yeka":["e2"]`, `"Yeka":["e1"]`, "$.groups.domains.Yeka[0]", "Yeka"},
+		{`"Yeka":["e2"]`, `"Ye ka":["e2"]`, "$.groups.domains.Ye ka", "name"},
 		{`"data_dir":"/d",`, ``, "$.data_dir", "voter"},
 		{`"operator_token":"op-secret"`, `"operator_token":["op-secret"]`, "$.operator_token", "token"},
 		{`"timing"`, `"trace":{"exporter":"otlp"},"timing"`, "$.trace.endpoint", "IP:port"},
