fakes: network proxy and weight store

Change: the proxy of the rpc tests becomes fakes.Proxy. Store serves weights at a limited rate and to a limited number of downloads; an engine with a store downloads before it swaps, keeps the old weights when refused and has weights of an uncertain version when the download breaks.

--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -20,7 +20,8 @@
 	TargetOptions
 	Models        map[string]uint64 // loaded at each start
 	TokenInterval time.Duration     // time to generate one token
-	SwapDuration  time.Duration     // time to load a version
+	SwapDuration  time.Duration     // time to load a version, after its download
+	Store         string            // base URL of the weight store, optional
 	CheckFence    bool              // refuse orders with an old fence number
 	NoResume      bool              // the engine cannot resume streams
 	Truth         *Truth            // shared record of what produced each token, optional
--- a/internal/fakes/fakes_test.go
+++ b/internal/fakes/fakes_test.go
@@ -187,6 +187,35 @@
 	}
 }
 
+// Guards against a weight store that ignores its limits, and against a broken download that
+// leaves weights of a certain version.
+func TestStore(t *testing.T) {
+	s, err := NewStore(StoreOptions{Size: 1000, Rate: 10_000, MaxActive: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	e, c := newEngine(t, EngineOptions{Store: s.URL()})
+	began := time.Now()
+	if err := c.Order(t.Context(), e.Addr(), load(2, 1)); err != nil || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("err %v after %s, want 100 ms for 1000 bytes", err, time.Since(began))
+	}
+	s.SetRate(1) // from here on downloads do not end
+	slow, _ := newEngine(t, EngineOptions{Store: s.URL()})
+	ordered := make(chan error, 1)
+	go func() { ordered <- c.Order(context.Background(), slow.Addr(), load(2, 1)) }()
+	for s.Tally().Active == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.Order(t.Context(), e.Addr(), load(3, 2)); err == nil || s.Tally().Refused != 1 {
+		t.Errorf("second download: %v, %+v", err, s.Tally())
+	}
+	s.Crash()
+	if err := <-ordered; err == nil || len(slow.certain()) != 0 || !cmp.Equal(e.certain(), map[string]uint64{"m": 2}) {
+		t.Errorf("err %v, loaded %v and %v", err, slow.certain(), e.certain())
+	}
+}
+
 // Guards against a service that loses count, or claims not_run for a call that ran.
 func TestService(t *testing.T) {
 	s, err := NewService(TargetOptions{ID: "s"})
--- a/internal/fakes/orders.go
+++ b/internal/fakes/orders.go
@@ -7,6 +7,7 @@
 	"time"
 	"unicode/utf8"
 
+	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/engine"
 )
 
@@ -39,6 +40,14 @@
 	if fail {
 		took, to, status = took/2, 0, http.StatusInternalServerError
 	}
+	if !fail {
+		if err := fetchWeights(life, e.caller.http, e.eo.Store, o.Model, o.Version); errs.OutcomeOf(err) == errs.NotRun && err != nil {
+			reply(w, http.StatusServiceUnavailable, engine.Refusal{Reason: err.Error()}) // the old weights stay
+			return
+		} else if err != nil {
+			to, status = 0, http.StatusInternalServerError
+		}
+	}
 	if pause(life, took) != nil || !e.change(life, o, to) {
 		panic(http.ErrAbortHandler) // crashed
 	}
--- a/internal/fakes/output.go
+++ b/internal/fakes/output.go
@@ -1,5 +1,5 @@
 // Package fakes has small stand-ins for the programs around the system: engines, plain
-// services, a trainer and a desk. They speak HTTP on loopback, inject failures on demand,
+// services, a weight store, a network proxy, a trainer and a desk. They speak HTTP on loopback, inject failures on demand,
 // and tally what the system's guarantees forbid. They serve tests and the demo.
 package fakes
 
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/health/grpc_health_v1"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/fakes"
 )
 
 const token = "cluster-token"
@@ -192,14 +193,14 @@
 func TestBrokenConnectionIsUnknown(t *testing.T) {
 	addr, _ := serve(t, ServerOptions{})
 	proxy := newProxy(t, addr)
-	_, c := pool(t, proxy.addr, Options{})
+	_, c := pool(t, proxy.Addr(), Options{})
 	failed := make(chan error, 1)
 	go func() {
 		_, err := c.Propose(context.Background(), &ProposeRequest{Group: "slow"})
 		failed <- err
 	}()
-	proxy.waitRequest(t)
-	proxy.cut()
+	waitRequest(t, proxy)
+	proxy.Cut()
 	wantFailure(t, <-failed, errs.CodeInterrupted, errs.Unknown)
 }
 
@@ -210,13 +211,13 @@
 	proxy := newProxy(t, addr)
 	var clock atomic.Int64
 	now := func() time.Time { return time.Unix(clock.Load(), 0) }
-	p, c := pool(t, proxy.addr, Options{Now: now, SilenceBeforeProbe: time.Second, ProbeTimeout: 100 * time.Millisecond})
+	p, c := pool(t, proxy.Addr(), Options{Now: now, SilenceBeforeProbe: time.Second, ProbeTimeout: 100 * time.Millisecond})
 	failed := make(chan error, 1)
 	go func() {
 		_, err := c.Propose(context.Background(), &ProposeRequest{Group: "slow"})
 		failed <- err
 	}()
-	proxy.waitRequest(t)
+	waitRequest(t, proxy)
 	for p.snapshot()[0].traffic.pending.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -225,7 +226,7 @@
 	if len(p.snapshot()) != 1 {
 		t.Error("a connection whose peer answers the probe was closed")
 	}
-	proxy.silence()
+	proxy.Silence()
 	clock.Add(5)
 	p.Check(t.Context())
 	select {
@@ -241,7 +242,7 @@
 	if _, err := c.Propose(t.Context(), &ProposeRequest{}); err != nil {
 		t.Errorf("the new connection fails: %v", err)
 	}
-	if got := proxy.accepted.Load(); got != 2 {
+	if got := proxy.Accepted(); got != 2 {
 		t.Errorf("%d connections, want 2", got)
 	}
 	<-impl.senders
@@ -271,85 +272,20 @@
 	}
 }
 
-// proxy forwards bytes until it is cut or, on the connections open then, made silent.
-type proxy struct {
-	addr     string
-	accepted atomic.Int64
-	upstream atomic.Int64 // bytes from client to server
-	mu       sync.Mutex
-	conns    []net.Conn
-	silent   []*atomic.Bool
-}
-
-func newProxy(t *testing.T, to string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(t *testing.T, to string) *fakes.Proxy {
+	t.Helper()
+	p, err := fakes.NewProxy(to)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{addr: l.Addr().String()}
-	var done sync.WaitGroup
-	done.Go(func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", to)
-			if err != nil {
-				in.Close()
-				continue
-			}
-			p.accepted.Add(1)
-			silent := &atomic.Bool{}
-			p.mu.Lock()
-			p.conns, p.silent = append(p.conns, in, out), append(p.silent, silent)
-			p.mu.Unlock()
-			done.Go(func() { forward(out, in, silent, &p.upstream) })
-			done.Go(func() { forward(in, out, silent, nil) })
-		}
-	})
-	t.Cleanup(func() { l.Close(); p.cut(); done.Wait() })
+	t.Cleanup(p.Close)
 	return p
 }
 
-func forward(to, from net.Conn, silent *atomic.Bool, count *atomic.Int64) {
-	buf := make([]byte, 4096)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		if count != nil {
-			count.Add(int64(n))
-		}
-		if !silent.Load() {
-			if _, err := to.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-	}
-}
-
-func (p *proxy) cut() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		c.Close()
-	}
-}
-
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.silent {
-		s.Store(true)
-	}
-}
-
 // waitRequest waits until more than the HTTP/2 preface has passed.
-func (p *proxy) waitRequest(t *testing.T) {
+func waitRequest(t *testing.T, p *fakes.Proxy) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); p.upstream.Load() < 200; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); p.Upstream() < 200; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no request reached the proxy")
 		}
