consensus: add cluster fuzzing over faulty disks and network

Cause: the safety rules were only covered by three scenario tests. Change: simulated cluster of 3 to 7 replicas with crash, partition, slowing links, disk loss and repair, an oracle, a linearizability check, and one deliberate fault per rule. A probe that gets no answer is repeated at the same index; before, it started over at the first entry.

--- /dev/null
+++ b/consensus/fuzz_test.go
@@ -0,0 +1,302 @@
+package consensus_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"fuchsiaflow/consensus"
+	"fuchsiaflow/errs"
+	"fuchsiaflow/storage"
+)
+
+// FUCHSIAFLOW_FUZZ_CHECKS and FUCHSIAFLOW_FUZZ_SEED select longer runs and other seeds.
+const (
+	checksVariable = "FUCHSIAFLOW_FUZZ_CHECKS"
+	seedVariable   = "FUCHSIAFLOW_FUZZ_SEED"
+	defaultChecks  = "60"
+	defaultSeed    = "1"
+	// linearizabilityTimeout bounds one check; the histories are short enough to end far
+	// below it.
+	linearizabilityTimeout = time.Minute
+)
+
+func variable(name, value string) string {
+	if v, ok := os.LookupEnv(name); ok {
+		return v
+	}
+	return value
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": variable(seedVariable, defaultSeed),
+		"rapid.checks": variable(checksVariable, defaultChecks), "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// act performs one random action. The weights keep the cluster working most of the time.
+func (s *sim) act(action int) {
+	up := func(r *replica) bool { return r.node != nil }
+	switch action {
+	case 0, 1, 2:
+		s.run(time.Duration(20+s.rand.IntN(400)) * time.Millisecond)
+	case 3:
+		s.run(time.Duration(500+s.rand.IntN(3000)) * time.Millisecond)
+	case 4:
+		for _, r := range s.leading() {
+			s.fill(r, 1+s.rand.IntN(30))
+		}
+	case 5, 6:
+		for _, r := range s.leading() {
+			s.put(r, s.rand.IntN(3))
+		}
+	case 7, 8:
+		for _, r := range s.pick(up) {
+			s.get(r, s.rand.IntN(3))
+		}
+		for _, r := range s.leading() {
+			s.get(r, s.rand.IntN(3))
+		}
+	case 9:
+		for _, r := range s.pick(up) {
+			s.stop(r)
+		}
+	case 10, 11:
+		for _, r := range s.pick(func(r *replica) bool { return r.node == nil && !r.lost }) {
+			s.start(r, storage.Existing)
+		}
+	case 12: // partition, or cut off one replica
+		for _, r := range s.replicas {
+			s.cut[r.id] = s.rand.IntN(2)
+		}
+	case 13:
+		for _, r := range s.leading() {
+			s.isolate(r)
+		}
+	case 14, 15:
+		clear(s.cut)
+		clear(s.choked)
+	case 16:
+		for _, r := range s.leading() {
+			_ = r.node.TransferLeadership(s.at(r), s.replicas[s.rand.IntN(len(s.replicas))].id)
+			s.work(r)
+		}
+	case 17:
+		s.loseDisk()
+	case 18, 19:
+		s.repair()
+	}
+}
+
+const actions = 20
+
+// isolate cuts a leader off in one of three ways: at once, by a link that gets slower, or
+// while it accepts writes and the others change their leader twice.
+func (s *sim) isolate(r *replica) {
+	switch s.rand.IntN(3) {
+	case 0:
+		s.cut[r.id] = 2
+	case 1:
+		s.choked[r.id] = s.now
+		s.run(2 * chokeEnd)
+	case 2:
+		s.cut[r.id] = 2
+		s.fill(r, 10+s.rand.IntN(30))
+		s.run(4 * electionTimeout)
+		for _, next := range s.leading() {
+			s.fill(next, s.rand.IntN(10))
+			_ = next.node.TransferLeadership(s.at(next), s.replicas[s.rand.IntN(len(s.replicas))].id)
+		}
+		s.run(electionTimeout)
+	}
+}
+
+func (s *sim) pick(ok func(*replica) bool) []*replica {
+	var all []*replica
+	for _, r := range s.replicas {
+		if ok(r) {
+			all = append(all, r)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return []*replica{all[s.rand.IntN(len(all))]}
+}
+
+func (s *sim) leading() (out []*replica) {
+	for _, r := range s.replicas {
+		if r.node != nil && r.node.Status().Role == consensus.Leader {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// stop crashes a replica now, in its next sync, or between a sync and its messages.
+func (s *sim) stop(r *replica) {
+	switch s.rand.IntN(3) {
+	case 0:
+		s.crash(r)
+	case 1:
+		r.fs.FailSyncs(1)
+	case 2:
+		r.dieNext = true
+	}
+}
+
+// loseDisk removes a replica's data for good, as long as a majority of the voters of every
+// membership in use keeps its data. A restart under the old name must be refused.
+func (s *sim) loseDisk() {
+	for _, r := range s.pick(func(r *replica) bool { return !r.lost }) {
+		for _, other := range s.replicas {
+			if other.node != nil && !s.keepsMajority(other.node.Status().Voters, r) {
+				return
+			}
+		}
+		s.crash(r)
+		r.fs.Lose()
+		r.lost = true
+		if s.fault == "vote-after-loss" {
+			r.lost = false
+			s.start(r, storage.Bootstrap)
+			return
+		}
+		_, _, err := storage.Open(r.fs, "d", storage.Options{Group: "g", Voter: r.id})
+		if errs.CodeOf(err) != errs.CodeNotFound {
+			s.fail("a voter without its disk was opened: %v", err)
+		}
+	}
+}
+
+func (s *sim) keepsMajority(voters []string, without *replica) bool {
+	kept := 0
+	for _, id := range voters {
+		if r := s.find(id); r != nil && r != without && !r.lost {
+			kept++
+		}
+	}
+	return kept > len(voters)/2
+}
+
+// repair replaces lost replicas step by step: a new learner, its promotion, the removal of
+// the old voter.
+func (s *sim) repair() {
+	for _, r := range s.leading() {
+		st := r.node.Status()
+		change := consensus.ConfChange{Type: consensus.AddLearner}
+		lost := slices.IndexFunc(st.Voters, func(id string) bool { return s.find(id) == nil || s.find(id).lost })
+		switch {
+		case len(st.Learners) > 0 && (s.find(st.Learners[0]) == nil || s.find(st.Learners[0]).lost):
+			change = consensus.ConfChange{Type: consensus.Remove, ID: st.Learners[0]}
+		case len(st.Learners) > 0:
+			change = consensus.ConfChange{Type: consensus.Promote, ID: st.Learners[0]}
+		case lost >= 0 && len(st.Voters) > len(s.voters):
+			change = consensus.ConfChange{Type: consensus.Remove, ID: st.Voters[lost]}
+		case lost >= 0:
+			s.nextID++
+			change.ID = "n" + strconv.Itoa(s.nextID)
+		default:
+			return
+		}
+		if r.node.ProposeConfChange(s.at(r), change) == nil && change.Type == consensus.AddLearner {
+			s.add(change.ID, storage.Join)
+		}
+		s.work(r)
+	}
+}
+
+// recover ends all faults and requires that the cluster makes progress and agrees.
+func (s *sim) recover() {
+	clear(s.cut)
+	clear(s.choked)
+	s.loss = 0
+	for _, r := range s.replicas {
+		r.fs.FailSyncs(0)
+		r.dieNext = false
+		if r.node == nil && !r.lost {
+			s.start(r, storage.Existing)
+		}
+	}
+	s.run(30 * electionTimeout)
+	leaders := s.leading()
+	if s.violated != nil || len(leaders) == 0 {
+		s.fail("no leader after the faults ended")
+		return
+	}
+	leader := leaders[len(leaders)-1]
+	for key := range 3 {
+		s.put(leader, key)
+	}
+	s.run(10 * electionTimeout)
+	st := leader.node.Status()
+	for _, id := range append(st.Voters, st.Learners...) {
+		if r := s.find(id); r != nil && !r.lost && (r.node == nil || r.applied != st.Last) {
+			s.fail("%s applied %d of %d entries", id, r.applied, st.Last)
+		}
+	}
+}
+
+func (s *sim) checkHistory() {
+	if s.violated == nil && porcupine.CheckOperationsTimeout(mapModel, s.history(), linearizabilityTimeout) != porcupine.Ok {
+		s.fail("the history of %d operations is not linearizable", len(s.ops))
+	}
+}
+
+// Guards the safety of the log, leadership and leases against crashes, partitions, lost
+// disks and an unreliable network, and progress once they end.
+func TestClusterUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 7).Draw(t, "voters"), "")
+		for _, a := range rapid.SliceOfN(rapid.IntRange(0, actions-1), 20, 80).Draw(t, "actions") {
+			s.act(a)
+			if s.violated != nil {
+				t.Fatal(s.violated)
+			}
+		}
+		s.recover()
+		s.checkHistory()
+		if s.violated != nil {
+			t.Fatal(s.violated)
+		}
+	})
+}
+
+// Guards the checks themselves: with a safety rule disabled they must report a violation.
+func TestChecksDetectFaults(t *testing.T) {
+	const seeds, length = 400, 80
+	faults := []string{"ignore-syncs", "vote-after-loss"}
+	for name := range consensus.Faults {
+		faults = append(faults, name)
+	}
+	slices.Sort(faults)
+	for _, fault := range faults {
+		t.Run(fault, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				s := newSim(seed, 3, fault)
+				choose := rand.New(rand.NewPCG(seed, 3))
+				for range length {
+					s.act(choose.IntN(actions))
+				}
+				s.checkHistory()
+				if s.violated != nil {
+					t.Logf("seed %d: %v", seed, s.violated)
+					return
+				}
+			}
+			t.Errorf("no violation in %d runs", seeds)
+		})
+	}
+}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -179,7 +179,10 @@
 		limit = 2 * n.cfg.ElectionTimeout
 	}
 	if p.match < n.log.last() && n.now.Sub(p.movedAt) >= limit {
-		p.state, p.next, p.inflight, p.waiting = probing, p.match+1, 0, false
+		if p.state != probing {
+			p.next = p.match + 1
+		}
+		p.state, p.inflight, p.waiting = probing, 0, false
 	}
 	n.sendAppends(id)
 }
