--- a/consensus/fuzz_test.go
+++ b/consensus/fuzz_test.go
@@ -162,7 +162,7 @@
 func (s *sim) loseDisk() {
 	for _, r := range s.pick(func(r *replica) bool { return !r.lost }) {
 		for _, other := range s.replicas {
-			if other.node != nil && !s.keepsMajority(other.node.Status().Voters, r) {
+			if !other.lost && !s.keepsMajority(other.voters, r) {
 				return
 			}
 		}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -43,7 +43,8 @@
 	lost    bool // the disk was lost
 	dieNext bool // crash after the next write, before its messages are sent
 	state   map[int]int
-	sum     uint64 // of state
+	sum     uint64   // of state
+	voters  []string // as last known to the node
 	applied uint64
 	snapped uint64
 	writes  map[uint64]write // proposals by index
@@ -149,6 +150,7 @@
 	}
 	r.log, r.node, r.dieNext = log, node, false
 	r.writes, r.reads, r.waiting = map[uint64]write{}, map[uint64]int{}, map[int]uint64{}
+	r.voters = node.Status().Voters
 	s.restore(r, in.Snapshot)
 }
 
@@ -287,6 +289,7 @@
 		}
 		s.answerReads(r, rd.Reads)
 		r.node.Advance(rd)
+		r.voters = r.node.Status().Voters
 		s.snapshot(r)
 	}
 }
--- a/storage/faultfs/faultfs.go
+++ b/storage/faultfs/faultfs.go
@@ -46,6 +46,7 @@
 
 	syncs     int
 	failSyncs int
+	failAfter int // successful syncs before the next failure; -2 for none
 	capacity  int64
 	ignore    bool
 }
@@ -53,13 +54,16 @@
 // New returns an empty file system. The source decides what a torn write leaves; a nil
 // source loses unsynced writes whole.
 func New(source *rand.Rand) *FS {
-	return &FS{rand: source, files: make(map[string]*inode), durable: make(map[string]*inode)}
+	return &FS{rand: source, files: make(map[string]*inode), durable: make(map[string]*inode), failAfter: -2}
 }
 
 // FailSyncs makes the next n syncs fail. What they should have made durable is lost at the
 // next crash even if a later sync succeeds.
 func (f *FS) FailSyncs(n int) { f.locked(func() { f.failSyncs = n }) }
 
+// FailSyncAfter makes one sync of a file or folder fail after n successful ones.
+func (f *FS) FailSyncAfter(n int) { f.locked(func() { f.failAfter = n }) }
+
 // SetCapacity limits the total size of the files; zero removes the limit.
 func (f *FS) SetCapacity(bytes int64) { f.locked(func() { f.capacity = bytes }) }
 
@@ -109,7 +113,7 @@
 			n.synced, n.clean, n.lost = slices.Clone(n.data), len(n.data), false
 			f.files[name] = n
 		}
-		f.failSyncs, f.capacity = 0, 0
+		f.failSyncs, f.failAfter, f.capacity = 0, -2, 0
 	})
 }
 
@@ -254,6 +258,10 @@
 }
 
 func (f *FS) syncFails() bool {
+	f.failAfter = max(f.failAfter-1, -2)
+	if f.failAfter == -1 {
+		return true
+	}
 	if f.failSyncs == 0 {
 		return false
 	}
--- a/storage/files.go
+++ b/storage/files.go
@@ -22,6 +22,14 @@
 	Formed bool   `cbor:"4,keyasint"`
 }
 
+// snapshotHead is the first part of a snapshot file.
+type snapshotHead struct {
+	SnapshotMeta
+	// Reset tells that the log did not contain the snapshot's last entry, so that none of
+	// the entries stored before the snapshot may be used.
+	Reset bool `cbor:"4,keyasint,omitempty"`
+}
+
 func segmentName(seq uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, seq) }
 
 func snapshotName(index, term uint64) string {
--- a/storage/frame.go
+++ b/storage/frame.go
@@ -118,7 +118,8 @@
 const (
 	itemHardState = 'h'
 	itemEntry     = 'e'
-	// itemSnapshot records that a snapshot file replaced the log up to an entry.
+	// itemSnapshot records that a snapshot file replaced the log up to an entry, or the
+	// whole log.
 	itemSnapshot = 's'
 )
 
@@ -138,10 +139,13 @@
 	return appendBytes(buf, e.Data)
 }
 
-func appendMarker(buf []byte, index, term uint64) []byte {
+func appendMarker(buf []byte, index uint64, reset bool) []byte {
 	buf = append(buf, itemSnapshot)
 	buf = binary.AppendUvarint(buf, index)
-	return binary.AppendUvarint(buf, term)
+	if reset {
+		return append(buf, 1)
+	}
+	return append(buf, 0)
 }
 
 // decoder reads items. It remembers the first failure.
--- a/storage/log.go
+++ b/storage/log.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,7 +23,8 @@
 	size      int64  // of the last segment
 	hardState []byte // repeated at the start of each segment
 	snapshot  SnapshotMeta
-	marker    []byte // snapshot item for the next frame
+	terms     []uint64 // of the entries after the snapshot
+	marker    []byte   // snapshot item for the next frame
 	buf       []byte
 	failed    *Unusable
 	closed    bool
@@ -223,6 +225,9 @@
 	if b.HardState == nil && len(b.Entries) == 0 {
 		return nil
 	}
+	if err := l.follows(b.Entries); err != nil {
+		return err
+	}
 	if l.size >= l.opt.SegmentBytes {
 		if err := l.startSegment(l.active().seq + 1); err != nil {
 			return err
@@ -245,13 +250,36 @@
 	if b.HardState != nil {
 		l.hardState = bytes.Clone(b.HardState)
 	}
-	if k := len(b.Entries); k > 0 {
-		s := l.active()
-		s.last = max(s.last, b.Entries[k-1].Index)
+	l.note(b.Entries)
+	return nil
+}
+
+// follows checks that entries continue the log or replace its end.
+func (l *Log) follows(entries []Entry) error {
+	for i, e := range entries {
+		first, next := l.snapshot.Index+1, l.snapshot.Index+1+uint64(len(l.terms))
+		if i > 0 {
+			first, next = entries[0].Index+uint64(i), entries[0].Index+uint64(i)
+		}
+		if e.Index < first || e.Index > next {
+			return &errs.Invalid{Path: fmt.Sprintf("$.Entries[%d].Index", i),
+				Want: fmt.Sprintf("%d to %d", first, next), Got: fmt.Sprint(e.Index)}
+		}
 	}
 	return nil
 }
 
+// note records stored entries.
+func (l *Log) note(entries []Entry) {
+	for i, e := range entries {
+		if i == 0 {
+			l.terms = l.terms[:e.Index-l.snapshot.Index-1]
+		}
+		l.terms = append(l.terms, e.Term)
+		l.active().last = max(l.active().last, e.Index)
+	}
+}
+
 // Snapshot stores a snapshot and drops the segments and snapshots that it makes obsolete. If
 // the log does not contain the snapshot's last entry, the stored entries are dropped.
 func (l *Log) Snapshot(meta SnapshotMeta, data []byte) error {
@@ -261,7 +289,9 @@
 	if meta.Index <= l.snapshot.Index {
 		return &errs.Conflict{Kind: "snapshot", ID: l.dir, Have: fmt.Sprint(l.snapshot.Index), Got: fmt.Sprint(meta.Index)}
 	}
-	head, err := cbor.Marshal(meta)
+	covered := meta.Index - l.snapshot.Index
+	reset := covered > uint64(len(l.terms)) || l.terms[covered-1] != meta.Term
+	head, err := cbor.Marshal(snapshotHead{SnapshotMeta: meta, Reset: reset})
 	if err != nil {
 		return ioError("encode", "snapshot", err)
 	}
@@ -270,8 +300,13 @@
 	}
 	old := l.snapshot
 	l.snapshot = meta
+	if reset {
+		l.terms = nil
+	} else {
+		l.terms = slices.Clone(l.terms[covered:])
+	}
 	// Entries appended from now on need the marker; until then the file alone is enough.
-	l.marker = appendMarker(nil, meta.Index, meta.Term)
+	l.marker = appendMarker(nil, meta.Index, reset)
 	return l.dropObsolete(old)
 }
 
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -3,24 +3,25 @@
 import (
 	"bytes"
 	"fmt"
-	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
 // replay rebuilds the log from its segments.
 type replay struct {
-	snapshot  SnapshotMeta
+	snapshot  uint64 // index of the newest snapshot
+	marked    bool   // its marker was read
 	hardState []byte
 	entries   []Entry
 }
 
 func (l *Log) recover(files listing) (Recovered, error) {
 	var r Recovered
-	if err := l.readSnapshot(files, &r); err != nil {
+	reset, err := l.readSnapshot(files, &r)
+	if err != nil {
 		return r, err
 	}
-	p := replay{snapshot: r.Snapshot}
+	p := replay{snapshot: r.Snapshot.Index}
 	var end int64
 	for i, seq := range files.segments {
 		if i > 0 && seq != files.segments[i-1]+1 {
@@ -34,37 +35,45 @@
 		l.segments = append(l.segments, segment{seq: seq, last: top})
 		r.Torn, end = torn, good
 	}
-	p.marker(r.Snapshot.Index, r.Snapshot.Term)
+	if !p.marked && r.Snapshot.Index > 0 {
+		p.marker(r.Snapshot.Index, reset)
+		l.marker = appendMarker(nil, r.Snapshot.Index, reset)
+	}
 	if len(p.entries) > 0 && p.entries[0].Index != r.Snapshot.Index+1 {
 		return r, corrupt(l.dir, 0, fmt.Sprintf("entries %d to %d are missing", r.Snapshot.Index+1, p.entries[0].Index-1))
 	}
 	r.HardState, r.Entries = p.hardState, p.entries
 	l.hardState, l.snapshot = bytes.Clone(p.hardState), r.Snapshot
+	for _, e := range p.entries {
+		l.terms = append(l.terms, e.Term)
+	}
 	return r, l.openActive(end, r.Torn)
 }
 
-func (l *Log) readSnapshot(files listing, r *Recovered) error {
+func (l *Log) readSnapshot(files listing, r *Recovered) (reset bool, err error) {
 	if len(files.snapshots) == 0 {
-		return nil
+		return false, nil
 	}
 	name := files.snapshots[len(files.snapshots)-1]
 	parts, err := l.read(name, 2)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if err := cbor.Unmarshal(parts[0], &r.Snapshot); err != nil {
-		return corrupt(name, headerBytes, err.Error())
+	var head snapshotHead
+	if err := cbor.Unmarshal(parts[0], &head); err != nil {
+		return false, corrupt(name, headerBytes, err.Error())
 	}
+	r.Snapshot = head.SnapshotMeta
 	if name != snapshotName(r.Snapshot.Index, r.Snapshot.Term) {
-		return corrupt(name, headerBytes, "the content belongs to another snapshot")
+		return false, corrupt(name, headerBytes, "the content belongs to another snapshot")
 	}
 	r.SnapshotData = parts[1]
 	for _, old := range files.snapshots[:len(files.snapshots)-1] {
 		if err := l.fs.Remove(l.path(old)); err != nil {
-			return ioError("remove", old, err)
+			return false, ioError("remove", old, err)
 		}
 	}
-	return nil
+	return head.Reset, nil
 }
 
 // readSegment replays one segment. It returns the highest entry in it and the end of the
@@ -114,7 +123,7 @@
 			}
 			top = max(top, e.Index)
 		case itemSnapshot:
-			p.marker(d.uvarint(), d.uvarint())
+			p.marker(d.uvarint(), d.uvarint() != 0)
 		default:
 			d.bad = true
 		}
@@ -134,7 +143,7 @@
 	}
 	first, next := p.entries[0].Index, p.entries[0].Index+uint64(len(p.entries))
 	switch {
-	case e.Index > next && e.Index > p.snapshot.Index+1:
+	case e.Index > next && e.Index > p.snapshot+1:
 		return false
 	case e.Index > next || e.Index < first:
 		p.entries = []Entry{e}
@@ -144,19 +153,14 @@
 	return true
 }
 
-// marker drops the entries that a snapshot covers, and all of them if they do not contain
-// its last entry.
-func (p *replay) marker(index, term uint64) {
-	if len(p.entries) == 0 || index == 0 {
-		return
-	}
-	first, last := p.entries[0].Index, p.entries[len(p.entries)-1].Index
-	switch {
-	case index+1 == first: // the entry itself was dropped before
-	case index < first || index > last || p.entries[index-first].Term != term:
+// marker drops the entries that a snapshot covers, or all of them.
+func (p *replay) marker(index uint64, reset bool) {
+	p.marked = p.marked || index == p.snapshot
+	if reset {
 		p.entries = nil
-	default:
-		p.entries = slices.Clone(p.entries[index-first+1:])
+	}
+	for len(p.entries) > 0 && p.entries[0].Index <= index {
+		p.entries = p.entries[1:]
 	}
 }
 
