--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,10 +16,13 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/goleak"
 
 	"fuchsiaflow/errs"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 const whole = "Quetzaltenango"
 
 // target serves h and counts the requests that reach it.
@@ -80,9 +84,12 @@
 		{"unsafe", false, true, true, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			conns := map[string]bool{}
+			var conns sync.Map
+			var fresh atomic.Int64
 			addr, requests := target(t, func(n int64, w http.ResponseWriter, r *http.Request) {
-				conns[r.RemoteAddr] = true
+				if _, known := conns.LoadOrStore(r.RemoteAddr, true); !known {
+					fresh.Add(1)
+				}
 				var req Request
 				if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 					t.Error(err)
@@ -110,8 +117,8 @@
 				wantFailure(t, err, errs.CodeInterrupted, errs.Unknown)
 				return
 			}
-			if err != nil || !a.Complete() || a.Text() != whole || a.Tokens() != uint64(len(whole)) || len(conns) != 2 {
-				t.Errorf("err %v, text %q, %d tokens, %d connections", err, a.Text(), a.Tokens(), len(conns))
+			if err != nil || !a.Complete() || a.Text() != whole || a.Tokens() != uint64(len(whole)) || fresh.Load() != 2 {
+				t.Errorf("err %v, text %q, %d tokens, %d connections", err, a.Text(), a.Tokens(), fresh.Load())
 			}
 		})
 	}
@@ -196,13 +203,12 @@
 // Guards against an outcome that claims too much or too little (P5).
 func TestCallOutcomes(t *testing.T) {
 	closes := rawTarget(t, func(_ int, c net.Conn) { _, _ = c.Read(make([]byte, 4096)) })
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dead.Close()
 	answer := func(status int, body string) string {
 		addr, _ := target(t, func(n int64, w http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				t.Errorf("a request was sent again after status %d", status)
+			}
+			w.Header().Set("Location", r.URL.Path)
 			w.WriteHeader(status)
 			_, _ = io.WriteString(w, body)
 		})
@@ -213,12 +219,12 @@
 		code    errs.Code
 		outcome errs.Outcome
 	}{
-		"dial refused":          {dead.Addr().String(), errs.CodeUnavailable, errs.NotRun},
+		"dial refused":          {"127.0.0.1:1", errs.CodeUnavailable, errs.NotRun},
 		"closed after request":  {closes, errs.CodeInterrupted, errs.Unknown},
 		"stated not_run":        {answer(503, `{"not_run":true}`), errs.CodeUnavailable, errs.NotRun},
 		"503 without statement": {answer(503, `{}`), errs.CodeUnavailable, errs.Unknown},
 		"500 with statement":    {answer(500, `{"not_run":true}`), errs.CodeUnavailable, errs.Unknown},
-		"redirect":              {answer(307, ``), errs.CodeUnavailable, errs.Unknown},
+		"redirect":              {answer(302, ``), errs.CodeUnavailable, errs.Unknown},
 		"other request":         {answer(200, `{"request_id":"x"}`), errs.CodeCorrupt, errs.Unknown},
 		"not JSON":              {answer(200, `abc`), errs.CodeCorrupt, errs.Unknown},
 		"too large":             {answer(200, strings.Repeat(" ", 2000)), errs.CodeTooLarge, errs.Unknown},
@@ -230,7 +236,7 @@
 	}
 	ended, cancel := context.WithDeadline(t.Context(), time.Unix(0, 0))
 	defer cancel()
-	_, err = client(t, Options{}).Call(ended, closes, CallRequest{RequestID: "r", Body: json.RawMessage(`1`)})
+	_, err := client(t, Options{}).Call(ended, closes, CallRequest{RequestID: "r", Body: json.RawMessage(`1`)})
 	wantFailure(t, err, errs.CodeDeadline, errs.NotRun)
 	started, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
@@ -323,3 +329,24 @@
 		t.Errorf("cancel of an unknown request: %v", err)
 	}
 }
+
+// Guards against counting a connection that took no byte as handed over, and one that took
+// a part of the request as untouched.
+func TestHandoverCountsBytes(t *testing.T) {
+	near, far := net.Pipe()
+	conn := &countedConn{Conn: near}
+	h := &handover{}
+	httptrace.ContextClientTrace(h.trace(t.Context())).GotConn(httptrace.GotConnInfo{Conn: conn})
+	far.Close()
+	if _, err := conn.Write([]byte("POST")); err == nil || h.happened() {
+		t.Errorf("err %v, happened %v without a byte", err, h.happened())
+	}
+	near, far = net.Pipe()
+	conn.Conn = near
+	read := make(chan struct{})
+	go func() { _, _ = far.Read(make([]byte, 1)); far.Close(); close(read) }()
+	if _, err := conn.Write([]byte("POST")); err == nil || !h.happened() {
+		t.Errorf("err %v, happened %v after one byte", err, h.happened())
+	}
+	<-read
+}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -20,7 +20,8 @@
 	TargetOptions
 	Models        map[string]uint64 // loaded at each start
 	TokenInterval time.Duration     // time to generate one token
-	SwapDuration  time.Duration     // time to load a version
+	SwapDuration  time.Duration     // time to load a version, after its download
+	Store         string            // base URL of the weight store, optional
 	CheckFence    bool              // refuse orders with an old fence number
 	NoResume      bool              // the engine cannot resume streams
 	Truth         *Truth            // shared record of what produced each token, optional
@@ -98,6 +99,13 @@
 	e.failSwaps = n
 }
 
+// SetSwapDuration changes the time to load a version, as a slow weight store would.
+func (e *Engine) SetSwapDuration(d time.Duration) {
+	e.state.Lock()
+	defer e.state.Unlock()
+	e.eo.SwapDuration = d
+}
+
 // Mislabel makes the engine report the version before the one that it uses. It proves that
 // the check of labels can fail.
 func (e *Engine) Mislabel(on bool) {
--- a/internal/fakes/fakes_test.go
+++ b/internal/fakes/fakes_test.go
@@ -12,11 +12,14 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/engine"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func newEngine(t *testing.T, o EngineOptions) (*Engine, *engine.Client) {
 	t.Helper()
 	if o.Models == nil {
@@ -72,6 +75,54 @@
 	}
 }
 
+// Guards against resuming on another connection that went silent at the same time: the
+// client has two idle ones and may resume once only.
+func TestSilentIdleConnections(t *testing.T) {
+	e, _ := newEngine(t, EngineOptions{TokenInterval: time.Millisecond})
+	c := engine.New(engine.Options{FirstTimeout: 100 * time.Millisecond, MaxResumes: 1})
+	defer c.Close()
+	if _, err := generateWhole(c, e, "outer", 8, func(n int) {
+		if n == 1 {
+			if _, err := generateWhole(c, e, "inner", 8, nil); err != nil {
+				t.Error(err)
+			}
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	e.Silence()
+	began := time.Now()
+	r := engine.Request{RequestID: "r", Model: "m", MaxTokens: 8, Resumable: true}
+	if err := c.Generate(t.Context(), e.Addr(), r, func(engine.Chunk) error { return nil }); err != nil || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("err %v after %s; a silent connection does not answer", err, time.Since(began))
+	}
+}
+
+// Guards against a cancelled stream that goes on, and against weights that change after the
+// engine that loaded them crashed.
+func TestEngineCancelAndCrashedSwap(t *testing.T) {
+	e, c := newEngine(t, EngineOptions{SwapDuration: time.Hour, TokenInterval: 20 * time.Millisecond})
+	a, err := generateWhole(c, e, "long-43", 300, func(n int) {
+		if n == 1 {
+			if err := c.Cancel(t.Context(), e.Addr(), "long-43"); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	if errs.OutcomeOf(err) != errs.Unknown || a.Complete() {
+		t.Errorf("cancelled stream: %v", err)
+	}
+	ordered := make(chan error, 1)
+	go func() { ordered <- c.Order(context.Background(), e.Addr(), load(2, 1)) }()
+	for len(e.Orders()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.Crash()
+	if err := <-ordered; errs.OutcomeOf(err) != errs.Unknown || len(e.Changes()) != 0 {
+		t.Errorf("crashed swap: %v, changes %v", err, e.Changes())
+	}
+}
+
 // Guards against fakes that do not fail in the way a test asks for.
 func TestEngineOrders(t *testing.T) {
 	e, c := newEngine(t, EngineOptions{CheckFence: true})
@@ -99,6 +150,7 @@
 	if _, err := c.State(t.Context(), e.Addr()); errs.OutcomeOf(err) != errs.NotRun {
 		t.Errorf("crashed engine: %v", err)
 	}
+	c.Close() // an idle connection of before the crash may look usable for a moment
 	if err := e.Restart(); err != nil || e.Incarnation() != 2 {
 		t.Errorf("restart: %v, incarnation %d", err, e.Incarnation())
 	}
@@ -135,6 +187,35 @@
 	}
 }
 
+// Guards against a weight store that ignores its limits, and against a broken download that
+// leaves weights of a certain version.
+func TestStore(t *testing.T) {
+	s, err := NewStore(StoreOptions{Size: 1000, Rate: 10_000, MaxActive: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	e, c := newEngine(t, EngineOptions{Store: s.URL()})
+	began := time.Now()
+	if err := c.Order(t.Context(), e.Addr(), load(2, 1)); err != nil || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("err %v after %s, want 100 ms for 1000 bytes", err, time.Since(began))
+	}
+	s.SetRate(1) // from here on downloads do not end
+	slow, _ := newEngine(t, EngineOptions{Store: s.URL()})
+	ordered := make(chan error, 1)
+	go func() { ordered <- c.Order(context.Background(), slow.Addr(), load(2, 1)) }()
+	for s.Tally().Active == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.Order(t.Context(), e.Addr(), load(3, 2)); err == nil || s.Tally().Refused != 1 {
+		t.Errorf("second download: %v, %+v", err, s.Tally())
+	}
+	s.Crash()
+	if err := <-ordered; err == nil || len(slow.certain()) != 0 || !cmp.Equal(e.certain(), map[string]uint64{"m": 2}) {
+		t.Errorf("err %v, loaded %v and %v", err, slow.certain(), e.certain())
+	}
+}
+
 // Guards against a service that loses count, or claims not_run for a call that ran.
 func TestService(t *testing.T) {
 	s, err := NewService(TargetOptions{ID: "s"})
@@ -290,6 +371,7 @@
 // Guards against a desk that repeats what may not be repeated, or overlooks a wrong answer,
 // a second execution, or a not_run that ran.
 func TestDeskTally(t *testing.T) {
+	var mu sync.Mutex // an aborted answer and the resend are not ordered otherwise
 	runs := map[string]int{}
 	answers := map[string]func(w http.ResponseWriter, n int, r DeskRequest){
 		"good": func(w http.ResponseWriter, n int, r DeskRequest) {
@@ -314,8 +396,11 @@
 		var req DeskRequest
 		var name string
 		if decode(w, r, &req) && json.Unmarshal(req.Body, &name) == nil {
+			mu.Lock()
 			runs[string(req.Body)]++
-			answers[strings.Trim(name, "!")](w, runs[string(req.Body)], req)
+			n := runs[string(req.Body)]
+			mu.Unlock()
+			answers[strings.Trim(name, "!")](w, n, req)
 		}
 	}))
 	defer s.Close()
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -16,8 +16,10 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/health/grpc_health_v1"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/fakes"
 )
 
 const token = "cluster-token"
@@ -53,6 +55,8 @@
 	return &errs.Overloaded{Resource: "pool " + r.Pool, After: time.Second}
 }
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func quiet() *slog.Logger { return slog.New(slog.NewJSONHandler(io.Discard, nil)) }
 
 func serve(t *testing.T, o ServerOptions) (string, *peerServer) {
@@ -96,34 +100,31 @@
 
 // Guards against losing the sender, the failure type, or the whole process to one call.
 func TestCalls(t *testing.T) {
-	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-	t.Run("calls", func(t *testing.T) {
-		addr, impl := serve(t, ServerOptions{})
-		_, c := pool(t, addr, Options{MaxMessageBytes: 1 << 20})
-		_, err := c.Propose(t.Context(), &ProposeRequest{Group: "panic"})
-		wantFailure(t, err, errs.CodeInternal, errs.Unknown)
-		_, err = c.Propose(t.Context(), &ProposeRequest{Group: "follower"})
-		if diff := cmp.Diff(error(&errs.NotLeader{Group: "control", Leader: "e2"}), err); diff != "" {
-			t.Error(diff)
-		}
-		_, err = c.Propose(t.Context(), &ProposeRequest{Command: make([]byte, 1<<20)})
-		wantFailure(t, err, errs.CodeTooLarge, errs.NotRun)
-		if _, err = c.Propose(t.Context(), &ProposeRequest{}); err != nil {
-			t.Error(err)
-		}
-		if diff := cmp.Diff(self, <-impl.senders); diff != "" {
-			t.Error(diff)
-		}
-		stream, err := c.Generate(t.Context(), &GenerateRequest{RequestId: "r", Pool: "sorting"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if m, err := stream.Recv(); err != nil || m.RequestId != "r" {
-			t.Errorf("chunk = %v, %v", m, err)
-		}
-		_, err = stream.Recv()
-		wantFailure(t, err, errs.CodeOverloaded, errs.NotRun)
-	})
+	addr, impl := serve(t, ServerOptions{})
+	_, c := pool(t, addr, Options{MaxMessageBytes: 1 << 20})
+	_, err := c.Propose(t.Context(), &ProposeRequest{Group: "panic"})
+	wantFailure(t, err, errs.CodeInternal, errs.Unknown)
+	_, err = c.Propose(t.Context(), &ProposeRequest{Group: "follower"})
+	if diff := cmp.Diff(error(&errs.NotLeader{Group: "control", Leader: "e2"}), err); diff != "" {
+		t.Error(diff)
+	}
+	_, err = c.Propose(t.Context(), &ProposeRequest{Command: make([]byte, 1<<20)})
+	wantFailure(t, err, errs.CodeTooLarge, errs.NotRun)
+	if _, err = c.Propose(t.Context(), &ProposeRequest{}); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(self, <-impl.senders); diff != "" {
+		t.Error(diff)
+	}
+	stream, err := c.Generate(t.Context(), &GenerateRequest{RequestId: "r", Pool: "sorting"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err := stream.Recv(); err != nil || m.RequestId != "r" {
+		t.Errorf("chunk = %v, %v", m, err)
+	}
+	_, err = stream.Recv()
+	wantFailure(t, err, errs.CodeOverloaded, errs.NotRun)
 }
 
 // Guards against serving a caller without the cluster token.
@@ -145,24 +146,22 @@
 	addr, impl := serve(t, ServerOptions{OnSender: func(_ context.Context, s Sender) error {
 		return &errs.Unavailable{Resource: "configuration", Reason: "behind"}
 	}})
-	_, c := pool(t, addr, Options{})
+	p, c := pool(t, addr, Options{})
 	_, err := c.Propose(t.Context(), &ProposeRequest{})
 	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
 	if len(impl.senders) != 0 {
 		t.Error("the handler ran")
 	}
+	health := grpc_health_v1.NewHealthClient(p.snapshot()[0].cc)
+	if _, err := health.Check(t.Context(), &grpc_health_v1.HealthCheckRequest{}); err != nil {
+		t.Errorf("a probe depends on the configuration: %v", err)
+	}
 }
 
 // Guards against a refused dial that counts as unknown, which would block safe retries.
 func TestRefusedDialIsNotRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	p, c := pool(t, addr, Options{})
-	_, err = c.Propose(t.Context(), &ProposeRequest{})
+	p, c := pool(t, "127.0.0.1:1", Options{}) // a port that was open before may be taken again
+	_, err := c.Propose(t.Context(), &ProposeRequest{})
 	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
 	p.Close()
 	_, err = c.Propose(t.Context(), &ProposeRequest{})
@@ -188,14 +187,14 @@
 func TestBrokenConnectionIsUnknown(t *testing.T) {
 	addr, _ := serve(t, ServerOptions{})
 	proxy := newProxy(t, addr)
-	_, c := pool(t, proxy.addr, Options{})
+	_, c := pool(t, proxy.Addr(), Options{})
 	failed := make(chan error, 1)
 	go func() {
 		_, err := c.Propose(context.Background(), &ProposeRequest{Group: "slow"})
 		failed <- err
 	}()
-	proxy.waitRequest(t)
-	proxy.cut()
+	waitRequest(t, proxy)
+	proxy.Cut()
 	wantFailure(t, <-failed, errs.CodeInterrupted, errs.Unknown)
 }
 
@@ -206,22 +205,30 @@
 	proxy := newProxy(t, addr)
 	var clock atomic.Int64
 	now := func() time.Time { return time.Unix(clock.Load(), 0) }
-	p, c := pool(t, proxy.addr, Options{Now: now, SilenceBeforeProbe: time.Second, ProbeTimeout: 100 * time.Millisecond})
+	p, c := pool(t, proxy.Addr(), Options{Now: now, SilenceBeforeProbe: time.Second, ProbeTimeout: 100 * time.Millisecond})
 	failed := make(chan error, 1)
 	go func() {
 		_, err := c.Propose(context.Background(), &ProposeRequest{Group: "slow"})
 		failed <- err
 	}()
-	proxy.waitRequest(t)
+	waitRequest(t, proxy)
 	for p.snapshot()[0].traffic.pending.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	clock.Add(5)
-	p.Check(t.Context()) // the peer answers the probe, so the slow call goes on
-	proxy.silence()
+	p.Check(t.Context())
+	if len(p.snapshot()) != 1 {
+		t.Error("a connection whose peer answers the probe was closed")
+	}
+	proxy.Silence()
 	clock.Add(5)
 	p.Check(t.Context())
-	wantFailure(t, <-failed, errs.CodeInterrupted, errs.Unknown)
+	select {
+	case err := <-failed:
+		wantFailure(t, err, errs.CodeInterrupted, errs.Unknown)
+	case <-time.After(keepAliveTime / 2):
+		t.Fatal("the call was left to the keep-alive")
+	}
 	c, err := p.Peer("e2")
 	if err != nil {
 		t.Fatal(err)
@@ -229,7 +236,7 @@
 	if _, err := c.Propose(t.Context(), &ProposeRequest{}); err != nil {
 		t.Errorf("the new connection fails: %v", err)
 	}
-	if got := proxy.accepted.Load(); got != 2 {
+	if got := proxy.Accepted(); got != 2 {
 		t.Errorf("%d connections, want 2", got)
 	}
 	<-impl.senders
@@ -259,85 +266,20 @@
 	}
 }
 
-// proxy forwards bytes until it is cut or, on the connections open then, made silent.
-type proxy struct {
-	addr     string
-	accepted atomic.Int64
-	upstream atomic.Int64 // bytes from client to server
-	mu       sync.Mutex
-	conns    []net.Conn
-	silent   []*atomic.Bool
-}
-
-func newProxy(t *testing.T, to string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(t *testing.T, to string) *fakes.Proxy {
+	t.Helper()
+	p, err := fakes.NewProxy(to)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{addr: l.Addr().String()}
-	var done sync.WaitGroup
-	done.Go(func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", to)
-			if err != nil {
-				in.Close()
-				continue
-			}
-			p.accepted.Add(1)
-			silent := &atomic.Bool{}
-			p.mu.Lock()
-			p.conns, p.silent = append(p.conns, in, out), append(p.silent, silent)
-			p.mu.Unlock()
-			done.Go(func() { forward(out, in, silent, &p.upstream) })
-			done.Go(func() { forward(in, out, silent, nil) })
-		}
-	})
-	t.Cleanup(func() { l.Close(); p.cut(); done.Wait() })
+	t.Cleanup(p.Close)
 	return p
 }
 
-func forward(to, from net.Conn, silent *atomic.Bool, count *atomic.Int64) {
-	buf := make([]byte, 4096)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		if count != nil {
-			count.Add(int64(n))
-		}
-		if !silent.Load() {
-			if _, err := to.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-	}
-}
-
-func (p *proxy) cut() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		c.Close()
-	}
-}
-
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.silent {
-		s.Store(true)
-	}
-}
-
 // waitRequest waits until more than the HTTP/2 preface has passed.
-func (p *proxy) waitRequest(t *testing.T) {
+func waitRequest(t *testing.T, p *fakes.Proxy) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); p.upstream.Load() < 200; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); p.Upstream() < 200; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no request reached the proxy")
 		}
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -3,13 +3,18 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
-const simStep = 50 * time.Millisecond
+const (
+	simStep = 50 * time.Millisecond
+	// simDomainHosts is the size of a failure domain: 410 hosts in 19 domains.
+	simDomainHosts = 21
+)
 
 // network delivers encoded packets between in-memory nodes in simulated time. It can lose,
 // delay, duplicate and thereby reorder packets, and cut hosts off from each other.
@@ -26,6 +31,9 @@
 	maxDelay time.Duration
 	bytes    int
 	sent     int
+	tamper   func(*Node) // deliberate fault
+	// deafToSelf drops what a packet says about its receiver; it is a deliberate fault.
+	deafToSelf bool
 }
 
 type simHost struct {
@@ -34,6 +42,8 @@
 	inc  uint64
 	up   bool
 	side int
+	// paused hosts run no code, but packets wait for them.
+	paused bool
 }
 
 type simPacket struct {
@@ -48,6 +58,8 @@
 	}
 	for i := range hosts {
 		w.hosts = append(w.hosts, &simHost{id: fmt.Sprintf("host-%03d", i), inc: 1})
+	}
+	for i := range hosts {
 		w.boot(i)
 	}
 	return w
@@ -60,7 +72,7 @@
 	h.up = true
 	seeds := []string{w.hosts[0].id + ":1", fmt.Sprintf("host-%03d:1", 1)}
 	h.node = New(Config{
-		Self:  Host{ID: h.id, Domain: fmt.Sprintf("domain-%d", i%3), Addr: h.id + ":1", Incarnation: h.inc},
+		Self:  Host{ID: h.id, Domain: fmt.Sprintf("domain-%d", i%max(2, len(w.hosts)/simDomainHosts)), Addr: h.id + ":1", Incarnation: h.inc},
 		Seeds: seeds, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), uint64(i))),
 	}, w.now)
 }
@@ -73,6 +85,10 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
+		// 200 bytes hold the header: kind, two hosts, sequence number, refutation and view.
+		if o.Packet.Kind < Join && len(data) > DefaultGossipBytes+200 {
+			w.t.Fatalf("packet of kind %d has %d bytes", o.Packet.Kind, len(data))
+		}
 		w.bytes += len(data)
 		w.sent++
 		var i int
@@ -100,15 +116,25 @@
 			if !p.to.up || p.from.side != p.to.side {
 				continue
 			}
+			if p.to.paused {
+				w.inFlight[w.step()+1] = append(w.inFlight[w.step()+1], p)
+				continue
+			}
 			var pkt Packet
 			if err := cbor.Unmarshal(p.data, &pkt); err != nil {
 				w.t.Fatal(err)
 			}
+			if w.deafToSelf {
+				pkt.Updates = slices.DeleteFunc(pkt.Updates, func(u Update) bool { return u.Host.ID == p.to.id })
+			}
 			w.send(p.to, p.to.node.Receive(w.now, p.from.id, pkt))
 		}
 		delete(w.inFlight, w.step())
 		for _, h := range w.hosts {
-			if h.up {
+			if h.up && !h.paused {
+				if w.tamper != nil {
+					w.tamper(h.node)
+				}
 				w.send(h, h.node.Tick(w.now))
 			}
 		}
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -10,11 +10,15 @@
 	// deskDecay is the share of the observed desk concurrency that is kept per tick; with one
 	// tick a second it halves in about 30 s.
 	deskDecay = 0.977
+	// deskPerQuiet is the desk concurrency that one quiet target is kept for. At 4, quiet
+	// targets took so much from samples that trainers waited 1.5 times as long.
+	deskPerQuiet = 6
 )
 
 // pool is the queue and the endpoints of one pool.
 type pool struct {
 	name      string
+	slowdown  float64
 	endpoints []*Endpoint
 	free      []*Endpoint // endpoints with room for a desk request
 	probes    []*Endpoint // suspended and silent endpoints
@@ -24,6 +28,8 @@
 
 	tokenTime  average
 	firstToken average
+	curve      curve
+	quietLimit int // load of a quiet target up to which it gets samples
 	deskFlight int
 	deskPeak   float64
 	slots      int // sum of the windows of healthy endpoints at the last tick
@@ -111,6 +117,56 @@
 	p.probes = slices.DeleteFunc(p.probes, func(ep *Endpoint) bool { return ep.Healthy(now) })
 	p.deskPeak = max(p.deskPeak*deskDecay, float64(p.deskFlight+p.desk.queued))
 	p.chooseQuiet(now)
+	p.limitQuiet()
+}
+
+// observeTokenTime records a time per token together with the load of the target it was
+// measured on.
+func (p *pool) observeTokenTime(seconds, load float64) {
+	p.tokenTime.add(seconds, poolWeight)
+	p.curve.add(load, seconds)
+}
+
+// limitQuiet sets the limit of samples on quiet targets to where the time per token stays
+// within the allowed slowdown, because how much a batch slows its requests differs by engine.
+func (p *pool) limitQuiet() {
+	top := 1
+	for _, ep := range p.endpoints {
+		top = max(top, ep.maxWindow())
+	}
+	p.quietLimit = max(1, min(top, p.curve.limit(p.slowdown, top)))
+}
+
+// curve is a running linear fit of the time per token over the load. It shows the time on an
+// idle target even where no target is ever idle.
+type curve struct{ n, x, y, xx, xy float64 }
+
+// curveMemory is how many observations the fit remembers; a full batch gives one per request
+// and second.
+const curveMemory = 2000
+
+func (c *curve) add(x, y float64) {
+	c.n++
+	w := 1 / min(c.n, curveMemory)
+	c.x += w * (x - c.x)
+	c.y += w * (y - c.y)
+	c.xx += w * (x*x - c.xx)
+	c.xy += w * (x*y - c.xy)
+}
+
+// limit returns the load at which the time per token exceeds that of a lone request by factor,
+// half of the slots where the fit says nothing.
+func (c *curve) limit(factor float64, slots int) int {
+	variance := c.xx - c.x*c.x
+	if c.n < 20 || variance < 0.5 {
+		return slots / 2
+	}
+	slope := (c.xy - c.x*c.y) / variance
+	alone := c.y - slope*(c.x-1)
+	if slope <= 0 || alone <= 0 {
+		return slots
+	}
+	return int(1 + (factor-1)*alone/slope)
 }
 
 // chooseQuiet marks as many endpoints as the recent desk concurrency needs. Desk requests
@@ -122,9 +178,9 @@
 	}
 	left := len(p.endpoints) / 2
 	for _, ep := range p.endpoints {
-		ep.quiet = need > 0 && left > 0 && ep.Healthy(now) && len(ep.state.Loaded) > 0
+		ep.quiet = need > 0 && left > 0 && ep.Healthy(now) && !ep.state.Pausing && len(ep.state.Loaded) > 0
 		if ep.quiet {
-			need -= max(1, float64(ep.maxWindow())*ep.cfg.QuietShare/2)
+			need -= deskPerQuiet
 			left--
 		}
 		p.place(ep)
