observe: export errors go to the JSON log

Cause: OpenTelemetry prints export errors as plain text, and the stop of the tracer gave up at the same moment as the last export, so that its error could arrive after the stop. Change: LogExportErrors; Stop waits one second longer than an export may take. Conclusion: done.

--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -147,6 +147,8 @@
 	}
 	s.Stop()
 	done.Wait()
+	var logs bytes.Buffer
+	LogExportErrors(NewLogger(&logs, slog.LevelInfo, "e1"))
 	tr = tracing(t, o, nil)
 	_, span = tr.ClientSpan(t.Context(), "swap")
 	if !span.SpanContext().IsValid() || trace.SpanFromContext(t.Context()).IsRecording() {
@@ -156,4 +158,7 @@
 	if err := tr.Stop(t.Context()); err != nil {
 		t.Errorf("a missing collector fails the stop: %v", err)
 	}
+	if !strings.Contains(logs.String(), `"msg":"trace export failed"`) {
+		t.Errorf("log %q", logs.String())
+	}
 }
--- a/internal/observe/trace.go
+++ b/internal/observe/trace.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracegrpc"
@@ -28,6 +30,7 @@
 	// that stops. Spans beyond that are dropped.
 	maxQueuedSpans = 2048
 	exportTimeout  = 2 * time.Second
+	stopTimeout    = exportTimeout + time.Second // lets the last export end and report its error
 )
 
 // propagator carries the W3C trace context.
@@ -69,6 +72,12 @@
 	return nil, &errs.Invalid{Path: "$.trace.exporter", Want: "one of none, stdout, otlp", Got: string(o.Exporter)}
 }
 
+// LogExportErrors writes the errors of the exporters to the log of the process. Without it,
+// OpenTelemetry prints them as plain text between the JSON lines.
+func LogExportErrors(log *slog.Logger) {
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { log.Warn("trace export failed", "error", err) }))
+}
+
 // Provider returns the tracer provider, for the gRPC server and the pool.
 func (t *Tracing) Provider() trace.TracerProvider { return t.provider }
 
@@ -78,7 +87,7 @@
 // Stop implements kernel.Service. It exports the spans that are queued; a collector that
 // cannot be reached does not make the stop of a host fail.
 func (t *Tracing) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	_ = t.provider.Shutdown(ctx)
 	return nil
