Desk requests no longer wait for suspended targets

Cause: with all targets of a pool suspended and no samples arriving, queued desk requests were not used as probes for 8 s; hosts without a healthy target still announced capacity; requests queued at a host that lost its targets waited for their deadline. Change: a desk request probes at once when no target of the pool is healthy; a host's summary comes from the dispatcher's healthy targets; a request whose pool has no target here for 300 ms is refused as not run. Drain phases and served requests are logged with their durations.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -94,10 +94,13 @@
 			writeError(w, &Forbidden{Tenancy: id.Tenancy, Kind: id.Kind, Want: kind})
 			return
 		}
+		began := time.Now()
 		if err := next(w, r, id); err != nil {
 			h.logFailure(r, id.Tenancy, err)
 			writeError(w, err)
 		}
+		h.Log.DebugContext(r.Context(), "request served", "method", r.Method, "path", r.URL.Path,
+			"tenancy", id.Tenancy, "seconds", time.Since(began).Seconds())
 	}
 }
 
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -22,10 +22,22 @@
 	mu      sync.Mutex
 	core    *routing.Dispatcher
 	pools   map[string]bool
-	waiting map[string]chan verdict
+	waiting map[string]*waiter
 	targets map[string]routing.EndpointState
 }
 
+// waiter is a queued request. Since is when its pool was last seen without a target.
+type waiter struct {
+	verdict     chan verdict
+	pool, model string
+	since       time.Time
+}
+
+// orphanWait is how long a request stays queued while its pool has no target on this host,
+// as after a change of owners. It is then refused, so that the entry host can try another
+// owner.
+const orphanWait = 300 * time.Millisecond
+
 // verdict is what a waiting request receives.
 type verdict struct {
 	assignment routing.Assignment
@@ -37,7 +49,7 @@
 		random:  random,
 		core:    routing.NewDispatcher(routing.Config{}, random),
 		pools:   make(map[string]bool),
-		waiting: make(map[string]chan verdict),
+		waiting: make(map[string]*waiter),
 		targets: make(map[string]routing.EndpointState),
 	}
 }
@@ -47,7 +59,9 @@
 	k.Every("dispatcher/tick", dispatchTick, func(context.Context) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.pump(time.Now())
+		now := time.Now()
+		d.refuseOrphans(now)
+		d.pump(now)
 	})
 	return nil
 }
@@ -72,7 +86,7 @@
 		d.mu.Unlock()
 		return nil, err
 	}
-	d.waiting[r.ID] = wait
+	d.waiting[r.ID] = &waiter{verdict: wait, pool: r.Pool, model: r.Model}
 	d.pump(now)
 	d.mu.Unlock()
 	select {
@@ -141,12 +155,39 @@
 }
 
 func (d *dispatcher) answer(request string, v verdict) {
-	if wait, ok := d.waiting[request]; ok {
+	if w, ok := d.waiting[request]; ok {
 		delete(d.waiting, request)
-		wait <- v
+		w.verdict <- v
+	}
+}
+
+// refuseOrphans refuses the requests whose pool has no target here any more. The caller
+// holds the lock.
+func (d *dispatcher) refuseOrphans(now time.Time) {
+	for id, w := range d.waiting {
+		switch {
+		case d.serves(w.pool, w.model):
+			w.since = time.Time{}
+		case w.since.IsZero():
+			w.since = now
+		case now.Sub(w.since) >= orphanWait && d.core.Cancel(now, id):
+			d.answer(id, verdict{err: &errs.Unavailable{Resource: "pool " + w.pool, Reason: "this host owns no target of it"}})
+		}
 	}
 }
 
+func (d *dispatcher) serves(pool, model string) bool {
+	for _, t := range d.targets {
+		if t.Pool != pool || t.Leaving {
+			continue
+		}
+		if _, loaded := t.Loaded[model]; loaded || model == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // UpsertTarget adds or updates a target.
 func (d *dispatcher) UpsertTarget(s routing.EndpointState) {
 	d.mu.Lock()
@@ -212,21 +253,18 @@
 	return versions
 }
 
-// Summary returns the state that is told to the other hosts.
+// Summary returns the state that is told to the other hosts. A pool whose targets are all
+// suspended is announced as full with room for one: it is chosen only when no other host has
+// room, and the requests that arrive then probe its targets.
 func (d *dispatcher) Summary() summary {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	pools := make(map[string]routing.PoolSummary, len(d.pools))
 	for pool := range d.pools {
-		s := routing.PoolSummary{
-			Versions: d.versions(pool),
-			Load:     d.core.Queued(pool, routing.Desk) + d.core.Queued(pool, routing.Sample),
-		}
-		for _, t := range d.targets {
-			if t.Pool == pool && !t.Leaving {
-				s.Capacity += max(t.Slots, 1)
-				s.Load += t.Load.Running + t.Load.Queued
-			}
+		s := d.core.Summary(now, pool)
+		if versions := d.versions(pool); s.Capacity == 0 && (len(versions) > 0 || d.serves(pool, "")) {
+			s = routing.PoolSummary{Capacity: 1, Load: max(1, s.Load), Versions: versions}
 		}
 		if s.Capacity > 0 {
 			pools[pool] = s
--- a/internal/host/execute.go
+++ b/internal/host/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,7 @@
 	targets    *targetService
 	client     *engine.Client
 	tracing    *observe.Tracing
+	log        *slog.Logger
 }
 
 // job is a request with what the dispatcher needs to know of it.
@@ -67,10 +69,12 @@
 // Generate runs an engine request and passes on each chunk. A failure with outcome not_run
 // means that no byte reached a target, or that the target stated that it did not start.
 func (e *executor) Generate(ctx context.Context, j *job, emit func(*rpc.GenerateChunk) error) (err error) {
+	arrived := time.Now()
 	g, err := e.dispatcher.Acquire(ctx, j.routing(ctx, e.targets.domain))
 	if err != nil {
 		return err
 	}
+	queued := time.Since(arrived)
 	addr, ok := e.ready(g)
 	if !ok {
 		g.Done(routing.ResultRefused, 0, 0)
@@ -94,6 +98,8 @@
 		})
 	})
 	g.Done(resultKind(ctx, err), tokens, first)
+	e.log.DebugContext(ctx, "request ended at target", "request", j.RequestId, "target", g.Target, "tenancy", j.Tenancy,
+		"queued_seconds", queued.Seconds(), "seconds", time.Since(start).Seconds(), "result", string(resultKind(ctx, err)))
 	if err != nil && ctx.Err() != nil {
 		e.cancelOnTarget(addr, j.RequestId)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -137,7 +137,7 @@
 	client := engine.New(engine.Options{})
 	h.dispatcher = newDispatcher(random(seed, 2))
 	h.targets = newTargetService(s.Host, s.FailureDomain, s.Timing.TargetLease, h.members, h.pool.Peer, h.dispatcher, h.log)
-	h.executor = &executor{dispatcher: h.dispatcher, targets: h.targets, client: client, tracing: h.tracing}
+	h.executor = &executor{dispatcher: h.dispatcher, targets: h.targets, client: client, tracing: h.tracing, log: h.log}
 	h.quota = newQuotaService(s.Host, s.FailureDomain, len(domains), h.incarnation, h.groups, h.config, h.members, h.log)
 	h.claims = newClaimService(s.Host, h.incarnation, h.groups, h.log)
 	h.payloads = &payloadService{
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -208,17 +208,28 @@
 func (h *Host) drain(ctx context.Context) {
 	h.draining.Store(true)
 	h.log.Info("host is draining")
-	pause(ctx, balancerGrace)
-	h.members.Leave()
-	h.http.CloseListener()
-	h.sampler.Drain(ctx)
-	h.http.Wait(ctx)
-	h.inflight.Wait(ctx)
+	phases := []struct {
+		name string
+		run  func()
+	}{
+		{"balancer", func() { pause(ctx, balancerGrace) }},
+		{"membership", func() { h.members.Leave(); h.http.CloseListener() }},
+		{"samples", func() { h.sampler.Drain(ctx) }},
+		{"requests", func() { h.http.Wait(ctx); h.inflight.Wait(ctx) }},
+		{"leadership", func() { h.handOverAll(ctx) }},
+		{"late requests", func() { h.inflight.Close(); h.inflight.Wait(ctx) }},
+	}
+	for _, phase := range phases {
+		began := time.Now()
+		phase.run()
+		h.log.Info("drain phase is over", "phase", phase.name, "seconds", time.Since(began).Seconds(), "in_time", ctx.Err() == nil)
+	}
+}
+
+func (h *Host) handOverAll(ctx context.Context) {
 	for _, name := range slices.Sorted(maps.Keys(h.localGroups)) {
 		h.handOver(ctx, name)
 	}
-	h.inflight.Close()
-	h.inflight.Wait(ctx)
 }
 
 func (h *Host) handOver(ctx context.Context, name string) {
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -242,7 +242,7 @@
 			continue
 		}
 		c := &p.sample
-		if c.queued == 0 && now.Sub(p.sampleSeen) > 4*d.cfg.ProbeInterval {
+		if c.queued == 0 && (now.Sub(p.sampleSeen) > 4*d.cfg.ProbeInterval || !p.healthy(now)) {
 			c = &p.desk
 		}
 		if it := d.probeFor(now, c, ep); it != nil {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -186,3 +186,13 @@
 		p.place(ep)
 	}
 }
+
+// healthy reports whether any endpoint may receive ordinary work.
+func (p *pool) healthy(now time.Time) bool {
+	for _, ep := range p.endpoints {
+		if ep.Healthy(now) {
+			return true
+		}
+	}
+	return false
+}
