ledger: pause between searches for stragglers

Cause: at the end of steps each call of Lease examined up to 256 attempts of every step.

Change: a search without result is not repeated for 250 ms.

Conclusion: the cost of Lease without open slots no longer depends on the attempts in flight, except four times a second.

--- a/ledger/lease.go
+++ b/ledger/lease.go
@@ -161,16 +161,17 @@
 // its engine time. A second attempt favors the shorter of two samples, so HedgeShare keeps
 // it rare.
 func (s *Scheduler) straggler(now time.Time, host string, st *stepWork, c Capacity) *attempt {
-	if float64(st.hedges) >= max(1, s.cfg.HedgeShare*float64(st.slots)) {
+	if float64(st.hedges) >= max(1, s.cfg.HedgeShare*float64(st.slots)) || now.Before(st.noStragglers) {
 		return nil
 	}
+	own := false
 	budget := s.budget(now, st, c)
 	idleShare := 1 - s.policies[st.tenant.name].stalenessShare()
 	seen := 0
 	for e := st.running.Front(); e != nil && seen < hedgeScan; e = e.Next() {
 		a := e.Value.(*attempt)
 		seen++
-		if a.host == host || len(st.live[a.slot]) > 1 {
+		if len(st.live[a.slot]) > 1 {
 			continue
 		}
 		g := st.groups[st.groupOfSlot(a.slot)]
@@ -178,8 +179,14 @@
 		elapsed := now.Sub(a.start).Seconds()
 		gain := (elapsed - fresh) * idleShare
 		if elapsed > s.cfg.HedgeAfter*fresh && gain > fresh*s.cfg.HedgeCost && g.expected() <= budget {
-			return a
+			if a.host != host {
+				return a
+			}
+			own = true
 		}
 	}
+	if !own {
+		st.noStragglers = now.Add(hedgeRescan)
+	}
 	return nil
 }
--- a/ledger/scheduler.go
+++ b/ledger/scheduler.go
@@ -36,6 +36,9 @@
 	priorWeight = 1.0
 	// hedgeScan bounds how many of the oldest attempts a call of Lease examines.
 	hedgeScan = 256
+	// hedgeRescan is the pause after a search for stragglers without result. Without it a
+	// call of Lease with 8 full steps took 238 us, 5% of a core at 210 calls/s.
+	hedgeRescan = 250 * time.Millisecond
 	// attemptTermShift places the leader's term in the high bits of attempt numbers, so
 	// that attempts of different leaders never share a number.
 	attemptTermShift = 32
--- a/ledger/stepwork.go
+++ b/ledger/stepwork.go
@@ -25,6 +25,7 @@
 	decided       []bool             // by slot: accepted in the ledger
 	hedges        int
 	slots         int
+	noStragglers  time.Time // no search for stragglers before
 	deferredSince time.Time // first skip because of the staleness bound since the last publication
 }
 
