--- a/confstate/bench_test.go
+++ b/confstate/bench_test.go
@@ -56,38 +56,32 @@
 		c.Version = v + 1
 		changes = append(changes, NewChange(c, "operator"))
 	}
-	activate := func(b *testing.B, s *Store) {
-		a := NewActivator()
-		if ok, err := a.Confirm(s.Current()); !ok || err != nil {
-			b.Fatal(err)
-		}
-		if _, err := a.Active().Config(); err != nil {
-			b.Fatal(err)
-		}
-	}
 	full := NewStore()
 	for _, ch := range changes {
 		full.Apply(ch)
 	}
 	snapshot, _ := full.Snapshot()
-	for _, behind := range []int{1, 500} {
-		b.Run(fmt.Sprint("log/behind=", behind), func(b *testing.B) {
+	replay := func(behind int) func(*Store) {
+		return func(s *Store) {
+			for _, ch := range changes[len(changes)-behind:] {
+				s.Apply(ch)
+			}
+		}
+	}
+	ways := map[string]func(*Store){
+		"log/behind=1": replay(1), "log/behind=500": replay(500),
+		"snapshot/behind=500": func(s *Store) { _ = s.Restore(snapshot) },
+	}
+	for name, catchUp := range ways {
+		b.Run(name, func(b *testing.B) {
 			for range b.N {
-				s := NewStore()
-				for _, ch := range changes[len(changes)-behind:] {
-					s.Apply(ch)
+				s, a := NewStore(), NewActivator()
+				catchUp(s)
+				_, err := a.Confirm(s.Current())
+				if c, parseErr := a.Active().Config(); err != nil || parseErr != nil || c.Version != 501 {
+					b.Fatal(err, parseErr)
 				}
-				activate(b, s)
 			}
 		})
 	}
-	b.Run("snapshot/behind=500", func(b *testing.B) {
-		for range b.N {
-			s := NewStore()
-			if err := s.Restore(snapshot); err != nil {
-				b.Fatal(err)
-			}
-			activate(b, s)
-		}
-	})
 }
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -92,19 +92,17 @@
 		w.bytes += len(data)
 		w.sent++
 		var i int
-		if _, err := fmt.Sscanf(o.Addr, "host-%d:1", &i); err != nil || i >= len(w.hosts) {
-			continue
-		}
-		copies := 1
-		if w.rng.Float64() < w.dup {
-			copies = 2
+		if _, err := fmt.Sscanf(o.Addr, "host-%d:1", &i); err != nil {
+			w.t.Fatal(err)
 		}
-		for range copies {
-			if w.rng.Float64() < w.loss {
-				continue
+		for copies := 1; copies > 0; copies-- {
+			if w.rng.Float64() < w.dup {
+				copies++
+			}
+			if w.rng.Float64() >= w.loss {
+				at := w.step() + 1 + w.rng.Int64N(int64(w.maxDelay/simStep))
+				w.inFlight[at] = append(w.inFlight[at], simPacket{from, w.hosts[i], data})
 			}
-			delay := 1 + w.rng.Int64N(int64(w.maxDelay/simStep))
-			w.inFlight[w.step()+delay] = append(w.inFlight[w.step()+delay], simPacket{from, w.hosts[i], data})
 		}
 	}
 }
@@ -145,10 +143,10 @@
 // exactly the running hosts as live, with their own incarnation.
 func (w *network) disagreement() string {
 	for _, h := range w.hosts {
-		if !h.up || h.node.leaving {
-			continue
-		}
 		for _, o := range w.hosts {
+			if !h.up || h.node.leaving {
+				continue
+			}
 			m, known := h.node.Member(o.id)
 			up := o.up && !o.node.leaving
 			if live := known && m.State.Live(); live != up {
@@ -163,14 +161,12 @@
 }
 
 // converge runs until all views are right and returns the simulated time that it took.
-func (w *network) converge(limit time.Duration) (time.Duration, string) {
-	began := w.now
-	bad := w.disagreement()
-	for bad != "" && w.now.Sub(began) < limit {
+func (w *network) converge(limit time.Duration) (took time.Duration, bad string) {
+	for bad = w.disagreement(); bad != "" && took < limit; took += simStep {
 		w.run(simStep)
 		bad = w.disagreement()
 	}
-	return w.now.Sub(began), bad
+	return took, bad
 }
 
 func (w *network) mustConverge(limit time.Duration, event string) time.Duration {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -100,12 +100,7 @@
 func TestBackoff(t *testing.T) {
 	r := rng()
 	for attempt := range 100 {
-		limit := BackoffMax
-		if attempt >= 1 && attempt < 8 {
-			limit = min(BackoffMax, BackoffBase<<(attempt-1))
-		} else if attempt == 0 {
-			limit = BackoffBase
-		}
+		limit := min(BackoffMax, BackoffBase<<max(0, min(attempt, 10)-1))
 		if d := Backoff(r, attempt); d < limit/2 || d > limit {
 			t.Errorf("attempt %d: %s, want %s to %s", attempt, d, limit/2, limit)
 		}
