membership, retry: a host declared dead returns under a higher incarnation

Cause: HostLost makes a host and incarnation unusable in the claim table for good, but a host that was cut off and came back only raised its refutation. It could not have claimed again before a restart.

Change: Dead and Left are final within an incarnation; a host that learns of its death raises its incarnation. Renew does the same when the claim table names the lost incarnation, because members that saw the death may be gone. The oracle checks that no process takes back an incarnation that it saw as dead.

Conclusion: a healed host claims again without an operator.

--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -33,7 +33,7 @@
 // ends the faults, and returns the disagreement that remains after healLimit.
 func runFaults(t testing.TB, rt *rapid.T, fault string) string {
 	w := newNetwork(t, fuzzHosts, rapid.Uint64().Draw(rt, "seed"))
-	w.tamper, w.deafToSelf = tampers[fault], fault == "no refutation"
+	w.tamper, w.fault = tampers[fault], fault
 	w.run(10 * time.Second)
 	for range rapid.IntRange(2, 6).Draw(rt, "faults") {
 		i := rapid.IntRange(0, fuzzHosts-1).Draw(rt, "host")
@@ -59,6 +59,7 @@
 			h.paused = !h.paused
 		}
 		w.run(time.Duration(rapid.IntRange(0, 20).Draw(rt, "seconds")) * time.Second)
+		w.noteDeaths()
 	}
 	w.loss, w.dup, w.maxDelay = 0, 0, simStep
 	for i, h := range w.hosts {
@@ -72,9 +73,10 @@
 }
 
 // tampers are deliberate faults; they act on a node before each tick. The network carries out
-// the one without a function.
+// those without a function.
 var tampers = map[string]func(*Node){
-	"no refutation": nil,
+	"no refutation":             nil,
+	"death taken for suspicion": nil,
 	"no contact after a partition": func(n *Node) {
 		if n.joined {
 			n.nextSeed = n.lastRun.Add(time.Hour)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -81,6 +82,16 @@
 	}
 }
 
+// Guards against a host that keeps an incarnation which the claim table refuses as lost.
+func TestRenew(t *testing.T) {
+	n := New(Config{Self: Host{ID: "a", Incarnation: 5}, Rand: rand.New(rand.NewPCG(1, 1))}, time.Unix(0, 0))
+	for _, c := range []struct{ lost, want uint64 }{{4, 5}, {5, 6}, {8, 9}} {
+		if n.Renew(c.lost); n.Self().Incarnation != c.want {
+			t.Errorf("after the loss of %d: incarnation %d, want %d", c.lost, n.Self().Incarnation, c.want)
+		}
+	}
+}
+
 // Guards against a change of owner that is not caused by the host that joined or failed.
 func TestOwnerMovesOnlyOwnTargets(t *testing.T) {
 	hosts := []string{"a", "b", "c", "d", "e"}
--- a/membership/node.go
+++ b/membership/node.go
@@ -58,8 +58,8 @@
 	return slices.ContainsFunc(n.cfg.Seeds, func(s string) bool { return s != n.cfg.Self.Addr })
 }
 
-// Self returns the local host. Its incarnation is final once Joined reports true, unless
-// another process uses the same ID.
+// Self returns the local host. Its incarnation may rise before Joined reports true and when the
+// host learns that it was declared dead; commands that carry an incarnation must read it here.
 func (n *Node) Self() Host { return n.self.Host }
 
 // Joined reports whether a seed has answered, or there is no seed other than the local host.
@@ -166,8 +166,8 @@
 func (n *Node) absorb(now time.Time, p Packet) {
 	n.merge(now, Update{Host: p.From, Refutation: p.Refutation, State: Alive})
 	for _, u := range p.Updates {
-		if p.Kind == Sync && u.State == Dead {
-			u.State = Suspect
+		if r := n.table.records[u.Host.ID]; p.Kind == Sync && u.State == Dead && r != nil {
+			u.State, u.Refutation = Suspect, max(u.Refutation, r.Refutation)
 		}
 		n.merge(now, u)
 	}
@@ -210,14 +210,15 @@
 	}
 }
 
-// mergeSelf refutes wrong statements about the local host. Statements about a former process
-// of this ID raise the incarnation; statements about this process raise the refutation.
+// mergeSelf refutes wrong statements about the local host. A suspicion raises the refutation; a
+// former process of this ID, and the death of this one, raise the incarnation.
 func (n *Node) mergeSelf(u Update) {
 	own := n.self.Update
 	switch {
 	case n.leaving:
 		return
-	case u.Host.Incarnation > own.Host.Incarnation, !n.joined && u.Host.Incarnation == own.Host.Incarnation:
+	case u.Host.Incarnation > own.Host.Incarnation,
+		u.Host.Incarnation == own.Host.Incarnation && (!n.joined || !u.State.Live()):
 		own.Host.Incarnation, own.Refutation = u.Host.Incarnation+1, 0
 	case u.newerThan(own):
 		own.Refutation = u.Refutation + 1
@@ -234,6 +235,16 @@
 	}
 }
 
+// Renew raises the incarnation of the local host above one that a replicated table has declared
+// lost. Members that forgot the declaration cannot tell the host.
+func (n *Node) Renew(lost uint64) {
+	u := n.self.Update
+	u.Host.Incarnation, u.State = lost, Dead
+	if lost >= n.self.Host.Incarnation {
+		n.mergeSelf(u)
+	}
+}
+
 func (n *Node) mergeMeta(m MetaUpdate) {
 	r := n.table.records[m.ID]
 	if r == nil || m.Incarnation < r.Host.Incarnation || len(m.Meta) > MaxMetaBytes {
--- a/membership/packet.go
+++ b/membership/packet.go
@@ -12,8 +12,9 @@
 // MaxMetaBytes bounds the summary that a host publishes about itself.
 const MaxMetaBytes = 512
 
-// Host identifies one process. Incarnation rises with each restart and is the start time in
-// milliseconds by convention; it does not change when a suspicion is refuted.
+// Host identifies one process. Incarnation is the start time in milliseconds by convention. It
+// rises with each restart and each time that the host learns that it was declared dead; it does
+// not change when a suspicion is refuted.
 type Host struct {
 	_           struct{} `cbor:",toarray"`
 	ID          string
@@ -37,8 +38,7 @@
 // State is what the local host believes about a host.
 type State uint8
 
-// The states, in the order in which they override each other within one incarnation and
-// refutation. A suspect is still a live host: suspicion alone changes no ownership.
+// The states, in the order in which they override each other within one incarnation. A suspect is still a live host: suspicion alone changes no ownership.
 const (
 	Alive State = iota
 	Suspect
@@ -93,8 +93,9 @@
 	Sync
 )
 
-// Update is a statement about a host. Updates are ordered by incarnation, refutation and
-// state; the greatest one wins, so the order of arrival does not matter.
+// Update is a statement about a host. The greatest statement wins, so the order of arrival does
+// not matter. Within one incarnation Dead and Left are final: claims and leases of an incarnation
+// that was declared dead are void, so the host must return under a higher one.
 type Update struct {
 	_          struct{} `cbor:",toarray"`
 	Host       Host
@@ -103,10 +104,12 @@
 }
 
 func (u Update) newerThan(v Update) bool {
-	if u.Host.Incarnation != v.Host.Incarnation {
+	switch {
+	case u.Host.Incarnation != v.Host.Incarnation:
 		return u.Host.Incarnation > v.Host.Incarnation
-	}
-	if u.Refutation != v.Refutation {
+	case !u.State.Live() || !v.State.Live():
+		return u.State > v.State
+	case u.Refutation != v.Refutation:
 		return u.Refutation > v.Refutation
 	}
 	return u.State > v.State
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -32,8 +32,9 @@
 	bytes    int
 	sent     int
 	tamper   func(*Node) // deliberate fault
-	// deafToSelf drops what a packet says about its receiver; it is a deliberate fault.
-	deafToSelf bool
+	fault    string      // deliberate fault in the delivery of packets
+	// declaredDead is the greatest incarnation of a host that a process has seen as dead.
+	declaredDead map[death]uint64
 }
 
 type simHost struct {
@@ -46,6 +47,13 @@
 	paused bool
 }
 
+// death names who saw whom as dead. A process that is gone cannot tell what it saw, so its
+// declarations bind no one; that case is left to Renew.
+type death struct {
+	witness *Node
+	id      string
+}
+
 type simPacket struct {
 	from, to *simHost
 	data     []byte
@@ -54,7 +62,7 @@
 func newNetwork(t testing.TB, hosts int, seed uint64) *network {
 	w := &network{
 		t: t, now: time.Unix(1e9, 0), start: time.Unix(1e9, 0), rng: rand.New(rand.NewPCG(seed, 1)),
-		inFlight: map[int64][]simPacket{}, maxDelay: simStep,
+		inFlight: map[int64][]simPacket{}, maxDelay: simStep, declaredDead: map[death]uint64{},
 	}
 	for i := range hosts {
 		w.hosts = append(w.hosts, &simHost{id: fmt.Sprintf("host-%03d", i), inc: 1})
@@ -122,7 +130,12 @@
 			if err := cbor.Unmarshal(p.data, &pkt); err != nil {
 				w.t.Fatal(err)
 			}
-			if w.deafToSelf {
+			for i, u := range pkt.Updates {
+				if w.fault == "death taken for suspicion" && u.Host.ID == p.to.id && u.State == Dead {
+					pkt.Updates[i].State = Suspect
+				}
+			}
+			if w.fault == "no refutation" {
 				pkt.Updates = slices.DeleteFunc(pkt.Updates, func(u Update) bool { return u.Host.ID == p.to.id })
 			}
 			w.send(p.to, p.to.node.Receive(w.now, p.from.id, pkt))
@@ -139,8 +152,20 @@
 	}
 }
 
+// noteDeaths remembers which incarnations are seen as dead now.
+func (w *network) noteDeaths() {
+	for _, h := range w.hosts {
+		for _, m := range h.node.Members() {
+			if m.State == Dead {
+				at := death{h.node, m.Host.ID}
+				w.declaredDead[at] = max(w.declaredDead[at], m.Host.Incarnation)
+			}
+		}
+	}
+}
+
 // disagreement returns a description of a wrong view, or "". Every running host must see
-// exactly the running hosts as live, with their own incarnation.
+// exactly the running hosts as live, with an incarnation that it has never seen as dead.
 func (w *network) disagreement() string {
 	for _, h := range w.hosts {
 		for _, o := range w.hosts {
@@ -152,8 +177,9 @@
 			if live := known && m.State.Live(); live != up {
 				return fmt.Sprintf("%s sees %s as %v (known %v), want live %v", h.id, o.id, m.State, known, up)
 			}
-			if up && m.Host != o.node.Self() {
-				return fmt.Sprintf("%s sees %+v, want %+v", h.id, m.Host, o.node.Self())
+			if up && (m.Host != o.node.Self() || m.Host.Incarnation <= w.declaredDead[death{h.node, o.id}]) {
+				return fmt.Sprintf("%s sees incarnation %d of %s, want %d; declared dead: %d", h.id,
+					m.Host.Incarnation, o.id, o.node.Self().Incarnation, w.declaredDead[death{h.node, o.id}])
 			}
 		}
 	}
--- a/retry/claims.go
+++ b/retry/claims.go
@@ -74,7 +74,8 @@
 	// NotHolder: Finish came from a host, incarnation or grant that does not hold the claim.
 	NotHolder ClaimStatus = "not_holder"
 	// Stale: Begin came from a host that was declared lost, or after its own TTL. Nothing
-	// was granted.
+	// was granted. Incarnation, if set, is the lost one; the host must continue under a
+	// higher incarnation.
 	Stale ClaimStatus = "stale"
 	// Applied: HostLost or Expire was carried out; Changed counts the claims.
 	Applied ClaimStatus = "applied"
@@ -180,8 +181,11 @@
 	}
 	expires := cmd.At + cmd.TTLMillis
 	lost, isLost := c.lost[cmd.Host]
+	if isLost && cmd.Incarnation <= lost.Incarnation {
+		return ClaimResult{Status: Stale, Host: cmd.Host, Incarnation: lost.Incarnation}
+	}
 	// A late copy of an old Begin would run a request again whose claim was dropped.
-	if expires <= c.now || isLost && cmd.Incarnation <= lost.Incarnation {
+	if expires <= c.now {
 		return ClaimResult{Status: Stale}
 	}
 	c.grants++
