--- a/internal/engine/assembler.go
+++ b/internal/engine/assembler.go
@@ -149,6 +149,12 @@
 // Text returns the contiguous text from the first offset on.
 func (a *Assembler) Text() string { return string(a.text[:a.prefix]) }
 
+// TextFrom returns the contiguous text from a position on, counted from its start.
+func (a *Assembler) TextFrom(i int) string { return string(a.text[min(i, a.prefix):a.prefix]) }
+
+// Len returns the number of characters of the contiguous text.
+func (a *Assembler) Len() int { return a.prefix }
+
 // Tokens returns the number of tokens generated for the text received.
 func (a *Assembler) Tokens() uint64 { return a.tokens }
 
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -338,18 +338,17 @@
 	if err != nil || o.emit == nil {
 		return err
 	}
-	text := []rune(o.assembler.Text())
-	complete := o.assembler.Complete()
-	if len(text) == o.sent && !complete {
+	length, complete := o.assembler.Len(), o.assembler.Complete()
+	if length == o.sent && !complete {
 		return nil
 	}
 	chunk := api.DeskChunk{
-		RequestID: o.publicID, Offset: uint64(o.sent), Text: string(text[o.sent:]), Version: c.Version, Done: complete,
+		RequestID: o.publicID, Offset: uint64(o.sent), Text: o.assembler.TextFrom(o.sent), Version: c.Version, Done: complete,
 	}
 	if complete {
-		chunk.Total = uint64(len(text))
+		chunk.Total = uint64(length)
 	}
-	o.sent = len(text)
+	o.sent = length
 	return o.emit(chunk)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -207,6 +207,7 @@
 	domains := slices.Sorted(maps.Keys(s.Groups.Domains))
 	h.work = newWorkService(s.FailureDomain, domains, h.localGroups[name], state, h.groups, h.members, s.Timing.WorkLease, h.log)
 	h.orders = newOrderService(s.FailureDomain, h.localGroups[name], state, h.executor.client, h.log)
+	h.work.self, h.work.payloads, h.work.peer = s.Host, h.payloads.store, h.pool.Peer
 	h.sampler.work, h.reporter.orders = h.work, h.orders
 	return nil
 }
--- a/internal/host/work.go
+++ b/internal/host/work.go
@@ -46,14 +46,23 @@
 	term      uint64
 	cancelled map[string][]uint64
 	told      map[string]map[string]uint64
+
+	self     string
+	payloads *payloadStore
+	peer     func(host string) (rpc.PeerClient, error)
+	released *kernel.Ring[[]ledger.Held]
 }
 
+// releaseRing bounds the lists of payloads that wait to be released.
+const releaseRing = 256
+
 func newWorkService(domain string, domains []string, g *group.Group, state *domainstate.State, gs *groups, m *membershipService, lease time.Duration, log *slog.Logger) *workService {
 	w := &workService{
 		domain: domain, domains: domains, group: g, state: state, groups: gs, members: m, log: log,
 		scheduler: ledger.NewScheduler(ledger.SchedulerConfig{MaxLease: lease}),
 		cancelled: make(map[string][]uint64),
 		told:      make(map[string]map[string]uint64),
+		released:  kernel.NewRing[[]ledger.Held]("work/released", releaseRing, kernel.DropOldest),
 	}
 	state.Observe(w.observe)
 	return w
@@ -64,6 +73,7 @@
 	k.Every("work/steps", stepSweep, w.closeSteps)
 	k.Every("work/claims", claimSweep, w.expireClaims)
 	k.Go("work/hosts", w.followHosts)
+	k.Go("work/release", w.releasePayloads)
 	for _, domain := range w.domains {
 		k.Every("work/desire/"+domain, desireInterval, func(ctx context.Context) { w.passOn(ctx, domain) })
 	}
@@ -102,6 +112,46 @@
 	for _, cancel := range w.scheduler.Observe(time.Now(), c, r) {
 		w.cancelled[cancel.Host] = append(w.cancelled[cancel.Host], cancel.Attempt)
 	}
+	if len(r.Released) > 0 {
+		_ = w.released.Push(context.Background(), r.Released)
+	}
+}
+
+// releasePayloads tells the holders which payloads are not needed any more. What is lost on
+// the way is released by the holders' own sweep.
+func (w *workService) releasePayloads(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case released := <-w.released.C():
+			byHost := make(map[string][]string)
+			for _, held := range released {
+				for _, host := range held.Holders {
+					byHost[host] = append(byHost[host], held.Digest.String())
+				}
+			}
+			for host, digests := range byHost {
+				w.drop(ctx, host, digests)
+			}
+		}
+	}
+}
+
+func (w *workService) drop(ctx context.Context, host string, digests []string) {
+	if host == w.self {
+		w.payloads.Drop(digests)
+		return
+	}
+	peer, err := w.peer(host)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if _, err := peer.DropPayload(ctx, &rpc.DropPayloadRequest{Digests: digests}); err != nil {
+		w.log.Debug("payloads are not released", "host", host, "error", err)
+	}
 }
 
 // asLeader runs fn serialized with the ledger, with a scheduler of the present term.
@@ -344,7 +394,8 @@
 }
 
 // payloadsGone plans the slots again whose payload was held by the lost host alone. Its
-// memory is gone even when the process has restarted.
+// memory is gone even when the process has restarted. Slots of an open batch are left to the
+// next fetch: the trainer may have the samples already, and would receive them twice.
 func (w *workService) payloadsGone(ctx context.Context, host string) {
 	live := make(map[string]bool)
 	for _, h := range w.members.Live("") {
@@ -352,7 +403,7 @@
 	}
 	var lost []ledger.Held
 	w.group.View(func() {
-		for _, held := range w.state.Ledger().HeldBy(host) {
+		for _, held := range w.state.Ledger().ReadyBy(host) {
 			if !anyLive(held.Holders, live) {
 				lost = append(lost, held)
 			}
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -99,6 +99,24 @@
 	return list
 }
 
+// ReadyBy lists the samples that wait for their first delivery and whose payload a host
+// holds. Samples of an open batch are left out, because the trainer may have them already.
+func (l *Ledger) ReadyBy(host string) []Held {
+	var list []Held
+	for _, name := range slices.Sorted(maps.Keys(l.state.Tenancies)) {
+		t := l.state.Tenancies[name]
+		for _, id := range slices.Sorted(maps.Keys(t.Steps)) {
+			s := t.Steps[id]
+			for slot, st := range s.States {
+				if st == slotReady && slices.Contains(s.Holders[s.HolderIndex[slot]], host) {
+					list = s.appendHeld(list, name, id, []int{slot})
+				}
+			}
+		}
+	}
+	return list
+}
+
 // Published is the newest version of a tenancy's model.
 type Published struct {
 	Tenancy string
