--- a/internal/host/claims.go
+++ b/internal/host/claims.go
@@ -193,7 +193,7 @@
 			result.Status = retry.Granted
 			return result, nil
 		case result.Status == retry.Stale:
-			c.raiseIncarnation()
+			c.raiseIncarnation(result.Incarnation)
 		case result.Status != retry.InProgress:
 			return result, nil
 		}
@@ -214,11 +214,11 @@
 }
 
 // raiseIncarnation starts a new claim incarnation after the home has declared this host
-// lost, which happens when it was cut off for a while.
-func (c *claimService) raiseIncarnation() {
+// lost up to the given one, which happens when it was cut off for a while.
+func (c *claimService) raiseIncarnation(lost uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.incarnation = max(uint64(time.Now().UnixMilli()), c.incarnation+1)
+	c.incarnation = max(uint64(time.Now().UnixMilli()), c.incarnation+1, lost+1)
 }
 
 func (c *claimService) command(kind retry.CommandKind, r claimRequest) retry.ClaimCommand {
--- a/internal/host/gossip.go
+++ b/internal/host/gossip.go
@@ -27,8 +27,9 @@
 	packetTagBytes = 16
 	// gossipTick is the resolution of probe time-outs.
 	gossipTick = 50 * time.Millisecond
-	// summaryLife is the age after which a host's summary is no longer trusted.
-	summaryLife = 5 * time.Second
+	// summaryLife is the age after which a host's summary is left out. Gossip takes about 11 s
+	// to bring a summary to all hosts of a failure domain of 100; routing prefers newer ones.
+	summaryLife = 2 * time.Minute
 )
 
 // summary is what a host tells all others about itself. It must fit membership.MaxMetaBytes.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -446,3 +446,9 @@
 
 // ConfigVersion returns the version of the configuration in force, or 0.
 func (h *Host) ConfigVersion() uint64 { return h.config.Version() }
+
+// GossipBytes returns the bytes of membership packets sent since the start.
+func (h *Host) GossipBytes() uint64 {
+	sent, _ := h.members.Traffic()
+	return sent
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -213,3 +213,8 @@
 	}
 	return nil
 }
+
+// DefaultTiming returns the timing of settings that state none.
+func DefaultTiming() Timing {
+	return (&reader{}).timing(node{path: "$.timing", value: map[string]any{}})
+}
