membership: compare tables while news is still waiting

Cause: after a healed partition of 410 hosts it took 113 probe intervals until all hosts knew all incarnations, because tables were compared only once the news was sent.

Change: a host with news of its own compares tables after 8 instead of 4 acknowledgements with another view, and at most every second interval.

--- a/membership/sync.go
+++ b/membership/sync.go
@@ -13,6 +13,9 @@
 	// comparePatience is the number of acknowledgements with another view after which tables
 	// are compared. Ordinary news spreads within fewer.
 	comparePatience = 4
+	// busyPatience applies while a host has news of its own. After a healed partition there is
+	// more news than the byte bound carries in time.
+	busyPatience = 8
 )
 
 // contactSeed joins through a seed, or reaches out to a seed that is not among the live hosts,
@@ -92,18 +95,22 @@
 	return out
 }
 
-// compare starts a comparison of tables if the sender of an acknowledgement has had another
-// view for a while and this host has no news that would explain it.
+// compare starts a comparison of tables if the senders of acknowledgements have had other views
+// for a while, for longer if this host has news that would explain it.
 func (n *Node) compare(now time.Time, p Packet) []Outgoing {
 	if p.View == n.table.view {
 		n.mismatches = 0
 		return nil
 	}
 	n.mismatches++
-	if n.mismatches < comparePatience || n.states.len() > 0 || now.Before(n.nextCompare) {
+	patience := comparePatience
+	if n.states.len() > 0 {
+		patience = busyPatience
+	}
+	if n.mismatches < patience || now.Before(n.nextCompare) {
 		return nil
 	}
-	n.nextCompare = now.Add(n.cfg.ProbeInterval)
+	n.nextCompare = now.Add(2 * n.cfg.ProbeInterval)
 	return []Outgoing{n.to(p.From, Packet{Kind: Compare, Buckets: n.table.buckets[:]})}
 }
 
