internal/group: test group commit, full disk, failed sync and lost disk

Cause: failure handling of the group was not covered. Change: tests in simulated time; a proposal that waits at an index which a later term of the same leader reuses is answered instead of forgotten; BenchmarkCommit. Conclusion: outcomes of proposals match their definitions in these cases.

--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -229,3 +229,181 @@
 		}
 	})
 }
+
+// Guards against one sync per command, and against two commands with one log index.
+func TestConcurrentProposalsShareSyncs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, fs := newBench(t), faultfs.New(nil)
+		opt, sm := b.options("a", fs, storage.Bootstrap, []string{"a"})
+		r, err := Open(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const proposals = 40 // below SnapshotEvery, which adds syncs
+		before := fs.Syncs()
+		var wg sync.WaitGroup
+		for range proposals {
+			wg.Go(func() {
+				if _, err := r.Propose(t.Context(), []byte("x")); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- r.Run(ctx) }()
+		wg.Wait()
+		cancel()
+		<-ended
+		if got := fs.Syncs() - before; got > proposals/4 {
+			t.Errorf("%d syncs for %d concurrent proposals", got, proposals)
+		}
+		for i := 1; i < len(sm.indexes); i++ {
+			if sm.indexes[i] <= sm.indexes[i-1] {
+				t.Errorf("index %d applied after %d", sm.indexes[i], sm.indexes[i-1])
+			}
+		}
+	})
+}
+
+// Guards against losing acknowledged commands or dying on a full disk, and against a claim
+// that a command did not run when it may be in the log.
+func TestFullDiskPausesAndRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, fs := newBench(t), faultfs.New(nil)
+		r := b.start("a", fs, storage.Bootstrap, "a")
+		if _, err := r.Propose(t.Context(), []byte("1")); err != nil {
+			t.Fatal(err)
+		}
+		fs.SetCapacity(fs.Used() + 10)
+		if _, err := r.Propose(t.Context(), []byte("2")); errs.OutcomeOf(err) != errs.Unknown {
+			t.Errorf("command in a refused append: %v, want outcome unknown", err)
+		}
+		if _, err := r.Propose(t.Context(), []byte("3")); errs.CodeOf(err) != errs.CodeOverloaded || errs.OutcomeOf(err) != errs.NotRun {
+			t.Errorf("command on a full disk: %v, want overloaded and not_run", err)
+		}
+		if !r.Health().Stalled {
+			t.Error("a full disk is not reported")
+		}
+		fs.SetCapacity(0)
+		time.Sleep(settleTime)
+		if _, err := r.Propose(t.Context(), []byte("4")); err != nil {
+			t.Fatal(err)
+		}
+		_ = r.stop()
+		if got := string(bytes.Join(r.sm.commands, nil)); got != "124" {
+			t.Errorf("applied %q, want 124", got)
+		}
+	})
+}
+
+// Guards against a replica that goes on after a failed sync, and against a command in the
+// failed batch that is reported as not run.
+func TestFailedSyncStopsReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, fs := newBench(t), faultfs.New(nil)
+		r := b.start("a", fs, storage.Bootstrap, "a")
+		synctest.Wait()
+		fs.FailSyncs(1)
+		if _, err := r.Propose(t.Context(), []byte("1")); errs.OutcomeOf(err) != errs.Unknown {
+			t.Errorf("command in a failed sync: %v, want outcome unknown", err)
+		}
+		if err := r.stop(); errs.CodeOf(err) != errs.CodeUnavailable {
+			t.Errorf("Run returned %v, want unusable", err)
+		}
+		if _, err := r.Propose(t.Context(), []byte("2")); errs.OutcomeOf(err) != errs.NotRun {
+			t.Errorf("command to a stopped replica: %v, want outcome not_run", err)
+		}
+	})
+}
+
+// Guards against a voter that lost its disk and votes under its old name, whether or not
+// the bootstrap setting was left on.
+func TestLostDiskDoesNotVote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		rs := b.three()
+		time.Sleep(settleTime)
+		leader, others := leaderOf(rs)
+		victim := others[0]
+		_ = victim.stop()
+		victim.fs.Lose()
+		opt, _ := b.options(victim.opt.ID, victim.fs, storage.Existing, nil)
+		if _, err := Open(opt); errs.CodeOf(err) != errs.CodeNotFound {
+			t.Errorf("open of an empty folder: %v, want disk lost", err)
+		}
+		again := b.start(victim.opt.ID, victim.fs, storage.Bootstrap, "a", "b", "c")
+		time.Sleep(settleTime)
+		if err := again.stop(); errs.CodeOf(err) != errs.CodeConflict {
+			t.Errorf("Run of a replica with a new identity returned %v, want identity refused", err)
+		}
+		if _, err := leader.Propose(t.Context(), []byte("x")); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against a log that grows without bound, and against a caller that gave up whose
+// command runs although it was told not_run.
+func TestLogIsBoundedAndCancelledCommandsDoNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		opt, sm := b.options("a", faultfs.New(nil), storage.Bootstrap, []string{"a"})
+		g, err := Open(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := g.Propose(gone, []byte("cancelled")); errs.OutcomeOf(err) != errs.NotRun {
+			t.Errorf("cancelled command: %v, want outcome not_run", err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- g.Run(ctx) }()
+		for range 1000 {
+			if _, err := g.Propose(t.Context(), make([]byte, 100)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		if len(sm.commands) != 1000 || g.log.Segments() > 4 {
+			t.Errorf("%d commands applied, %d segments kept", len(sm.commands), g.log.Segments())
+		}
+	})
+}
+
+// BenchmarkCommit compares group commit with one sync per commit on the operating system's
+// files.
+func BenchmarkCommit(b *testing.B) {
+	for name, maxBatch := range map[string]int{"group": 0, "single": 1} {
+		b.Run(name, func(b *testing.B) {
+			bench := newBench(b)
+			opt, _ := bench.options("a", storage.OS{}, storage.Bootstrap, []string{"a"})
+			opt.Dir, opt.MaxBatch, opt.SnapshotEvery, opt.SegmentBytes = b.TempDir(), maxBatch, 1<<20, 0
+			g, err := Open(opt)
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(b.Context())
+			ended := make(chan error)
+			go func() { ended <- g.Run(ctx) }()
+			b.SetParallelism(16)
+			cmd := make([]byte, 200)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := g.Propose(ctx, cmd); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+			cancel()
+			<-ended
+		})
+	}
+}
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -189,13 +189,13 @@
 	case requestPropose:
 		var index uint64
 		if index, r.term, err = g.node.Propose(now, r.cmd); err == nil {
-			g.proposals[index] = r
+			g.expect(index, r)
 		}
 	case requestChange:
 		if err = g.node.ProposeConfChange(now, r.change); err == nil {
 			s := g.node.Status()
 			r.term = s.Term
-			g.proposals[s.Last] = r
+			g.expect(s.Last, r)
 		}
 	case requestBarrier:
 		g.barriers = append(g.barriers, r)
@@ -207,6 +207,15 @@
 	}
 }
 
+// expect lets a request wait for the entry at index. A request that waited there belongs to
+// an earlier term of this leader, and its entry was replaced.
+func (g *Group) expect(index uint64, r *request) {
+	if old := g.proposals[index]; old != nil {
+		old.finish(nil, &errs.Interrupted{Operation: old.kind.String(), Reason: "the replica lost its leadership"})
+	}
+	g.proposals[index] = r
+}
+
 func (g *Group) startTransfer(now time.Time, r *request) error {
 	s := g.node.Status()
 	if s.Role != consensus.Leader {
