Consensus messages travel on one stream per peer

Cause: each heartbeat was a call of its own, whose headers are larger than its content; control traffic of a voting host was above 5 KB/s. Change: Raft is a two-way stream with an empty reply per batch; batches that wait for a peer are joined; the stream closes after 5 s without messages. A first version made a stopping host wait for ever in GracefulStop, because the peers' streams stay open: the server now ends them 0.3 s after the last request.

--- a/internal/host/peerserver.go
+++ b/internal/host/peerserver.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,6 +38,7 @@
 	orders   *orderService
 	inflight *inflight
 	log      *slog.Logger
+	stopping atomic.Bool
 }
 
 // Start implements kernel.Service.
@@ -54,26 +57,50 @@
 	return nil
 }
 
-// Stop implements kernel.Service. It waits for the calls in progress until ctx ends.
+// streamGrace is the time that the open streams of consensus messages get to end after the
+// last request. They carry nothing that consensus does not repeat.
+const streamGrace = 300 * time.Millisecond
+
+// Stop implements kernel.Service. It waits for the requests in progress until ctx ends.
 func (s *peerServer) Stop(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.server.Stop)
-	defer stop()
+	s.stopping.Store(true)
+	s.inflight.Wait(ctx)
+	abort := time.AfterFunc(streamGrace, s.server.Stop)
+	defer abort.Stop()
 	s.server.GracefulStop()
 	return nil
 }
 
 // Raft implements rpc.PeerServer.
-func (s *peerServer) Raft(_ context.Context, r *rpc.RaftRequest) (*rpc.RaftReply, error) {
+func (s *peerServer) Raft(stream grpc.BidiStreamingServer[rpc.RaftRequest, rpc.RaftReply]) error {
+	for {
+		r, err := stream.Recv()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.deliver(r); err != nil {
+			return err
+		}
+		if err := stream.Send(&rpc.RaftReply{}); err != nil || s.stopping.Load() {
+			return err
+		}
+	}
+}
+
+func (s *peerServer) deliver(r *rpc.RaftRequest) error {
 	g, ok := s.local[r.Group]
 	if !ok {
-		return nil, &errs.NotFound{Kind: "group", ID: r.Group}
+		return &errs.NotFound{Kind: "group", ID: r.Group}
 	}
 	var messages []consensus.Message
 	if err := cbor.Unmarshal(r.Messages, &messages); err != nil {
-		return nil, &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
+		return &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
 	}
 	g.Deliver(messages)
-	return &rpc.RaftReply{}, nil
+	return nil
 }
 
 // Propose implements rpc.PeerServer.
--- a/internal/host/transport.go
+++ b/internal/host/transport.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc"
 
 	"fuchsiaflow/consensus"
+	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/rpc"
 )
@@ -19,6 +21,11 @@
 	transportRing = 256
 	// transportTimeout bounds one delivery, so that a silent peer does not hold the duty.
 	transportTimeout = time.Second
+	// transportIdle is how long a stream without messages stays open.
+	transportIdle = 5 * time.Second
+	// maxGathered bounds the batches of different groups that are sent without a look at
+	// the ring.
+	maxGathered = 16
 )
 
 type outgoingBatch struct {
@@ -79,30 +86,88 @@
 	return ring
 }
 
+// raftStream is the open stream to one peer.
+type raftStream struct {
+	grpc.BidiStreamingClient[rpc.RaftRequest, rpc.RaftReply]
+	cancel context.CancelFunc
+}
+
 func (t *transport) deliver(ctx context.Context, peer string, ring *kernel.Ring[outgoingBatch]) error {
+	var stream *raftStream
+	idle := time.NewTimer(transportIdle)
+	defer idle.Stop()
+	defer func() { stream.close() }()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-idle.C:
+			stream.close()
+			stream = nil
 		case batch := <-ring.C():
-			t.send(ctx, peer, batch)
+			idle.Reset(transportIdle)
+			var err error
+			if stream, err = t.send(ctx, stream, peer, gatherBatches(ring, batch)); err != nil {
+				t.log.Debug("consensus messages are not delivered", "peer", peer, "group", batch.group, "error", err)
+				stream.close()
+				stream = nil
+			}
+		}
+	}
+}
+
+// gatherBatches joins what waits for the peer already, as long as it is of the same group.
+func gatherBatches(ring *kernel.Ring[outgoingBatch], first outgoingBatch) []outgoingBatch {
+	batches := []outgoingBatch{first}
+	for len(batches) < maxGathered {
+		select {
+		case next := <-ring.C():
+			if last := &batches[len(batches)-1]; last.group == next.group {
+				last.messages = append(last.messages, next.messages...)
+			} else {
+				batches = append(batches, next)
+			}
+		default:
+			return batches
 		}
 	}
+	return batches
 }
 
-func (t *transport) send(ctx context.Context, peer string, batch outgoingBatch) {
-	data, err := cbor.Marshal(batch.messages)
-	if err != nil {
-		t.log.Error("consensus messages cannot be encoded", "error", err)
-		return
+// send delivers batches in turn over the stream, which it opens when there is none.
+func (t *transport) send(ctx context.Context, stream *raftStream, peer string, batches []outgoingBatch) (*raftStream, error) {
+	if stream == nil {
+		client, err := t.peer(peer)
+		if err != nil {
+			return nil, err
+		}
+		streamCtx, cancel := context.WithCancel(ctx)
+		opened, err := client.Raft(streamCtx)
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		stream = &raftStream{BidiStreamingClient: opened, cancel: cancel}
 	}
-	client, err := t.peer(peer)
-	if err != nil {
-		return
+	timeout := time.AfterFunc(transportTimeout, stream.cancel)
+	defer timeout.Stop()
+	for _, batch := range batches {
+		data, err := cbor.Marshal(batch.messages)
+		if err != nil {
+			return stream, &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
+		}
+		if err := stream.Send(&rpc.RaftRequest{Group: batch.group, Messages: data}); err != nil {
+			return stream, err
+		}
+		if _, err := stream.Recv(); err != nil {
+			return stream, err
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, transportTimeout)
-	defer cancel()
-	if _, err := client.Raft(ctx, &rpc.RaftRequest{Group: batch.group, Messages: data}); err != nil {
-		t.log.Debug("consensus messages are not delivered", "peer", peer, "group", batch.group, "error", err)
+	return stream, nil
+}
+
+func (s *raftStream) close() {
+	if s != nil {
+		s.cancel()
 	}
 }
