--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -70,20 +70,28 @@
 	m         metrics
 }
 
-// policy names a router and the order of slots that belongs to it.
+// policy names a router and what belongs to it: the order of slots and whether swaps wait for
+// desk requests. scheduler replaces the simple scheduler where it is not nil.
 type policy struct {
 	name         string
 	longestFirst bool
 	drains       bool
 	router       func(*world) router
+	scheduler    func(simple Scheduler) Scheduler
 }
 
+// baselines is how many of the policies after the first are plain baselines. The last policy
+// is the usually best baseline with this policy's order of slots and waiting swaps, and shows
+// how much of the difference comes from these.
+const baselines = 3
+
 func policies() []policy {
 	return []policy{
-		{"fuchsiaflow", true, true, func(w *world) router { return newFuchsia(w) }},
-		{"random", false, false, func(w *world) router { return newBaseline(w, chooseRandom) }},
-		{"round robin", false, false, func(w *world) router { return newBaseline(w, chooseRoundRobin) }},
-		{"least reported load", false, false, func(w *world) router { return newBaseline(w, chooseLeastReported) }},
+		{"fuchsiaflow", true, true, func(w *world) router { return newFuchsia(w) }, nil},
+		{"random", false, false, func(w *world) router { return newBaseline(w, chooseRandom) }, nil},
+		{"round robin", false, false, func(w *world) router { return newBaseline(w, chooseRoundRobin) }, nil},
+		{"least reported load", false, false, func(w *world) router { return newBaseline(w, chooseLeastReported) }, nil},
+		{"least reported load, own order", true, true, func(w *world) router { return newBaseline(w, chooseLeastReported) }, nil},
 	}
 }
 
@@ -97,6 +105,9 @@
 	w.m.staleness = hdrhistogram.New(0, 1000, 3)
 	w.drains = p.drains
 	w.scheduler = newListScheduler(p.longestFirst, hedgeAfter)
+	if p.scheduler != nil {
+		w.scheduler = p.scheduler(w.scheduler)
+	}
 	for _, d := range dep.Domains {
 		w.planners[d] = newWavePlanner(1)
 	}
