routing: suspended plain services return, late reports are ignored; more tests

Cause: a plain service reports no tokens, so its probes were never judged and it stayed suspended; a load report that arrived after a newer one replaced it. Change: an answer without tokens counts as one token; reports carry their measurement time.

--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -79,6 +79,7 @@
 	if len(r.PrefixKeys) == 0 && r.Group != "" {
 		r.PrefixKeys = []uint64{xxhash.Sum64String(r.Pool + "/" + r.Group)}
 	}
+	r.Tokens = max(1, r.Tokens)
 	d.seq++
 	it := &item{req: r, seq: d.seq, pool: p, lateIndex: -1}
 	weight := d.cfg.Weights[r.Tenancy]
@@ -288,7 +289,7 @@
 		it.pool.deskFlight--
 	}
 	if r.Err == ResultOK && r.Tokens > 0 {
-		it.tenant.virtual += float64(r.Tokens-max(1, it.req.Tokens)) / it.tenant.weight
+		it.tenant.virtual += float64(r.Tokens-it.req.Tokens) / it.tenant.weight
 	}
 	if !ep.gone {
 		ep.observe(now, it, r)
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -50,6 +50,7 @@
 	freeIndex  int // index in pool.free, or -1
 	quiet      bool
 	heard      time.Time // last report or result
+	measured   time.Time // when the newest report was measured
 	tokenTime  average   // seconds per token
 	firstToken average   // seconds
 	service    average   // seconds
@@ -130,6 +131,11 @@
 	if at.IsZero() {
 		at = now.Add(-e.cfg.ReportLag)
 	}
+	e.heard = now
+	if at.Before(e.measured) {
+		return // an older report that arrived late
+	}
+	e.measured = at
 	own := 0
 	for _, it := range e.inflight {
 		if !it.started.After(at) {
@@ -142,7 +148,6 @@
 		}
 	}
 	e.foreign = max(0, l.Running+l.Queued-own)
-	e.heard = now
 	if l.Queued > 0 {
 		e.shrink(now) // the engine runs fewer requests at once than the window allows
 	}
@@ -174,10 +179,11 @@
 		return
 	}
 	e.heard, e.failures = now, 0
-	if r.Tokens <= 0 || r.Duration <= 0 || !it.started.After(e.changed) {
+	if !it.started.After(e.changed) {
 		return
 	}
-	perToken := max(r.Duration-r.FirstToken, time.Microsecond).Seconds() / float64(r.Tokens)
+	// A plain service reports no tokens; its whole answer counts as one.
+	perToken := max(r.Duration-r.FirstToken, time.Microsecond).Seconds() / float64(max(1, r.Tokens))
 	e.observeTokenTime(now, perToken, it.probe)
 	e.service.add(r.Duration.Seconds(), sampleWeight)
 	e.observeFirstToken(now, r.FirstToken.Seconds())
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -200,7 +200,7 @@
 	t := it.tenant
 	t.virtual = max(t.virtual, c.clock-maxLag)
 	c.clock = max(c.clock, t.virtual)
-	t.virtual += float64(max(1, it.req.Tokens)) / t.weight
+	t.virtual += float64(it.req.Tokens) / t.weight
 }
 
 // next returns the tenancy with the least service that has a request not blocked in this
