--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -86,6 +86,14 @@
 	return slices.DeleteFunc(s.Scheduler.Lease(now, n, reachable), func(w Work) bool { return w.Slot == 0 })
 }
 
+// unbounded accepts samples of any age.
+type unbounded struct{ Scheduler }
+
+func (s unbounded) OpenStep(now time.Time, st Step) {
+	st.Bound = 1000
+	s.Scheduler.OpenStep(now, st)
+}
+
 // Guards against promise counters that cannot count: each deliberate fault must show.
 func TestBrokenPromisesAreCounted(t *testing.T) {
 	t.Parallel()
@@ -99,4 +107,10 @@
 	if m := simulate(Deployments()[0], sc, p, 1); m.lost == 0 {
 		t.Error("a scheduler that loses a slot of each step lost no sample")
 	}
+	p.scheduler = func(s Scheduler) Scheduler { return unbounded{s} }
+	d := Deployments()[0]
+	d.Bound = 0
+	if m := simulate(d, Scenario{Duration: 5 * time.Minute, Trainers: true, TrainTime: 30 * time.Second}, p, 1); m.overBound == 0 {
+		t.Error("a scheduler without a staleness bound delivered no sample over it")
+	}
 }
