examples: configurations of both deployments and settings of a host

Cause: there was no valid file to start from. Change: examples/ has the configurations of Drumworks and Caal Ixcoy and the settings of the Drumworks host kolfe-1 on loopback addresses. Tests beside the parsers check the files.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -114,3 +114,14 @@
 		t.Error("the token is lost")
 	}
 }
+
+// Guards against an example file that the schema no longer accepts.
+func TestExampleFile(t *testing.T) {
+	s, err := Load(filepath.Join("..", "..", "examples", "settings-kolfe-1.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Host != "kolfe-1" || len(s.Hosts) != 13 || !s.VotesControl() || !s.VotesDomain() || !s.Bootstrap {
+		t.Errorf("settings = %v", s)
+	}
+}
