replay: traces of faults played against the real cores

The command replay ends with 1 when the verdicts or counts differ from the stated ones. main finds the failure type in the chain.

--- a/cmd/fuchsiaflow/main.go
+++ b/cmd/fuchsiaflow/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 
 	"fuchsiaflow/errs"
 )
@@ -31,6 +32,7 @@
 	Status statusCommand `cmd:"" help:"Show the state of a host."`
 	Drain  drainCommand  `cmd:"" help:"Shut a host down without cutting off a request."`
 	Demo   demoCommand   `cmd:"" help:"Run a small system in one process and check its guarantees."`
+	Replay replayCommand `cmd:"" help:"Replay a recorded trace and compare its outcome with the stated one."`
 }
 
 func main() {
@@ -58,7 +60,9 @@
 	case errs.CodeConflict:
 		return exitConflict
 	}
-	if _, ok := err.(errs.Failure); ok && errs.OutcomeOf(err) == errs.Unknown {
+	// kong wraps the error of a command, so its type is found in the chain.
+	var f errs.Failure
+	if errors.As(err, &f) && f.FailureOutcome() == errs.Unknown {
 		return exitUnknown
 	}
 	return exitFailed
