--- a/consensus/fuzz_test.go
+++ b/consensus/fuzz_test.go
@@ -277,7 +277,7 @@
 // Guards the checks themselves: with a safety rule disabled they must report a violation.
 func TestChecksDetectFaults(t *testing.T) {
 	const seeds, length = 400, 80
-	faults := []string{"ignore-syncs", "vote-after-loss"}
+	faults := []string{"ignore-syncs", "vote-after-loss", "partial-snapshot"}
 	for name := range consensus.Faults {
 		faults = append(faults, name)
 	}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -163,6 +163,9 @@
 	if err := cbor.Unmarshal(snap.Data, &r.state); err != nil {
 		s.fail("snapshot of %s: %v", r.id, err)
 	}
+	if s.fault == "partial-snapshot" {
+		delete(r.state, fillKey)
+	}
 	for k, v := range r.state {
 		r.sum += pairSum(k, v)
 	}
