Fix an unsafe request that ran twice, late orders, unfair leases and calls that hang

Orders were given up at their expiry although loading takes longer. The models of a pool share its windows, but each was leased the whole room, the first model first. Calls to a home or the control group without a leader waited for ever. A key without the unsafe mark was ignored. Change: such a record is stored as unknown; an order that was sent is awaited; Lease shares a pool's room between its models' tenancies; a step runs in its pool; calls end after 10 s with their outcome; a key always means one run; queue bounds and weights of the configuration reach the dispatcher; rate-limit headers are sent.

--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -82,12 +82,18 @@
 
 // StepStatus describes the progress of a step.
 type StepStatus struct {
-	Step         string `json:"step"`
-	Slots        int    `json:"slots"`
+	Step  string `json:"step"`
+	Slots int    `json:"slots"`
+	// The slots by state: Planned are not made yet, Ready wait for their first delivery,
+	// Delivered are in the open batch, Missing will not be delivered.
+	Planned      int    `json:"planned"`
+	Ready        int    `json:"ready"`
+	Delivered    int    `json:"delivered"`
 	Acknowledged int    `json:"acknowledged"`
+	Missing      int    `json:"missing"`
 	Cursor       uint64 `json:"cursor"`
+	Closed       bool   `json:"closed"`
 	Complete     bool   `json:"complete"`
-	Missing      []int  `json:"missing,omitempty"`
 }
 
 // PublishRequest announces a new weight version of a model.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -132,6 +132,9 @@
 	start atomic.Int64
 }
 
+// handoverKey is the context key of a handover that the caller of send watches.
+type handoverKey struct{}
+
 func (h *handover) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if conn, ok := i.Conn.(*countedConn); ok {
@@ -155,7 +158,10 @@
 	if err != nil {
 		return nil, errors.Wrap(&errs.Invalid{Path: op, Want: "a request that can be encoded", Got: err.Error()}, addr)
 	}
-	h := &handover{}
+	h, ok := ctx.Value(handoverKey{}).(*handover)
+	if !ok {
+		h = &handover{}
+	}
 	req = req.WithContext(h.trace(ctx))
 	// Without GetBody the transport cannot send a body again on another connection.
 	req.GetBody = nil
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -30,10 +31,22 @@
 // Order gives an order to a target. It is sent on a new connection and given up when it
 // expires, so that it does not wait in a connection beyond its lifetime.
 func (c *Client) Order(ctx context.Context, addr string, o Order) error {
-	ctx, cancel := context.WithDeadline(ctx, o.ExpiresAt)
+	h := &handover{}
+	ctx, cancel := context.WithCancel(context.WithValue(ctx, handoverKey{}, h))
 	defer cancel()
+	// The target refuses to start the order after its expiry; loading may take longer than
+	// that, so only an order that was not sent yet is given up here.
+	expiry := time.AfterFunc(time.Until(o.ExpiresAt), func() {
+		if !h.happened() {
+			cancel()
+		}
+	})
+	defer expiry.Stop()
 	body := OrderBody{Kind: o.Kind, Model: o.Model, Version: o.Version, Role: o.Role, Fence: o.Fence, ExpiresMS: o.ExpiresAt.UnixMilli()}
 	err := c.exchange(ctx, c.fresh, "order", addr, c.builder(addr).Post("/v1/orders").BodyJSON(body), nil)
+	if err != nil && !h.happened() && !time.Now().Before(o.ExpiresAt) {
+		return &errs.Deadline{Operation: "order", Result: errs.NotRun}
+	}
 	var s *Status
 	if errors.As(err, &s) && s.Code == http.StatusConflict {
 		return &OldFence{Target: addr, Fence: o.Fence}
--- a/internal/host/claims.go
+++ b/internal/host/claims.go
@@ -143,6 +143,12 @@
 		command.Outcome = errs.OutcomeOf(a.err)
 		command.Answer = nil
 	}
+	if len(command.Answer) > retry.MaxAnswerBytes {
+		// The answer cannot be stored. The key stays used, and a resend learns that the
+		// outcome is unknown, because it must not run again.
+		c.log.Warn("answer of an unsafe request is too large to be stored", "tenancy", r.tenancy, "bytes", len(a.answer))
+		command.Outcome, command.Answer = retry.Unknown, nil
+	}
 	timer := time.AfterFunc(finishWait, func() { close(a.done) })
 	c.untilApplied(ctx, r.home, command)
 	if timer.Stop() {
@@ -171,8 +177,13 @@
 func (c *claimService) untilApplied(ctx context.Context, home string, command retry.ClaimCommand) {
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		_, err := c.claim(attempt, home, command)
+		result, err := c.claim(attempt, home, command)
 		cancel()
+		if err == nil && result.Status == retry.ClaimInvalid {
+			// A refused record would leave the key open for another run.
+			command.Outcome, command.Answer = retry.Unknown, nil
+			continue
+		}
 		if err == nil {
 			return
 		}
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -109,18 +109,19 @@
 
 func (d *deskService) serve(ctx context.Context, t *confstate.Tenancy, pool *confstate.Pool, r api.DeskRequest, emit func(api.DeskChunk) error) (*api.DeskReply, error) {
 	safe := !r.Unsafe && pool.RetrySafe != nil && *pool.RetrySafe
-	if r.Unsafe && r.Key != "" {
+	if r.Key != "" {
 		return d.serveClaimed(ctx, t, pool, r, emit)
 	}
 	return d.attempts(ctx, t, pool, r, retry.Call{Safe: safe}, emit)
 }
 
-// serveClaimed runs an unsafe request with a key. Its answer is streamed only once it is
+// serveClaimed runs a request with a key, which is at most once even when the request is not
+// marked unsafe: a caller that sends a key expects one run. Its answer is streamed only once it is
 // whole, because a resend may be served from the stored answer.
 func (d *deskService) serveClaimed(ctx context.Context, t *confstate.Tenancy, pool *confstate.Pool, r api.DeskRequest, emit func(api.DeskChunk) error) (*api.DeskReply, error) {
 	claim := claimRequest{claimID: claimID{tenancy: t.Name, key: r.Key}, home: t.Home, digest: requestDigest(r)}
 	answer, repeated, err := d.claims.Do(ctx, claim, func(ctx context.Context) ([]byte, error) {
-		reply, err := d.attempts(ctx, t, pool, r, retry.Call{Claimed: true}, nil)
+		reply, err := d.attempts(ctx, t, pool, unsafeRequest(r), retry.Call{Claimed: true}, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -140,6 +141,12 @@
 	return &reply, nil
 }
 
+// unsafeRequest marks a request so that no connection repeats it.
+func unsafeRequest(r api.DeskRequest) api.DeskRequest {
+	r.Unsafe = true
+	return r
+}
+
 func emitWhole(reply *api.DeskReply, emit func(api.DeskChunk) error) error {
 	text := reply.Output
 	if len(reply.Body) > 0 {
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"fuchsiaflow/confstate"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/routing"
@@ -69,6 +70,18 @@
 // Stop implements kernel.Service.
 func (d *dispatcher) Stop(context.Context) error { return nil }
 
+// SetConfig applies the queue bounds and the tenancies' weights.
+func (d *dispatcher) SetConfig(cfg *confstate.Config) {
+	weights := make(map[string]float64, len(cfg.Tenancies))
+	for _, t := range cfg.Tenancies {
+		weights[t.Name] = t.Weight
+	}
+	limit := cfg.Queues.Desk + cfg.Queues.Samples
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.SetLimits(int(limit), float64(cfg.Queues.Samples)/float64(max(1, limit)), weights)
+}
+
 // grant is the permission to send one request to one target.
 type grant struct {
 	d       *dispatcher
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -250,6 +250,7 @@
 func (h *Host) subscribe() {
 	domains := len(h.settings.Groups.Domains)
 	h.config.Subscribe(func(cfg *confstate.Config) {
+		h.dispatcher.SetConfig(cfg)
 		h.targets.SetConfig(cfg)
 		h.quota.SetConfig(cfg)
 		if h.work != nil {
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -29,6 +29,8 @@
 	if err := h.checkDomains(cfg); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
+	defer cancel()
 	change := confstate.NewChange(cfg, "operator")
 	data, err := h.groups.ProposeIdempotent(ctx, controlGroup, controlstate.EncodeChange(change))
 	if err != nil {
--- a/internal/host/trainer.go
+++ b/internal/host/trainer.go
@@ -39,8 +39,14 @@
 	return cfg, t, nil
 }
 
+// homeTimeout bounds how long a trainer's call waits for the leader of its home, in which an
+// election can finish. The caller then learns whether the call may have run.
+const homeTimeout = 10 * time.Second
+
 // OpenStep implements api.Trainer.
 func (s *trainerService) OpenStep(ctx context.Context, tenancy string, r api.OpenStepRequest) (*api.OpenStepReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
+	defer cancel()
 	cfg, t, err := s.tenancy(tenancy)
 	if err != nil {
 		return nil, err
@@ -49,7 +55,7 @@
 		return nil, err
 	}
 	open := &ledger.OpenStep{
-		Tenancy: tenancy, Step: r.Step, Model: r.Model, Bound: bound(t),
+		Tenancy: tenancy, Step: r.Step, Model: r.Model, Pool: r.Pool, Bound: bound(t),
 		DeadlineMs: time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond).UnixMilli(),
 	}
 	for _, g := range r.Groups {
@@ -85,6 +91,8 @@
 
 // Publish implements api.Trainer.
 func (s *trainerService) Publish(ctx context.Context, tenancy string, r api.PublishRequest) (*api.PublishReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
+	defer cancel()
 	_, t, err := s.tenancy(tenancy)
 	if err != nil {
 		return nil, err
@@ -101,6 +109,8 @@
 
 // Step implements api.Trainer.
 func (s *trainerService) Step(ctx context.Context, tenancy, step string) (*api.StepStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
+	defer cancel()
 	_, t, err := s.tenancy(tenancy)
 	if err != nil {
 		return nil, err
@@ -110,7 +120,8 @@
 		return nil, err
 	}
 	return &api.StepStatus{
-		Step: step, Slots: st.Slots, Acknowledged: st.Acknowledged, Cursor: st.Cursor, Complete: st.Finished,
+		Step: step, Slots: st.Slots, Planned: st.Planned, Ready: st.Ready, Delivered: st.Batched,
+		Acknowledged: st.Acknowledged, Missing: st.Missing, Cursor: st.Cursor, Closed: st.Closed, Complete: st.Finished,
 	}, nil
 }
 
@@ -120,7 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
-	until := time.Now().Add(time.Duration(r.WaitMS) * time.Millisecond)
+	wait := time.Duration(r.WaitMS) * time.Millisecond
+	until := time.Now().Add(wait)
+	ctx, cancel := context.WithTimeout(ctx, wait+homeTimeout)
+	defer cancel()
 	for {
 		if err := s.awaitSamples(ctx, t, step, r, until); err != nil {
 			return nil, err
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -34,6 +34,7 @@
 	Bound      uint64 // greatest staleness at delivery, in versions
 	DeadlineMs int64  // Unix milliseconds
 	Groups     []Group
+	Pool       string // pool that runs the step; empty means any that the tenancy may use
 }
 
 // Publish raises the newest version of a tenancy's model. An older version has no effect.
--- a/ledger/lease.go
+++ b/ledger/lease.go
@@ -14,9 +14,9 @@
 func (s *Scheduler) Lease(now time.Time, host string, capacity []Capacity) []Work {
 	s.Expire(now)
 	var out []Work
-	for _, c := range capacity {
-		for free := c.Free; free > 0; {
-			taken := s.leaseFrom(now, host, c, free, &out)
+	for _, p := range byPool(capacity) {
+		for free := p.free; free > 0; {
+			taken := s.leaseFrom(now, host, p, free, &out)
 			if taken == 0 {
 				break
 			}
@@ -26,12 +26,46 @@
 	return out
 }
 
+// poolCapacity is the room of a host's targets in one pool, which its models share.
+type poolCapacity struct {
+	name   string
+	free   int
+	models map[string]Capacity
+}
+
+// byPool joins the capacities of a pool's models: the same windows are free for each of
+// them, so leasing for each model alone would hand out the room several times, to the first
+// model's tenancies first.
+func byPool(capacity []Capacity) []*poolCapacity {
+	var pools []*poolCapacity
+	index := make(map[string]*poolCapacity)
+	for _, c := range capacity {
+		p := index[c.Pool]
+		if p == nil {
+			p = &poolCapacity{name: c.Pool, models: make(map[string]Capacity)}
+			index[c.Pool] = p
+			pools = append(pools, p)
+		}
+		p.free = max(p.free, c.Free)
+		p.models[c.Model] = c
+	}
+	return pools
+}
+
+// serves returns the capacity for a step, if its model is loaded and the pool is the one
+// that it asks for.
+func (p *poolCapacity) serves(st *stepWork) (Capacity, bool) {
+	c, ok := p.models[st.model]
+	return c, ok && (st.pool == "" || st.pool == p.name)
+}
+
 // leaseFrom serves one group of the tenancy whose turn it is, or one second attempt.
-func (s *Scheduler) leaseFrom(now time.Time, host string, c Capacity, free int, out *[]Work) int {
-	tenants := s.byService(c.Pool)
+func (s *Scheduler) leaseFrom(now time.Time, host string, p *poolCapacity, free int, out *[]Work) int {
+	tenants := s.byService(p.name)
 	for _, t := range tenants {
 		for _, st := range t.steps {
-			if st.model != c.Model || st.open == 0 {
+			c, ok := p.serves(st)
+			if !ok || st.open == 0 {
 				continue
 			}
 			if g := s.choose(now, host, st, c); g != nil {
@@ -41,7 +75,8 @@
 	}
 	for _, t := range tenants {
 		for _, st := range t.steps {
-			if st.model != c.Model || st.open > 0 {
+			c, ok := p.serves(st)
+			if !ok || st.open > 0 {
 				continue
 			}
 			if a := s.straggler(now, host, st, c); a != nil {
--- a/ledger/scheduler_test.go
+++ b/ledger/scheduler_test.go
@@ -162,3 +162,52 @@
 		}
 	}
 }
+
+// Guards against leasing the same free windows once per model of a pool, and to the first
+// model's tenancies only.
+func TestModelsOfAPoolShareItsRoom(t *testing.T) {
+	l := New()
+	for _, name := range []string{"a", "b"} {
+		l.Apply(Command{Publish: &Publish{Tenancy: name, Model: "model-" + name, Version: 1}})
+		r := l.Apply(Command{OpenStep: &OpenStep{Tenancy: name, Step: "s", Model: "model-" + name, DeadlineMs: 1 << 50,
+			Groups: groupsOf(16)}})
+		if r.Failure != nil {
+			t.Fatal(r.Failure)
+		}
+	}
+	now := time.UnixMilli(0)
+	s := NewScheduler(SchedulerConfig{})
+	s.Rebuild(now, 1, l)
+	count := make(map[string]int)
+	for _, w := range s.Lease(now, "h", []Capacity{{Pool: "p", Model: "model-a", Free: 8}, {Pool: "p", Model: "model-b", Free: 8}}) {
+		count[w.Tenancy]++
+	}
+	if count["a"] != 4 || count["b"] != 4 {
+		t.Errorf("leased %v, want 4 each of 8 free windows", count)
+	}
+}
+
+// Guards against work of a step that asks for one pool being leased to another.
+func TestStepRunsInItsPool(t *testing.T) {
+	l := New()
+	l.Apply(Command{Publish: &Publish{Tenancy: "a", Model: "m", Version: 1}})
+	l.Apply(Command{OpenStep: &OpenStep{Tenancy: "a", Step: "s", Model: "m", Pool: "p", DeadlineMs: 1 << 50, Groups: groupsOf(4)}})
+	now := time.UnixMilli(0)
+	s := NewScheduler(SchedulerConfig{})
+	s.Rebuild(now, 1, l)
+	if got := s.Lease(now, "h", []Capacity{{Pool: "q", Model: "m", Free: 4}}); len(got) != 0 {
+		t.Errorf("leased %d slots to another pool", len(got))
+	}
+	if got := s.Lease(now, "h", []Capacity{{Pool: "p", Model: "m", Free: 4}}); len(got) != 4 {
+		t.Errorf("leased %d slots, want 4", len(got))
+	}
+}
+
+// groupsOf returns n groups of one sample, so that the turn changes after each slot.
+func groupsOf(n int) []Group {
+	groups := make([]Group, n)
+	for i := range groups {
+		groups[i] = Group{Prompt: "p", Samples: 1, MaxTokens: 16}
+	}
+	return groups
+}
--- a/ledger/step.go
+++ b/ledger/step.go
@@ -41,11 +41,12 @@
 	Digests      []byte
 	Versions     [][]uint64
 	Holders      [][]string
+	Pool         string
 }
 
 func newStep(c *OpenStep, content Digest, slots int) *step {
 	s := &step{
-		Model: c.Model, Bound: c.Bound, DeadlineMs: c.DeadlineMs, Content: content,
+		Pool: c.Pool, Model: c.Model, Bound: c.Bound, DeadlineMs: c.DeadlineMs, Content: content,
 		Groups: slices.Clone(c.Groups), Size: slots,
 		States: make([]byte, slots), Attempts: make([]uint64, slots), VersionIndex: make([]uint32, slots),
 		HolderIndex: make([]uint32, slots), Tokens: make([]uint32, slots), Digests: make([]byte, slots*len(Digest{})),
--- a/ledger/stepwork.go
+++ b/ledger/stepwork.go
@@ -13,6 +13,7 @@
 	tenant        *tenantWork
 	id            string
 	model         string
+	pool          string
 	bound         uint64
 	deadline      time.Time
 	groups        []*groupWork
@@ -50,7 +51,7 @@
 	if t.outputs > 0 {
 		outputShare = t.outputs
 	}
-	w := &stepWork{tenant: t, id: id, model: st.Model, bound: st.Bound, deadline: time.UnixMilli(st.DeadlineMs),
+	w := &stepWork{tenant: t, id: id, model: st.Model, pool: st.Pool, bound: st.Bound, deadline: time.UnixMilli(st.DeadlineMs),
 		starts: st.groupStarts(), running: list.New(), live: map[int][]*attempt{}, decided: make([]bool, st.Size),
 		slots: st.Size, owned: map[string]map[int]*groupWork{}}
 	for i, g := range st.Groups {
--- a/limits/types.go
+++ b/limits/types.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
 	"time"
 
 	"fuchsiaflow/errs"
@@ -82,5 +84,18 @@
 // FailureOutcome implements errs.Failure.
 func (e *Exceeded) FailureOutcome() errs.Outcome { return errs.NotRun }
 
+// RateLimitHeaders returns the usual headers of an answer that refuses a request.
+func (e *Exceeded) RateLimitHeaders() map[string]string {
+	reset := strconv.FormatInt(int64(math.Ceil(e.After.Seconds())), 10)
+	return map[string]string{
+		"X-RateLimit-Limit-Requests":     strconv.FormatInt(e.Limit.Requests, 10),
+		"X-RateLimit-Remaining-Requests": strconv.FormatInt(max(0, e.Remaining.Requests), 10),
+		"X-RateLimit-Reset-Requests":     reset,
+		"X-RateLimit-Limit-Tokens":       strconv.FormatInt(e.Limit.Tokens, 10),
+		"X-RateLimit-Remaining-Tokens":   strconv.FormatInt(max(0, e.Remaining.Tokens), 10),
+		"X-RateLimit-Reset-Tokens":       reset,
+	}
+}
+
 // RetryAfter implements errs.Retryable.
 func (e *Exceeded) RetryAfter() time.Duration { return e.After }
--- a/routing/config.go
+++ b/routing/config.go
@@ -77,3 +77,11 @@
 	}
 	return c
 }
+
+// SetLimits replaces the bound of the queue per pool, the share of it that samples may
+// occupy, and the tenancies' weights. Requests that are queued already stay.
+func (d *Dispatcher) SetLimits(queueLimit int, sampleShare float64, weights map[string]float64) {
+	d.cfg.QueueLimit = orDefault(queueLimit, defaultQueueLimit)
+	d.cfg.SampleShare = orDefault(sampleShare, defaultSampleShare)
+	d.cfg.Weights = weights
+}
