--- a/internal/fakes/proxy.go
+++ b/internal/fakes/proxy.go
@@ -24,8 +24,9 @@
 	accepted atomic.Int64
 	upstream atomic.Int64
 
-	mu    sync.Mutex
-	conns []*proxied
+	mu      sync.Mutex
+	conns   []*proxied
+	blocked bool // new connections are silent
 }
 
 // proxied is a pair of connections.
@@ -36,7 +37,12 @@
 
 // NewProxy starts a proxy on a port of 127.0.0.1.
 func NewProxy(to string) (*Proxy, error) {
-	l, err := net.Listen("tcp", anyPort)
+	return NewProxyAt(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}, to)
+}
+
+// NewProxyAt starts a proxy on a loopback address.
+func NewProxyAt(at *net.TCPAddr, to string) (*Proxy, error) {
+	l, err := net.ListenTCP("tcp", at)
 	if err != nil {
 		return nil, &errs.Unavailable{Resource: "loopback port", Reason: err.Error()}
 	}
@@ -68,6 +74,7 @@
 		}
 		c := &proxied{in: in, out: out}
 		p.mu.Lock()
+		c.silent.Store(p.blocked)
 		p.conns = append(p.conns, c)
 		p.mu.Unlock()
 		p.k.Go("upstream", func(context.Context) error { c.forward(out, in, &p.upstream); return nil })
@@ -109,6 +116,17 @@
 	}
 }
 
+// Block makes the open connections and, until it is called with false, the new ones lose what
+// is sent, as between two ends that are cut off from each other.
+func (p *Proxy) Block(on bool) {
+	p.mu.Lock()
+	p.blocked = on
+	p.mu.Unlock()
+	if on {
+		p.Silence()
+	}
+}
+
 // Cut closes the open connections. New connections work.
 func (p *Proxy) Cut() {
 	p.mu.Lock()
