host: a returned domain group waits for the newest configuration

Cause: the only voter of a domain group that returned after 500 newer configurations read the old one from its own group, confirmed it and became ready, and served it until its first copy from the control group.

Change: a host that has just started asks the control group for its newest version and confirms no older one. A failure domain that is cut off from the control group goes on with its last configuration after 5 s.

A cut-off host becomes ready up to 5 s later.

--- a/internal/host/configsync.go
+++ b/internal/host/configsync.go
@@ -18,6 +18,10 @@
 // already has.
 const catchUpTimeout = 2 * time.Second
 
+// controlWait bounds how long a restarted host waits for the control group's newest version.
+// After it the failure domain counts as cut off and goes on with its last configuration.
+const controlWait = 5 * time.Second
+
 // configService keeps the configuration in force on this host. A version is activated only
 // after it is committed in the host's domain group.
 type configService struct {
@@ -30,6 +34,11 @@
 	ready   atomic.Bool
 	wake    *kernel.Ring[struct{}]
 
+	// Only the duty that follows the domain group uses these.
+	started     time.Time
+	newest      uint64 // version of the control group after the start
+	newestKnown bool
+
 	mu          sync.Mutex
 	activator   *confstate.Activator
 	subscribers []func(*confstate.Config)
@@ -50,6 +59,7 @@
 
 // Start implements kernel.Service.
 func (c *configService) Start(_ context.Context, k *kernel.Kernel) error {
+	c.started = time.Now()
 	k.Go("config/follow", c.follow)
 	k.Every("config/relay", c.poll, c.relay)
 	return nil
@@ -135,9 +145,37 @@
 		c.log.Debug("configuration is not available", "error", err)
 		return
 	}
+	if !c.Ready() && !c.caughtUp(ctx, entry.Version) {
+		return
+	}
 	c.confirm(entry)
 }
 
+// caughtUp reports whether a version of the domain group is new enough for a host that has
+// just started. A domain group whose voters were all down lags behind the control group until
+// its leader has copied the newest version.
+func (c *configService) caughtUp(ctx context.Context, version uint64) bool {
+	if !c.newestKnown {
+		entry, err := c.readControl(ctx, version)
+		if err != nil {
+			c.log.Debug("control group does not answer", "error", err)
+			return time.Since(c.started) > controlWait
+		}
+		c.newest, c.newestKnown = entry.Version, true
+	}
+	return version >= c.newest || time.Since(c.started) > controlWait
+}
+
+// readControl reads the newest version of the control group. The entry has no body when its
+// version is known.
+func (c *configService) readControl(ctx context.Context, known uint64) (confstate.Entry, error) {
+	data, err := c.groups.Read(ctx, controlGroup, controlstate.EncodeQuery(controlstate.Query{Known: known}))
+	if err != nil {
+		return confstate.Entry{}, err
+	}
+	return controlstate.DecodeEntry(data)
+}
+
 // readDomain reads the newest version of the domain group. The entry has no body when its
 // version is known.
 func (c *configService) readDomain(ctx context.Context, known uint64) (confstate.Entry, error) {
@@ -207,13 +245,12 @@
 	if err != nil {
 		return
 	}
-	data, err := c.groups.Read(ctx, controlGroup, controlstate.EncodeQuery(controlstate.Query{Known: have.Version}))
+	newest, err := c.readControl(ctx, have.Version)
 	if err != nil {
 		c.log.Debug("control group does not answer", "error", err)
 		return
 	}
-	newest, err := controlstate.DecodeEntry(data)
-	if err != nil || newest.Version <= have.Version {
+	if newest.Version <= have.Version {
 		return
 	}
 	c.copyToDomain(ctx, newest)
