claims: a cut-off home is refused as not run, not as unknown

Cause: when the deadline of an unsafe request passed, the answer was unknown although the claim had not been granted and nothing was dispatched. In the other direction, a failure to ask again while another host ran the key was reported as not run.

Change: a request waits up to 1 s after its deadline for the outcome of its own run. Once another run is known, a failed question ends as unknown.

--- a/internal/host/claims.go
+++ b/internal/host/claims.go
@@ -21,6 +21,8 @@
 	// finishWait bounds how long an answer waits for its record. A later resend gets an
 	// unknown outcome if the record is lost, never a second run.
 	finishWait = 2 * time.Second
+	// outcomeWait bounds how long a request waits after its deadline for the outcome of its run.
+	outcomeWait = time.Second
 	// claimRetry is the pause between attempts to record an outcome.
 	claimRetry = 500 * time.Millisecond
 )
@@ -89,8 +91,16 @@
 	case <-attempt.done:
 		return attempt.answer, joined || attempt.repeated, attempt.err
 	case <-ctx.Done():
-		return nil, false, &errs.Deadline{Operation: "unsafe request", Result: errs.Unknown}
 	}
+	if !joined {
+		// The run has the same deadline, so its own outcome, which may be not run, is near.
+		select {
+		case <-attempt.done:
+			return attempt.answer, attempt.repeated, attempt.err
+		case <-time.After(outcomeWait):
+		}
+	}
+	return nil, false, &errs.Deadline{Operation: "unsafe request", Result: errs.Unknown}
 }
 
 func keyConflict(key string) error {
@@ -181,13 +191,19 @@
 	}
 }
 
-// begin claims the key. While another host runs the request, it waits for the outcome.
+// begin claims the key. While another host runs the request, it waits for the outcome. Once
+// another run is known, a failure to ask again must not be reported as not run.
 func (c *claimService) begin(ctx context.Context, r claimRequest) (retry.ClaimResult, error) {
+	running := false
 	for {
 		result, err := c.claim(ctx, r.home, c.command(retry.Begin, r))
+		if err != nil && running {
+			return retry.ClaimResult{Status: retry.ClaimUnknown}, nil
+		}
 		if err != nil {
 			return result, err
 		}
+		running = running || result.Status == retry.InProgress
 		switch {
 		case c.ownedHere(result):
 			result.Status = retry.Granted
