host: bound the commands of trainers and operators

Cause: opening a step, publishing, fetching and applying a configuration had no deadline. In a failure domain that was cut off from the tenancy's home, or without a control majority, they never answered.

Change: each command and query ends after 10 s with its honest outcome.

Conclusion: callers learn that the home cannot be reached.

--- a/internal/host/groups.go
+++ b/internal/host/groups.go
@@ -24,6 +24,9 @@
 	// attemptTimeout bounds one call to a voter, so that a silent voter does not use up the
 	// whole deadline of the caller.
 	attemptTimeout = 2 * time.Second
+	// groupTimeout bounds one command or query of a trainer or an operator, whose requests state
+	// no deadline. It covers an election and stays below the command line's 15 s.
+	groupTimeout = 10 * time.Second
 )
 
 // localGroup is the part of a group's replica that commands and queries need.
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -30,6 +30,8 @@
 		return nil, err
 	}
 	change := confstate.NewChange(cfg, "operator")
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
 	data, err := h.groups.ProposeIdempotent(ctx, controlGroup, controlstate.EncodeChange(change))
 	if err != nil {
 		return nil, err
--- a/internal/host/trainer.go
+++ b/internal/host/trainer.go
@@ -206,6 +206,8 @@
 	if err != nil {
 		return ledger.Result{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
 	data, err = s.groups.ProposeIdempotent(ctx, domainGroup(home), data)
 	if err != nil {
 		return ledger.Result{}, err
@@ -222,6 +224,8 @@
 	if err != nil {
 		return ledger.StepStatus{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
 	data, err := s.groups.Read(ctx, domainGroup(home), query)
 	if err != nil {
 		return ledger.StepStatus{}, err
