sampler: ids of attempts name the home

Cause: each home numbers its attempts by term and sequence, and the request id at the engine was that number alone. Two homes of equal term gave equal ids, so an engine answered with the stored stream of another tenancy's prompt, and the wrong sample was delivered. The cancellation of attempts had the same confusion.

Change: the request id and the table of running attempts use the home and the number.

--- a/internal/host/sampler.go
+++ b/internal/host/sampler.go
@@ -53,7 +53,7 @@
 
 	mu       sync.Mutex
 	draining bool
-	running  map[uint64]context.CancelFunc
+	running  map[attemptID]context.CancelFunc
 }
 
 // attemptReport is a result that must reach the home before its lease ends.
@@ -63,7 +63,7 @@
 }
 
 func (s *samplerService) init() {
-	s.running = make(map[uint64]context.CancelFunc)
+	s.running = make(map[attemptID]context.CancelFunc)
 	s.reports = make(map[string]*kernel.Ring[attemptReport])
 	for _, domain := range s.domains {
 		s.reports[domain] = kernel.NewRing[attemptReport]("sampler/reports/"+domain, reportRing, kernel.Block)
@@ -158,7 +158,7 @@
 		s.log.Debug("no work is leased", "domain", domain, "error", err)
 		return 0
 	}
-	s.cancelAttempts(reply.Cancelled)
+	s.cancelAttempts(domain, reply.Cancelled)
 	for _, work := range reply.Work {
 		s.start(domain, work)
 	}
@@ -209,38 +209,51 @@
 	return err
 }
 
-func (s *samplerService) cancelAttempts(attempts []uint64) {
+func (s *samplerService) cancelAttempts(domain string, attempts []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, attempt := range attempts {
-		if cancel, ok := s.running[attempt]; ok {
+		if cancel, ok := s.running[attemptID{domain, attempt}]; ok {
 			cancel()
 		}
 	}
 }
 
+// attemptID names an attempt in the whole system. Each home numbers its own attempts, so equal
+// numbers of two homes are different attempts.
+type attemptID struct {
+	home   string
+	number uint64
+}
+
+// request returns the request id of the attempt at its target.
+func (a attemptID) request() string {
+	return "sample/" + a.home + "/" + strconv.FormatUint(a.number, 16)
+}
+
 // start runs one attempt in its own duty.
 func (s *samplerService) start(domain string, work *rpc.Work) {
 	lease := time.Duration(work.LeaseMs) * time.Millisecond
 	until := time.Now().Add(lease)
 	ctx, cancel := context.WithDeadline(s.kern.Context(), until)
 	s.mu.Lock()
-	s.running[work.Attempt] = cancel
+	id := attemptID{domain, work.Attempt}
+	s.running[id] = cancel
 	s.mu.Unlock()
 	s.kern.Go("sampler/attempt", func(context.Context) error {
 		defer cancel()
-		result := s.run(ctx, work)
+		result := s.run(ctx, id, work)
 		_ = s.reports[domain].Push(s.kern.Context(), attemptReport{result: result, until: until})
 		s.mu.Lock()
-		delete(s.running, work.Attempt)
+		delete(s.running, id)
 		s.mu.Unlock()
 		return nil
 	})
 }
 
-func (s *samplerService) run(ctx context.Context, work *rpc.Work) *rpc.AttemptResult {
+func (s *samplerService) run(ctx context.Context, attempt attemptID, work *rpc.Work) *rpc.AttemptResult {
 	result := &rpc.AttemptResult{Tenancy: work.Tenancy, Step: work.Step, Slot: work.Slot, Attempt: work.Attempt}
-	if err := s.produce(ctx, work, result); err != nil {
+	if err := s.produce(ctx, attempt.request(), work, result); err != nil {
 		result.Failure = string(errs.CodeOf(err))
 		s.log.Debug("sample attempt failed", "tenancy", work.Tenancy, "step", work.Step, "slot", work.Slot, "error", err)
 	}
@@ -250,13 +263,12 @@
 
 // produce generates one sample and stores its payload. An output whose versions are not
 // certain is discarded.
-func (s *samplerService) produce(ctx context.Context, work *rpc.Work, result *rpc.AttemptResult) error {
+func (s *samplerService) produce(ctx context.Context, id string, work *rpc.Work, result *rpc.AttemptResult) error {
 	cfg := s.config.Current()
 	t := cfg.Tenancy(work.Tenancy)
 	if t == nil {
 		return &errs.NotFound{Kind: "tenancy", ID: work.Tenancy}
 	}
-	id := "sample/" + strconv.FormatUint(work.Attempt, 16)
 	if err := s.quota.Reserve(ctx, id, t, len(work.Prompt)/bytesPerToken+int(work.MaxTokens)); err != nil {
 		return err
 	}
