--- a/internal/e2e/hosts_test.go
+++ b/internal/e2e/hosts_test.go
@@ -158,3 +158,49 @@
 	c.awaitConfig(config(4), c.order...)
 	stop()
 }
+
+// TestSecondVoterLost guards P3, P6 and P9 in a domain group of three voters when a second
+// voter is lost right after the first was repaired. Whatever was acknowledged before, samples,
+// stored answers and a configuration, must survive.
+func TestSecondVoterLost(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{allVote: true, targets: 1, tokenTime: 5 * time.Millisecond})
+	const group = "domain/kolfe"
+	tr := c.trainer(demo.TrainerToken, c.urls(""))
+	desk := c.desk(kolfeDeskToken, "intake-log", c.urls("akaki"))
+	step := c.runStep(tr, "step-1", groups("second", 40, 64))
+	c.awaitDelivered(tr, midStep)
+	answers := make(map[string]string)
+	acknowledge := func(key string) {
+		a, err := desk.Do(c.ctx, entry(key))
+		if err == nil && len(a.Body) > 0 {
+			answers[key] = string(a.Body)
+		}
+	}
+	first := c.procs[c.leader(group)]
+	acknowledge("before")
+	first.kill()
+	c.mustApply("akaki-2", config(2))
+	for i := range 5 {
+		acknowledge(fmt.Sprintf("between-%d", i))
+	}
+	first.start()
+	c.awaitReady(first.name)
+	second := c.procs[c.leader(group)]
+	second.kill()
+	for key, want := range answers {
+		if a, err := desk.Do(c.ctx, entry(key)); err != nil || string(a.Body) != want {
+			t.Errorf("P6: key %s: the acknowledged answer was %s, now %s: %v", key, want, a.Body, err)
+		}
+	}
+	if len(answers) == 0 {
+		t.Error("no request was acknowledged")
+	}
+	c.awaitConfig(config(2), c.except(second.name)...)
+	c.awaitStep(step)
+	second.start()
+	c.awaitReady(second.name)
+	c.awaitConfig(config(2), c.order...)
+	c.checkTrainer(tr)
+	c.checkDesk(desk)
+}
--- /dev/null
+++ b/internal/e2e/targets_test.go
@@ -0,0 +1,142 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"fuchsiaflow/internal/demo"
+	"fuchsiaflow/internal/fakes"
+)
+
+// leaveBound is the time after which a leaving target gets no new work (P7).
+const leaveBound = 2 * time.Second
+
+// TestEngineCrashDuringSwap guards P1 and P2 against an engine that crashes while it loads a
+// version, and against a load that fails halfway. No sample may carry a version that did not
+// produce it.
+func TestEngineCrashDuringSwap(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{targets: 2, tokenTime: 2 * time.Millisecond})
+	tr := c.trainer(demo.TrainerToken, c.urls(""))
+	desk := c.startLoad("swap", c.urls(""))
+	rounds := 2
+	if long() {
+		rounds = 10
+	}
+	for round := range rounds {
+		crash, fail := c.engines[round%len(c.engines)], c.engines[(round+1)%len(c.engines)]
+		crash.SetSwapDuration(2 * time.Second)
+		fail.FailSwaps(1)
+		orders := len(crash.Orders())
+		step := c.runStep(tr, fmt.Sprintf("step-%d", round), groups(fmt.Sprintf("swap %d", round), 30, 64))
+		if err := tr.Publish(c.ctx, uint64(round+2)); err != nil {
+			t.Fatal(err)
+		}
+		c.eventually("the engine loads the version", func() string {
+			if len(crash.Orders()) == orders {
+				return "no order"
+			}
+			return ""
+		})
+		crash.Crash()
+		crash.SetSwapDuration(100 * time.Millisecond)
+		if err := crash.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStep(step)
+	}
+	c.finish(desk)
+	c.checkTrainer(tr)
+}
+
+// TestLeavingTargets guards P7: a target that leaves, and a target that is retired by a
+// configuration, get no new work after 2 s.
+func TestLeavingTargets(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{targets: 2})
+	desk := c.startLoad("leaving", c.urls(""))
+	for _, leave := range []func() error{
+		func() error { return c.engines[0].Leave(c.ctx) },
+		func() error { return c.services[0].Leave(c.ctx) },
+	} {
+		if err := leave(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(leaveBound + time.Second)
+	for _, late := range [][]time.Duration{c.engines[0].LateWork(), c.services[0].LateWork()} {
+		for _, d := range late {
+			if d > leaveBound {
+				t.Errorf("P7: a target got work %s after it left", d)
+			}
+		}
+	}
+	retired := config(2)
+	retired.Pools[0].Targets.Retire = []string{c.engines[1].ID()}
+	retired.Pools[1].Targets.Retire = []string{c.services[1].ID()}
+	c.mustApply("akaki-2", retired)
+	c.awaitConfig(retired, c.order...)
+	time.Sleep(leaveBound)
+	after := c.startLoad("retired", c.urls(""))
+	time.Sleep(2 * time.Second)
+	_, unsafe := c.finish(after)
+	for i := range unsafe.Requests {
+		prompt, body := generation(fmt.Sprintf("retired arrival %d", i)).Prompt, string(entry(fmt.Sprintf("retired-%d", i)).Body)
+		if n := c.engines[1].ExecutionsOf(prompt) + c.services[1].ExecutionsOf(body); n != 0 {
+			t.Errorf("P7: a retired target got request %d more than %s after its retirement was in force", i, leaveBound)
+		}
+	}
+	c.finish(desk)
+}
+
+// TestUnsafeResentDuringRun guards P6: an unsafe request that is resent through another host
+// during its first run must run once, and both callers must get the same answer.
+func TestUnsafeResentDuringRun(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{targets: 1})
+	c.setDelay(time.Second)
+	for i, hosts := range [][]string{{"akaki-2", "kolfe-2"}, {"yeka-1", "akaki-1"}, {"kolfe-2", "kolfe-2"}} {
+		r := entry(fmt.Sprintf("resent-%d", i))
+		first, second := make(chan fakes.DeskAnswer, 1), make(chan fakes.DeskAnswer, 1)
+		send := func(host string, to chan<- fakes.DeskAnswer) {
+			a, err := c.desk(demo.DeskToken, "intake-log", c.url(host)).Do(c.ctx, r)
+			if err != nil {
+				t.Errorf("through %s: %v", host, err)
+			}
+			to <- a
+		}
+		go send(hosts[0], first)
+		c.eventually("the first run is under way", func() string {
+			for _, s := range c.services {
+				if s.Running() > 0 {
+					return ""
+				}
+			}
+			return "no service runs it"
+		})
+		go send(hosts[1], second)
+		a, b := <-first, <-second
+		if string(a.Body) != string(b.Body) || len(a.Body) == 0 {
+			t.Errorf("P6: different answers through %s: %s and %s", hosts, a.Body, b.Body)
+		}
+		if n := c.executions(string(r.Body)); n != 1 {
+			t.Errorf("P6: the request ran %d times", n)
+		}
+		c.conflictingKey(hosts[1], r.Key)
+	}
+}
+
+// conflictingKey checks that another body under a used key is refused and does not run.
+func (c *cluster) conflictingKey(host, key string) {
+	c.t.Helper()
+	a, err := c.call(host, http.MethodPost, "/v1/desk/intake-log", demo.DeskToken, []byte(`{"body":{"other":"`+key+`"}}`),
+		"Idempotency-Key", key, "X-Unsafe", "true")
+	if err != nil || a.status != http.StatusConflict {
+		c.t.Errorf("another body under key %s: %v %s", key, err, a.body)
+	}
+	if n := c.executions(`{"other":"` + key + `"}`); n != 0 {
+		c.t.Errorf("another body under key %s ran", key)
+	}
+}
