desk: discard answers of uncertain weights

Cause: a load that fails halfway leaves weights of an uncertain version. Samples of such weights were discarded, but desk answers were delivered with version 0.

Change: a desk answer, and each streamed part, needs a certain version. Otherwise the answer is discarded and repeated if that is safe.

Conclusion: labels of desk answers are as true as those of samples.

--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -285,6 +285,9 @@
 	if !out.assembler.Complete() {
 		return nil, &errs.Interrupted{Operation: "generate", Reason: "the answer ended before its last part"}
 	}
+	if out.assembler.Uncertain() {
+		return nil, uncertainAnswer(id)
+	}
 	return &api.DeskReply{
 		RequestID: r.RequestID, Output: out.assembler.Text(), Versions: out.assembler.Versions(), Tokens: int(out.assembler.Tokens()),
 	}, nil
@@ -318,6 +321,12 @@
 	}
 }
 
+// uncertainAnswer reports an answer of weights whose version is not certain, as after a load
+// that failed halfway. It is discarded, and repeated if that is safe.
+func uncertainAnswer(request string) error {
+	return &errs.Corrupt{What: "answer to " + request, Detail: "a part has no certain weight version"}
+}
+
 // output joins the chunks of one answer and passes on its text in order.
 type output struct {
 	assembler *engine.Assembler
@@ -338,6 +347,9 @@
 	if err != nil || o.emit == nil {
 		return err
 	}
+	if o.assembler.Uncertain() {
+		return uncertainAnswer(c.RequestId)
+	}
 	text := []rune(o.assembler.Text())
 	complete := o.assembler.Complete()
 	if len(text) == o.sent && !complete {
