e2e: watch both returning hosts from their start, longer kills on demand

Cause: the second returning host was watched only once the first was ready, so an old configuration could be missed.

Change: both are watched at once, and callers must not be served before readiness. FUCHSIAFLOW_E2E=long kills each role in eight steps.

--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"fuchsiaflow/confstate"
 	"fuchsiaflow/errs"
@@ -111,23 +112,33 @@
 		c.mustApply("kolfe-1", config(v))
 	}
 	c.awaitConfig(newest, "akaki-1")
+	var returned sync.WaitGroup
 	for _, name := range victims {
 		c.procs[name].start()
+		returned.Go(func() { c.watchReturn(name, newest.Version) })
 	}
-	for _, name := range victims {
-		c.eventually(name+" is ready", func() string {
-			if v, _ := c.inForce(name); v != 0 && v != newest.Version {
-				t.Fatalf("P9: %s serves configuration %d, the newest is %d", name, v, newest.Version)
-			}
-			a, err := c.call(name, http.MethodGet, "/readyz", "", nil)
-			if err != nil || a.status != http.StatusOK {
-				return fmt.Sprintf("%v %s", err, a.body)
-			}
-			if v, _ := c.inForce(name); v != newest.Version {
-				t.Fatalf("P9: %s is ready with configuration %d, the newest is %d", name, v, newest.Version)
-			}
-			return ""
-		})
-	}
+	returned.Wait()
 	c.awaitConfig(newest, c.order...)
 }
+
+// watchReturn polls a host that has just started until it is ready with the newest
+// configuration.
+func (c *cluster) watchReturn(name string, newest uint64) {
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(pollPause / 4) {
+		a, err := c.call(name, http.MethodGet, "/readyz", "", nil)
+		ready := err == nil && a.status == http.StatusOK
+		v, _ := c.inForce(name)
+		if v != newest && (ready || v != 0) {
+			c.t.Errorf("P9: %s serves configuration %d, ready %t, the newest is %d", name, v, ready, newest)
+			return
+		}
+		if ready {
+			return
+		}
+		if a, err := c.call(name, http.MethodGet, "/v1/steps/none", demo.TrainerToken, nil); err == nil &&
+			!isCode(a, http.StatusServiceUnavailable, errs.CodeUnavailable, errs.NotRun) && !isCode(a, http.StatusNotFound, errs.CodeNotFound, errs.NotRun) {
+			c.t.Errorf("P9: %s serves callers before it is ready: %s", name, a.body)
+		}
+	}
+	c.t.Errorf("%s is not ready after %s", name, waitLimit)
+}
--- a/internal/e2e/hosts_test.go
+++ b/internal/e2e/hosts_test.go
@@ -35,16 +35,24 @@
 			c := newCluster(t, options{targets: 1, tokenTime: 5 * time.Millisecond})
 			tr := c.trainer(demo.TrainerToken, c.urls(""))
 			desk := c.startLoad("kill", c.urls(""))
-			step := c.runStep(tr, "step-1", groups("kill", 30, 64))
-			c.awaitDelivered(tr, midStep)
-			victim := c.procs[role.victim(c)]
-			victim.kill()
-			// The other hosts notice the loss before the process returns.
-			time.Sleep(time.Second)
-			victim.start()
-			c.awaitStep(step)
-			c.awaitReady(c.order...)
-			c.awaitStep(c.runStep(tr, "step-2", groups("after", 4, 64)))
+			rounds := 1
+			if long() {
+				rounds = 8
+			}
+			for round := range rounds {
+				id := fmt.Sprintf("kill-%d", round)
+				delivered := tr.Tally().Delivered
+				step := c.runStep(tr, id, groups(id, 30, 64))
+				c.awaitDelivered(tr, delivered+midStep)
+				victim := c.procs[role.victim(c)]
+				victim.kill()
+				// The other hosts notice the loss before the process returns.
+				time.Sleep(time.Second)
+				victim.start()
+				c.awaitStep(step)
+				c.awaitReady(c.order...)
+			}
+			c.awaitStep(c.runStep(tr, "after", groups("after", 4, 64)))
 			c.finish(desk)
 			c.checkTrainer(tr)
 			c.awaitConfig(config(1), c.order...)
