--- a/internal/host/trainer.go
+++ b/internal/host/trainer.go
@@ -39,14 +39,8 @@
 	return cfg, t, nil
 }
 
-// homeTimeout bounds how long a trainer's call waits for the leader of its home, in which an
-// election can finish. The caller then learns whether the call may have run.
-const homeTimeout = 10 * time.Second
-
 // OpenStep implements api.Trainer.
 func (s *trainerService) OpenStep(ctx context.Context, tenancy string, r api.OpenStepRequest) (*api.OpenStepReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
-	defer cancel()
 	cfg, t, err := s.tenancy(tenancy)
 	if err != nil {
 		return nil, err
@@ -91,8 +85,6 @@
 
 // Publish implements api.Trainer.
 func (s *trainerService) Publish(ctx context.Context, tenancy string, r api.PublishRequest) (*api.PublishReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
-	defer cancel()
 	_, t, err := s.tenancy(tenancy)
 	if err != nil {
 		return nil, err
@@ -109,8 +101,6 @@
 
 // Step implements api.Trainer.
 func (s *trainerService) Step(ctx context.Context, tenancy, step string) (*api.StepStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
-	defer cancel()
 	_, t, err := s.tenancy(tenancy)
 	if err != nil {
 		return nil, err
@@ -131,10 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wait := time.Duration(r.WaitMS) * time.Millisecond
-	until := time.Now().Add(wait)
-	ctx, cancel := context.WithTimeout(ctx, wait+homeTimeout)
-	defer cancel()
+	until := time.Now().Add(time.Duration(r.WaitMS) * time.Millisecond)
 	for {
 		if err := s.awaitSamples(ctx, t, step, r, until); err != nil {
 			return nil, err
@@ -220,6 +207,8 @@
 	if err != nil {
 		return ledger.Result{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
 	data, err = s.groups.ProposeIdempotent(ctx, domainGroup(home), data)
 	if err != nil {
 		return ledger.Result{}, err
@@ -236,6 +225,8 @@
 	if err != nil {
 		return ledger.StepStatus{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
 	data, err := s.groups.Read(ctx, domainGroup(home), query)
 	if err != nil {
 		return ledger.StepStatus{}, err
