limits, engine: fixed seeds and deliberate faults for the stateful tests

Cause: a survey of the stateful tests found that these two packages had no fixed rapid seed and no fault that shows that the check can fail. In limits, one action took an entry by map order, so that a seed did not fix the case. Change: TestMain fixes the seed, the action draws its entry, and TestAssemblerFaultsAreFound (five faults) and TestQuotaFaultIsFound (one) run the same properties with a fault.

--- a/internal/engine/assembler_test.go
+++ b/internal/engine/assembler_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"unicode/utf8"
@@ -27,8 +28,43 @@
 
 // Guards against answers that are cut, mixed up or called complete too early (P4), and
 // against tokens counted twice, for any order and repetition of chunks.
-func TestAssemblerAnyOrder(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+func TestAssemblerAnyOrder(t *testing.T) { rapid.Check(t, anyOrder(func(c Chunk) Chunk { return c })) }
+
+// recorder takes the failure of a check that is expected to fail.
+type recorder struct {
+	rapid.TB
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Failed() bool          { return false } // keeps rapid from ending the test
+func (r *recorder) Log(...any)            {}
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Fatalf(string, ...any) {}
+
+// Guards against a check that cannot fail: damage of a chunk on its way must be found.
+func TestAssemblerFaultsAreFound(t *testing.T) {
+	if err := flag.Set("rapid.shrinktime", "1ms"); err != nil { // the smallest case is of no interest here
+		t.Fatal(err)
+	}
+	faults := map[string]func(Chunk) Chunk{
+		"request is not checked": func(c Chunk) Chunk { c.RequestID = "r"; return c },
+		"end is lost":            func(c Chunk) Chunk { c.Done = false; return c },
+		"label is lost":          func(c Chunk) Chunk { c.Version = 0; return c },
+		"label is the oldest":    func(c Chunk) Chunk { c.Version = 3; return c },
+		"tokens count twice":     func(c Chunk) Chunk { c.Tokens *= 2; return c },
+	}
+	for name, damage := range faults {
+		r := &recorder{TB: t}
+		if rapid.Check(r, anyOrder(damage)); !r.failed {
+			t.Errorf("fault %q was not found", name)
+		}
+	}
+}
+
+// anyOrder joins the chunks of an output after damage was done to each.
+func anyOrder(damage func(Chunk) Chunk) func(*rapid.T) {
+	return func(t *rapid.T) {
 		text := rapid.StringOfN(rapid.SampledFrom([]rune("aTotonicapáñ→")), 1, 60, -1).Draw(t, "text")
 		lengths := rapid.SliceOfN(rapid.IntRange(1, 7), 1, 4).Draw(t, "lengths")
 		version := func(i int) uint64 { return uint64(3 + i%2) }
@@ -42,7 +78,7 @@
 			missing[fmt.Sprint(c)] = true
 		}
 		for _, c := range append(repeats, sent...) {
-			if _, err := a.Add(c); err != nil {
+			if _, err := a.Add(damage(c)); err != nil {
 				t.Fatal(err)
 			}
 			delete(missing, fmt.Sprint(c))
@@ -60,7 +96,7 @@
 		if diff := cmp.Diff(want, a.Versions()); diff != "" {
 			t.Fatal(diff)
 		}
-	})
+	}
 }
 
 // Guards against a label that hides a version that is missing or contradictory (P1).
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"io"
 	"net"
 	"net/http"
@@ -21,7 +22,16 @@
 	"fuchsiaflow/errs"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain fixes the seed, so that every run gives the same verdict, and finds goroutines
+// that a test leaves behind. Flags on the command line take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"seed": "20261204", "nofailfile": "true"} {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const whole = "Quetzaltenango"
 
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -1,8 +1,11 @@
 package limits
 
 import (
+	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +59,8 @@
 	open  map[string]int // index into uses
 	byID  map[string]int // host of the ID
 	ids   int
+	// refills is a deliberate fault: a restarted host may spend its cut-off share again.
+	refills bool
 }
 
 func newCluster(hosts int, quota Amount, share float64) *cluster {
@@ -118,13 +123,11 @@
 			}
 		},
 		"settle": func(t *rapid.T) {
-			for id := range c.open {
-				id = min(id, fmt.Sprint(c.ids))
-				if i, ok := c.open[id]; ok {
-					c.settle(id, rapid.Int64Range(0, c.uses[i].amount.Tokens).Draw(t, "actual"))
-				}
-				break
+			if len(c.open) == 0 {
+				t.Skip()
 			}
+			id := rapid.SampledFrom(slices.Sorted(maps.Keys(c.open))).Draw(t, "id")
+			c.settle(id, rapid.Int64Range(0, c.uses[c.open[id]].amount.Tokens).Draw(t, "actual"))
 		},
 		"demand": func(t *rapid.T) { c.demands(host.Draw(t, "host")) },
 		"deliver": func(t *rapid.T) {
@@ -147,7 +150,9 @@
 			h := host.Draw(t, "host")
 			cfg := c.hosts[h].cfg
 			cfg.Incarnation++
-			cfg.CutOff = nil // a restarted host may have spent its cut-off share already
+			if !c.refills {
+				cfg.CutOff = nil // a restarted host may have spent its cut-off share already
+			}
 			c.hosts[h] = NewHost(cfg)
 			for id, owner := range c.byID {
 				if owner == h {
@@ -178,11 +183,37 @@
 
 // Guards against reservations beyond the quota in any window, under any loss, delay and
 // repetition of messages, restarts and refunds.
-func TestQuotaHoldsInEveryWindow(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+func TestQuotaHoldsInEveryWindow(t *testing.T) { rapid.Check(t, quotaHolds(false)) }
+
+func quotaHolds(refills bool) func(*rapid.T) {
+	return func(t *rapid.T) {
 		c := newCluster(rapid.IntRange(1, 3).Draw(t, "hosts"), Amount{20, 500}, 0.2)
+		c.refills = refills
 		t.Repeat(c.actions(t))
-	})
+	}
+}
+
+// recorder takes the failure of a check that is expected to fail.
+type recorder struct {
+	rapid.TB
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Failed() bool          { return false } // keeps rapid from ending the test
+func (r *recorder) Log(...any)            {}
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Fatalf(string, ...any) {}
+
+// Guards against a check that cannot fail: a cut-off share that is spent twice must be found.
+func TestQuotaFaultIsFound(t *testing.T) {
+	if err := flag.Set("rapid.shrinktime", "1ms"); err != nil { // the smallest case is of no interest here
+		t.Fatal(err)
+	}
+	r := &recorder{TB: t}
+	if rapid.Check(r, quotaHolds(true)); !r.failed {
+		t.Error("a refilled cut-off share was not found")
+	}
 }
 
 // Guards against a repeated reservation or settlement that counts twice.
