--- a/internal/joined/world_test.go
+++ b/internal/joined/world_test.go
@@ -99,6 +99,7 @@
 	domain     string
 	state      *domainstate.State
 	index      uint64
+	ticks      int
 	leader     string
 	term       uint64
 	scheduler  *ledger.Scheduler
@@ -194,7 +195,9 @@
 	for _, o := range g.planner.Tick(now, weights.Authority{Term: g.term, LeaseUntil: now.Add(ownLease), OK: now.After(g.ordersFrom)}) {
 		g.order(o)
 	}
-	g.spread()
+	if g.ticks++; g.ticks%2 == 0 {
+		g.spread()
+	}
 }
 
 func (g *group) order(o weights.Order) {
