joined: bursts of requests, and restarts end the claims of the earlier process

Cause: requests came one at a time, so that few claims were contended, and a host that restarted within 3 s kept the claims of its earlier process open. Change: an action sends nine requests at once, and a leader that hears of a higher incarnation declares the earlier one lost, as internal/host does.

--- a/internal/joined/host_test.go
+++ b/internal/joined/host_test.go
@@ -120,7 +120,7 @@
 	for _, d := range domains {
 		h.w.ask(h.name, d, func(g *group) func() {
 			if h.up {
-				g.heard[h.name] = g.w.now()
+				g.hears(h.name, h.incarnation)
 			}
 			return nil
 		})
--- a/internal/joined/joined_test.go
+++ b/internal/joined/joined_test.go
@@ -65,6 +65,15 @@
 	w.submit(&again, w.anyHost(t))
 }
 
+// burst sends requests faster than they are answered.
+func (w *world) burst(t *rapid.T) {
+	for range 3 {
+		w.desk(t, false)
+		w.desk(t, true)
+		w.resend(t)
+	}
+}
+
 // race proposes two configurations with the same next version.
 func (w *world) race(t *rapid.T) {
 	version := w.store.Current().Version + 1
@@ -83,7 +92,7 @@
 	t.Repeat(map[string]func(*rapid.T){
 		"openStep": step(func(t *rapid.T) { w.openStep(rapid.IntRange(1, 3).Draw(t, "groups"), 3) }),
 		"publish":  step(func(*rapid.T) { w.publish() }),
-		"desk":     step(func(t *rapid.T) { w.desk(t, false) }), "desk2": step(func(t *rapid.T) { w.desk(t, false); w.desk(t, false) }),
+		"desk":     step(func(t *rapid.T) { w.desk(t, false) }), "burst": step(w.burst),
 		"unsafe": step(func(t *rapid.T) { w.desk(t, true) }), "resend": step(w.resend), "resend2": step(w.resend),
 		"crashHost":   step(func(t *rapid.T) { w.crashHost(w.anyHost(t)) }),
 		"startHost":   step(w.restartHost),
--- a/internal/joined/world_test.go
+++ b/internal/joined/world_test.go
@@ -95,18 +95,19 @@
 
 // group is a domain group: its log is the order of calls to apply.
 type group struct {
-	w          *world
-	domain     string
-	state      *domainstate.State
-	index      uint64
-	ticks      int
-	leader     string
-	term       uint64
-	scheduler  *ledger.Scheduler
-	planner    *weights.Planner
-	ordersFrom time.Time
-	heard      map[string]time.Time
-	missing    time.Time // since when the leader is not reachable
+	w            *world
+	domain       string
+	state        *domainstate.State
+	index        uint64
+	ticks        int
+	leader       string
+	term         uint64
+	scheduler    *ledger.Scheduler
+	planner      *weights.Planner
+	ordersFrom   time.Time
+	heard        map[string]time.Time
+	incarnations map[string]uint64
+	missing      time.Time // since when the leader is not reachable
 }
 
 func newState() *domainstate.State {
@@ -154,7 +155,7 @@
 	now := g.w.now()
 	g.leader, g.term, g.missing = leader, g.term+1, time.Time{}
 	g.ordersFrom = now.Add(ownLease)
-	g.heard = make(map[string]time.Time)
+	g.heard, g.incarnations = make(map[string]time.Time), make(map[string]uint64)
 	for name := range g.w.hosts {
 		g.heard[name] = now
 	}
@@ -246,6 +247,16 @@
 	}
 }
 
+// hears notes that a host lives. The attempts and claims of an earlier process are lost.
+func (g *group) hears(name string, incarnation uint64) {
+	g.heard[name] = g.w.now()
+	if known := g.incarnations[name]; known > 0 && incarnation > known {
+		g.scheduler.HostLost(name)
+		g.claim(retry.ClaimCommand{Kind: retry.HostLost, Host: name, Incarnation: incarnation - 1})
+	}
+	g.incarnations[name] = max(g.incarnations[name], incarnation)
+}
+
 // fetch answers a trainer. Samples whose payload is lost are planned again first.
 func (g *group) fetch(f ledger.Fetch) (ledger.Result, map[int]string) {
 	for {
