sampler: attempts beyond the quota wait instead of being leased again

Cause: an attempt beyond its tenancy's quota failed after 0.5 s, its slot was leased again at once, and the dispatcher reported its window as free meanwhile. Change: the attempt waits for the quota as long as its lease lasts, and its window is not offered.

--- a/internal/host/sampler.go
+++ b/internal/host/sampler.go
@@ -54,6 +54,9 @@
 	mu       sync.Mutex
 	draining bool
 	running  map[attemptID]context.CancelFunc
+	// waiting counts by pool the attempts that wait for their tenancy's quota. They will need
+	// a window that the dispatcher still reports as free.
+	waiting map[string]int
 }
 
 // attemptReport is a result that must reach the home before its lease ends.
@@ -63,6 +66,7 @@
 }
 
 func (s *samplerService) init() {
+	s.waiting = make(map[string]int)
 	s.running = make(map[attemptID]context.CancelFunc)
 	s.reports = make(map[string]*kernel.Ring[attemptReport])
 	for _, domain := range s.domains {
@@ -172,8 +176,12 @@
 		return list[i].pool+"/"+list[i].model < list[j].pool+"/"+list[j].model
 	})
 	out := make([]*rpc.PoolCapacity, 0, len(list))
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range list {
-		out = append(out, &rpc.PoolCapacity{Pool: c.pool, Model: c.model, Free: uint32(c.free), Version: c.version})
+		if free := c.free - s.waiting[c.pool]; free > 0 {
+			out = append(out, &rpc.PoolCapacity{Pool: c.pool, Model: c.model, Free: uint32(free), Version: c.version})
+		}
 	}
 	return out
 }
@@ -269,7 +277,7 @@
 	if t == nil {
 		return &errs.NotFound{Kind: "tenancy", ID: work.Tenancy}
 	}
-	if err := s.quota.Reserve(ctx, id, t, len(work.Prompt)/bytesPerToken+int(work.MaxTokens)); err != nil {
+	if err := s.reserve(ctx, id, t, work); err != nil {
 		return err
 	}
 	out := newOutput(id, id, nil)
@@ -287,6 +295,35 @@
 	return s.store(ctx, work, out, result)
 }
 
+// maxQuotaPause bounds the pause between two reservations of a waiting attempt, because other
+// hosts may return a part of the quota early.
+const maxQuotaPause = 5 * time.Second
+
+// reserve takes the sample's tokens from the quota. An attempt beyond the quota waits as long
+// as its lease lasts: returned at once, its slot would be leased again and again.
+func (s *samplerService) reserve(ctx context.Context, id string, t *confstate.Tenancy, work *rpc.Work) error {
+	if t.Limits == nil {
+		return nil
+	}
+	s.addWaiting(work.Pool, 1)
+	defer s.addWaiting(work.Pool, -1)
+	for {
+		err := s.quota.Reserve(ctx, id, t, len(work.Prompt)/bytesPerToken+int(work.MaxTokens))
+		if err == nil || errs.CodeOf(err) != errs.CodeQuotaExceeded {
+			return err
+		}
+		if !pause(ctx, min(max(errs.RetryAfterOf(err), reservePause), maxQuotaPause)) {
+			return err
+		}
+	}
+}
+
+func (s *samplerService) addWaiting(pool string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[pool] += n
+}
+
 func (s *samplerService) job(id string, work *rpc.Work) *job {
 	return &job{
 		GenerateRequest: &rpc.GenerateRequest{
