--- a/confstate/fuzz_test.go
+++ b/confstate/fuzz_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"fuchsiaflow/internal/faultcheck"
 )
 
 // TestMain fixes the seed, so that every run gives the same verdict.
@@ -150,33 +152,10 @@
 	return ""
 }
 
-// verify runs a check against an oracle: without a fault it must pass, and each deliberate
-// fault must be found, which shows that the check can fail.
-func verify(t *testing.T, run func(rt *rapid.T, fault string) string, faults ...string) {
-	for _, fault := range append([]string{""}, faults...) {
-		t.Run("fault="+fault, func(t *testing.T) {
-			found := ""
-			rapid.Check(t, func(rt *rapid.T) {
-				if found == "" {
-					found = run(rt, fault)
-				}
-				if found != "" && fault == "" {
-					bad := found
-					found = "" // the next call is a step of minimization
-					rt.Fatal(bad)
-				}
-			})
-			if t.Log(found); found == "" && fault != "" {
-				t.Error("fault was not found")
-			}
-		})
-	}
-}
-
 // Guards against a configuration that goes backwards on a host, and against replicas that
 // decide a race of equal versions differently (P9).
 func TestConfigurationNeverGoesBack(t *testing.T) {
-	verify(t, runWorld, "last write wins", "snapshot without history", "ready without a read", "older offer accepted")
+	faultcheck.Verify(t, runWorld, "last write wins", "snapshot without history", "ready without a read", "older offer accepted")
 }
 
 // Guards against a panic or an accepted value that does not survive its canonical form, for
--- a/internal/domainstate/fuzz_test.go
+++ b/internal/domainstate/fuzz_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"fuchsiaflow/internal/faultcheck"
 	"fuchsiaflow/ledger"
 )
 
@@ -125,26 +126,9 @@
 // against a panic on damaged input.
 func TestReplicasAgreeProperty(t *testing.T) { rapid.Check(t, replicas(false)) }
 
-type recorder struct {
-	rapid.TB
-	failed bool
-}
-
-func (r *recorder) Errorf(string, ...any) { r.failed = true }
-func (r *recorder) Fail()                 { r.failed = true }
-func (r *recorder) Failed() bool          { return false } // keeps rapid from ending the test
-func (r *recorder) Log(...any)            {}
-func (r *recorder) Logf(string, ...any)   {}
-func (r *recorder) Fatal(...any)          { r.failed = true }
-
 // Guards against a comparison that cannot fail.
 func TestForgottenSectionIsFound(t *testing.T) {
-	if err := flag.Set("rapid.shrinktime", "1ms"); err != nil { // the smallest case is of no interest here
-		t.Fatal(err)
-	}
-	r := &recorder{TB: t}
-	rapid.Check(r, replicas(true))
-	if !r.failed {
+	if faultcheck.Failure(t, replicas(true)) == "" {
 		t.Error("a section that a restore forgets was not found")
 	}
 }
--- a/internal/engine/assembler_test.go
+++ b/internal/engine/assembler_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"unicode/utf8"
@@ -10,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/faultcheck"
 )
 
 // cut splits text into chunks of the given lengths in characters and marks the last one.
@@ -30,23 +30,8 @@
 // against tokens counted twice, for any order and repetition of chunks.
 func TestAssemblerAnyOrder(t *testing.T) { rapid.Check(t, anyOrder(func(c Chunk) Chunk { return c })) }
 
-// recorder takes the failure of a check that is expected to fail.
-type recorder struct {
-	rapid.TB
-	failed bool
-}
-
-func (r *recorder) Errorf(string, ...any) { r.failed = true }
-func (r *recorder) Failed() bool          { return false } // keeps rapid from ending the test
-func (r *recorder) Log(...any)            {}
-func (r *recorder) Logf(string, ...any)   {}
-func (r *recorder) Fatalf(string, ...any) {}
-
 // Guards against a check that cannot fail: damage of a chunk on its way must be found.
 func TestAssemblerFaultsAreFound(t *testing.T) {
-	if err := flag.Set("rapid.shrinktime", "1ms"); err != nil { // the smallest case is of no interest here
-		t.Fatal(err)
-	}
 	faults := map[string]func(Chunk) Chunk{
 		"request is not checked": func(c Chunk) Chunk { c.RequestID = "r"; return c },
 		"end is lost":            func(c Chunk) Chunk { c.Done = false; return c },
@@ -55,8 +40,7 @@
 		"tokens count twice":     func(c Chunk) Chunk { c.Tokens *= 2; return c },
 	}
 	for name, damage := range faults {
-		r := &recorder{TB: t}
-		if rapid.Check(r, anyOrder(damage)); !r.failed {
+		if faultcheck.Failure(t, anyOrder(damage)) == "" {
 			t.Errorf("fault %q was not found", name)
 		}
 	}
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -14,6 +14,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
+
+	"fuchsiaflow/internal/faultcheck"
 )
 
 // TestMain fixes the seed, so that every run gives the same verdict. Flags on the command
@@ -461,28 +463,6 @@
 // hosts and leaders, repeated messages and restored snapshots at any moment (P1 to P3).
 func TestDeliveryProperty(t *testing.T) { rapid.Check(t, property(fault{})) }
 
-// recorder takes the failure of a check that is expected to fail.
-type recorder struct {
-	rapid.TB
-	message string
-}
-
-func (r *recorder) Errorf(format string, args ...any) { r.message += fmt.Sprintf(format, args...) }
-func (r *recorder) Failed() bool                      { return false } // keeps rapid from ending the test
-func (r *recorder) Log(...any)                        {}
-func (r *recorder) Logf(string, ...any)               {}
-func (r *recorder) Fatalf(string, ...any)             {}
-
-// failure returns the message of a check that is expected to fail.
-func failure(t *testing.T, prop func(*rapid.T)) string {
-	if err := flag.Set("rapid.shrinktime", "1ms"); err != nil { // the smallest case is of no interest here
-		t.Fatal(err)
-	}
-	r := &recorder{TB: t}
-	rapid.Check(r, prop)
-	return r.message
-}
-
 // Guards against checks that cannot fail: each deliberate fault must be found.
 func TestDeliberateFaults(t *testing.T) {
 	stepOf := func(l *Ledger, id string) *step { _, s := l.step("kolfe", id); return s }
@@ -549,7 +529,7 @@
 	}
 	for name, f := range faults {
 		t.Run(name, func(t *testing.T) {
-			if got := failure(t, property(f)); !strings.Contains(got, f.want) {
+			if got := faultcheck.Failure(t, property(f)); !strings.Contains(got, f.want) {
 				t.Errorf("the check says %q, want %q", got, f.want)
 			}
 		})
--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"fuchsiaflow/internal/faultcheck"
 )
 
 // TestMain fixes the seed, so that every run gives the same verdict.
@@ -89,34 +91,11 @@
 	"suspects never die": func(n *Node) { n.suspects = nil },
 }
 
-// verify runs a check against an oracle: without a fault it must pass, and each deliberate
-// fault must be found, which shows that the check can fail.
-func verify(t *testing.T, run func(rt *rapid.T, fault string) string, faults ...string) {
-	for _, fault := range append([]string{""}, faults...) {
-		t.Run("fault="+fault, func(t *testing.T) {
-			found := ""
-			rapid.Check(t, func(rt *rapid.T) {
-				if found == "" {
-					found = run(rt, fault)
-				}
-				if found != "" && fault == "" {
-					bad := found
-					found = "" // the next call is a step of minimization
-					rt.Fatal(bad)
-				}
-			})
-			if t.Log(found); found == "" && fault != "" {
-				t.Error("fault was not found")
-			}
-		})
-	}
-}
-
 // Guards against hosts that stay lost, stay listed or are seen under an old incarnation after
 // the faults have ended.
 func TestMembershipConverges(t *testing.T) {
 	run := func(rt *rapid.T, fault string) string { return runFaults(t, rt, fault) }
-	verify(t, run, slices.Sorted(maps.Keys(tampers))...)
+	faultcheck.Verify(t, run, slices.Sorted(maps.Keys(tampers))...)
 }
 
 // oracleTarget is what the test knows about one target.
@@ -182,5 +161,5 @@
 // Guards against new work for a target that left, is retired or is silent, whatever the order
 // of messages (P7).
 func TestLeftTargetIsNeverDispatchable(t *testing.T) {
-	verify(t, runTargets, "policy not applied", "departures forgotten", "lease not checked")
+	faultcheck.Verify(t, runTargets, "policy not applied", "departures forgotten", "lease not checked")
 }
--- a/retry/fuzz_test.go
+++ b/retry/fuzz_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"fuchsiaflow/internal/faultcheck"
 )
 
 // TestMain fixes the seed, so that every run gives the same verdict.
@@ -185,32 +187,9 @@
 	return ""
 }
 
-// verify runs a check against an oracle: without a fault it must pass, and each deliberate
-// fault must be found, which shows that the check can fail.
-func verify(t *testing.T, run func(rt *rapid.T, fault string) string, faults ...string) {
-	for _, fault := range append([]string{""}, faults...) {
-		t.Run("fault="+fault, func(t *testing.T) {
-			found := ""
-			rapid.Check(t, func(rt *rapid.T) {
-				if found == "" {
-					found = run(rt, fault)
-				}
-				if found != "" && fault == "" {
-					bad := found
-					found = "" // the next call is a step of minimization
-					rt.Fatal(bad)
-				}
-			})
-			if t.Log(found); found == "" && fault != "" {
-				t.Error("fault was not found")
-			}
-		})
-	}
-}
-
 // Guards against a second run of an unsafe request under resends, lost hosts, restarts from a
 // snapshot and expiry (P6).
 func TestClaimNeverRunsTwice(t *testing.T) {
-	verify(t, runWorld, "grant not checked", "holder not checked", "tenancies share keys",
+	faultcheck.Verify(t, runWorld, "grant not checked", "holder not checked", "tenancies share keys",
 		"lost host releases", "unknown expires", "snapshot drops open claims")
 }
