Members of a group can be added, promoted and removed

A voter whose disk was lost could not be replaced: the membership was fixed at the first start of a group, and no command changed it.

Settings take join, with which an empty data folder is started as a learner's. POST /v1/groups/{group}/members and fuchsiaflow member change the membership through the group's leader; a repeated change succeeds. The search for a leader follows redirects within a round, includes the voters that the host's own replica knows, and after the first round asks two other live hosts each time.

--- a/cmd/fuchsiaflow/main.go
+++ b/cmd/fuchsiaflow/main.go
@@ -30,6 +30,7 @@
 	Check  checkCommand  `cmd:"" help:"Check a configuration or settings file without a host."`
 	Apply  applyCommand  `cmd:"" help:"Apply a configuration file as one unit."`
 	Status statusCommand `cmd:"" help:"Show the state of a host."`
+	Member memberCommand `cmd:"" help:"Change the membership of a consensus group by one host."`
 	Drain  drainCommand  `cmd:"" help:"Shut a host down without cutting off a request."`
 	Demo   demoCommand   `cmd:"" help:"Run a small system in one process and check its guarantees."`
 	Replay replayCommand `cmd:"" help:"Replay a recorded trace and compare its outcome with the stated one."`
--- a/cmd/fuchsiaflow/operator.go
+++ b/cmd/fuchsiaflow/operator.go
@@ -55,7 +55,8 @@
 		return &errs.Interrupted{Operation: method + " " + path, Reason: err.Error()}
 	}
 	if response.StatusCode >= http.StatusBadRequest {
-		return &errs.Remote{Code: failure.Error.Code, Outcome: failure.Error.Outcome, Message: failure.Error.Message}
+		return &errs.Remote{Code: failure.Error.Code, Outcome: failure.Error.Outcome, Message: failure.Error.Message,
+			After: time.Duration(failure.Error.RetryAfterMS) * time.Millisecond}
 	}
 	return nil
 }
--- a/consensus/conf.go
+++ b/consensus/conf.go
@@ -14,11 +14,11 @@
 	}
 	switch {
 	case n.lead.transferee != "":
-		return n.refuse(c, "leadership is being transferred")
+		return n.refuseForNow(c, "leadership is being transferred")
 	case n.log.commit < n.lead.first:
-		return n.refuse(c, "no entry of the current term is committed")
+		return n.refuseForNow(c, "no entry of the current term is committed")
 	case n.log.confIndex() > n.log.commit:
-		return n.refuse(c, "another change is not committed yet")
+		return n.refuseForNow(c, "another change is not committed yet")
 	}
 	next, err := n.changed(c)
 	if err != nil {
@@ -42,7 +42,7 @@
 			return Conf{}, n.refuse(c, "not a learner")
 		}
 		if !n.caughtUp(c.ID) {
-			return Conf{}, n.refuse(c, "the learner has not caught up")
+			return Conf{}, n.refuseForNow(c, "the learner has not caught up")
 		}
 		next.Learners = remove(next.Learners, c.ID)
 		next.Voters = append(next.Voters, c.ID)
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"fuchsiaflow/errs"
 )
@@ -11,6 +12,8 @@
 	Group  string
 	Change ConfChange
 	Reason string
+	// After is positive when the same change can be accepted later.
+	After time.Duration
 }
 
 func (e *ConfChangeRefused) Error() string {
@@ -23,6 +26,13 @@
 // FailureOutcome implements errs.Failure.
 func (e *ConfChangeRefused) FailureOutcome() errs.Outcome { return errs.NotRun }
 
+// RetryAfter implements errs.Retryable.
+func (e *ConfChangeRefused) RetryAfter() time.Duration { return e.After }
+
+func (n *Node) refuseForNow(c ConfChange, reason string) error {
+	return &ConfChangeRefused{Group: n.cfg.Group, Change: c, Reason: reason, After: n.cfg.ElectionTimeout}
+}
+
 func (n *Node) refuse(c ConfChange, reason string) error {
 	return &ConfChangeRefused{Group: n.cfg.Group, Change: c, Reason: reason}
 }
--- a/internal/api/handlers.go
+++ b/internal/api/handlers.go
@@ -276,6 +276,29 @@
 	return nil
 }
 
+// changeMember takes the group from one path segment, in which the slash of its name is
+// escaped: domain%2Fkolfe.
+func (h *handler) changeMember(w http.ResponseWriter, r *http.Request) error {
+	var req MemberRequest
+	if err := decodeBody(w, r, MaxBodyBytes, &req); err != nil {
+		return err
+	}
+	switch req.Action {
+	case AddMember, PromoteMember, RemoveMember:
+	default:
+		return &errs.Invalid{Path: "$.action", Want: "one of add, promote, remove", Got: strconv.Quote(req.Action)}
+	}
+	if err := checkID("$.host", req.Host); err != nil {
+		return err
+	}
+	reply, err := h.Operator.ChangeMember(r.Context(), r.PathValue("group"), req)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, reply)
+	return nil
+}
+
 func (h *handler) drain(w http.ResponseWriter, r *http.Request) error {
 	if err := h.Operator.Drain(r.Context()); err != nil {
 		return err
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -49,6 +49,7 @@
 	mux.HandleFunc("POST /v1/config", h.asOperator(h.apply))
 	mux.HandleFunc("GET /v1/config", h.asOperator(h.config))
 	mux.HandleFunc("GET /v1/status", h.asOperator(h.status))
+	mux.HandleFunc("POST /v1/groups/{group}/members", h.asOperator(h.changeMember))
 	mux.HandleFunc("POST /v1/drain", h.asOperator(h.drain))
 	mux.HandleFunc("GET /healthz", h.healthz)
 	mux.HandleFunc("GET /readyz", h.readyz)
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -211,12 +211,36 @@
 	Config  json.RawMessage `json:"config"`
 }
 
+// The actions of a MemberRequest.
+const (
+	AddMember     = "add"     // as a learner, which receives the log and does not vote
+	PromoteMember = "promote" // a learner that has caught up to a voter
+	RemoveMember  = "remove"
+)
+
+// MemberRequest changes the membership of a consensus group by one host.
+type MemberRequest struct {
+	Action string `json:"action"`
+	Host   string `json:"host"`
+}
+
+// MemberReply is the membership of a group after a change. Repeated is set when the change
+// was in force before the call.
+type MemberReply struct {
+	Group    string   `json:"group"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
+	Repeated bool     `json:"repeated"`
+}
+
 // Operator serves operators.
 type Operator interface {
 	Apply(ctx context.Context, body []byte) (*ApplyReply, error)
 	Config(ctx context.Context) (*ConfigReply, error)
 	// Status returns a value that encodes to JSON.
 	Status(ctx context.Context) (any, error)
+	// ChangeMember returns once the change is committed in the group.
+	ChangeMember(ctx context.Context, group string, r MemberRequest) (*MemberReply, error)
 	// Drain starts a graceful shutdown of the host.
 	Drain(ctx context.Context) error
 }
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
@@ -100,6 +102,28 @@
 	}
 }
 
+// Join prepares a further host of a failure domain, which is to be added to the group of the
+// domain as a learner. The settings of the other hosts do not name it.
+func (c *Cluster) Join(name, domain, dir string) error {
+	http, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	peer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s := *c.settings[c.order[0]]
+	s.Host, s.FailureDomain, s.HTTP, s.Peer, s.DataDir = name, domain, http, peer, filepath.Join(dir, name)
+	s.Bootstrap, s.Join = false, true
+	domains := maps.Clone(s.Groups.Domains)
+	domains[domain] = append(slices.Clone(domains[domain]), name)
+	s.Groups.Domains = domains
+	c.order = append(c.order, name)
+	c.settings[name] = &s
+	return nil
+}
+
 // Hosts returns the names of all hosts.
 func (c *Cluster) Hosts() []string { return c.order }
 
--- a/internal/host/groups.go
+++ b/internal/host/groups.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"fuchsiaflow/consensus"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/rpc"
 )
@@ -15,7 +18,19 @@
 const controlGroup = "control"
 
 // domainGroup returns the name of the group of a failure domain.
-func domainGroup(domain string) string { return "domain/" + domain }
+func domainGroup(domain string) string { return domainPrefix + domain }
+
+// domainPrefix precedes the failure domain in the name of its group.
+const domainPrefix = "domain/"
+
+// domainOf returns the failure domain of a domain group, and "" for the control group.
+func domainOf(group string) string {
+	domain, _ := strings.CutPrefix(group, domainPrefix)
+	if domain == group {
+		return ""
+	}
+	return domain
+}
 
 // Times of the search for a group's leader.
 const (
@@ -26,12 +41,20 @@
 	attemptTimeout = 2 * time.Second
 )
 
+// fallbackHosts is how many hosts that the settings do not name as voters are asked in a
+// round. Two reach all of the about 21 hosts of a failure domain in 11 rounds, and add less
+// than the three voters do when the group has no leader.
+const fallbackHosts = 2
+
 // localGroup is the part of a group's replica that commands and queries need.
 type localGroup interface {
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	Barrier(ctx context.Context) error
 	IsLeader() bool
 	Leader() (id string, term uint64, known bool)
+	Status() consensus.Status
+	ChangeMember(ctx context.Context, c consensus.ConfChange) error
+	Transfer(ctx context.Context) error
 }
 
 // replica is this host's copy of a group. Query is serialized with the application of
@@ -46,17 +69,20 @@
 	self   string
 	voters map[string][]string
 	peer   func(host string) (rpc.PeerClient, error)
+	// live lists the live hosts of a failure domain, or of all for an empty domain.
+	live func(domain string) []string
 
 	mu      sync.Mutex
 	local   map[string]replica
 	leaders map[string]string
 }
 
-func newGroups(self string, voters map[string][]string, peer func(string) (rpc.PeerClient, error)) *groups {
+func newGroups(self string, voters map[string][]string, peer func(string) (rpc.PeerClient, error), live func(string) []string) *groups {
 	return &groups{
 		self:    self,
 		voters:  voters,
 		peer:    peer,
+		live:    live,
 		local:   make(map[string]replica),
 		leaders: make(map[string]string),
 	}
@@ -131,7 +157,7 @@
 func (g *groups) proposeLocal(ctx context.Context, group string, command []byte) ([]byte, error) {
 	r, ok := g.localReplica(group)
 	if !ok {
-		return nil, &errs.NotLeader{Group: group}
+		return nil, g.elsewhere(group)
 	}
 	return r.group.Propose(ctx, stampCommand(group, command))
 }
@@ -139,7 +165,7 @@
 func (g *groups) readLocal(ctx context.Context, group string, query []byte) ([]byte, error) {
 	r, ok := g.localReplica(group)
 	if !ok || !r.group.IsLeader() {
-		return nil, &errs.NotLeader{Group: group, Leader: g.knownLeader(group)}
+		return nil, g.elsewhere(group)
 	}
 	if err := r.group.Barrier(ctx); err != nil {
 		return nil, err
@@ -147,8 +173,11 @@
 	return r.query(query), nil
 }
 
-// LeaderOf returns the host that last answered as the group's leader.
-func (g *groups) LeaderOf(group string) string { return g.knownLeader(group) }
+// elsewhere is the failure of a call that needs the group's leader; it names the leader that
+// this host knows.
+func (g *groups) elsewhere(group string) error {
+	return &errs.NotLeader{Group: group, Leader: g.knownLeader(group)}
+}
 
 func (g *groups) knownLeader(group string) string {
 	g.mu.Lock()
@@ -163,23 +192,42 @@
 	return known
 }
 
+// forgetLeader drops the remembered leader if it is host.
+func (g *groups) forgetLeader(group, host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaders[group] == host {
+		delete(g.leaders, group)
+	}
+}
+
 func (g *groups) setLeader(group, host string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaders[group] = host
 }
 
-// toLeader calls the group's leader: first the known one, then the voters in turn. When an
+// toLeader calls the group's leader: first the known one, then the voters, and each host
+// that one of them names as the leader. When all of them fail, a few other hosts are asked
+// in each round, because the membership may have moved away from the settings. When an
 // earlier attempt of an idempotent command may have run, the final failure says so.
 func (g *groups) toLeader(ctx context.Context, group string, idempotent bool, call leaderCall) ([]byte, error) {
 	if len(g.voters[group]) == 0 {
 		return nil, &errs.NotFound{Kind: "group", ID: group}
 	}
 	uncertain := false
-	for {
+	for round := 0; ; round++ {
 		var last error
-		for _, host := range g.candidates(group) {
-			result, err := g.attempt(ctx, group, host, call)
+		tried := make(map[string]bool)
+		queue := g.candidates(group, round)
+		for len(queue) > 0 {
+			host := queue[0]
+			queue = queue[1:]
+			if tried[host] {
+				continue
+			}
+			tried[host] = true
+			result, redirect, err := g.attempt(ctx, group, host, call)
 			if err == nil {
 				g.setLeader(group, host)
 				return result, nil
@@ -189,6 +237,14 @@
 			if final(err, idempotent) {
 				return nil, err
 			}
+			// A removed replica may name a leader of the past; one that has failed in this
+			// round is not remembered.
+			if redirect != "" && !tried[redirect] {
+				g.setLeader(group, redirect)
+				queue = append([]string{redirect}, queue...)
+			} else {
+				g.forgetLeader(group, host)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -203,16 +259,16 @@
 
 type leaderCall func(ctx context.Context, host string) ([]byte, error)
 
-// attempt calls one host and remembers a redirection for the next attempt.
-func (g *groups) attempt(ctx context.Context, group, host string, call leaderCall) ([]byte, error) {
+// attempt calls one host. redirect is the leader that it names if it is not the leader.
+func (g *groups) attempt(ctx context.Context, group, host string, call leaderCall) (result []byte, redirect string, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	result, err := call(callCtx, host)
-	var redirect *errs.NotLeader
-	if errors.As(err, &redirect) {
-		g.setLeader(group, redirect.Leader)
+	result, err = call(callCtx, host)
+	var notLeader *errs.NotLeader
+	if errors.As(err, &notLeader) {
+		redirect = notLeader.Leader
 	}
-	return result, err
+	return result, redirect, err
 }
 
 // final reports whether a failure must be returned to the caller instead of trying another
@@ -226,17 +282,40 @@
 	}
 }
 
-// candidates returns the known leader and then all other voters.
-func (g *groups) candidates(group string) []string {
-	known := g.knownLeader(group)
-	list := make([]string, 0, len(g.voters[group])+1)
-	if known != "" {
+// candidates returns the hosts to ask in a round: the known leader, the voters that this
+// host's own replica knows, the voters in the settings, and after the first round some
+// other live hosts.
+func (g *groups) candidates(group string, round int) []string {
+	var list []string
+	if known := g.knownLeader(group); known != "" {
 		list = append(list, known)
 	}
-	for _, v := range g.voters[group] {
-		if v != known {
-			list = append(list, v)
-		}
+	if r, ok := g.localReplica(group); ok {
+		list = append(list, r.group.Status().Voters...)
+	}
+	list = append(list, g.voters[group]...)
+	if round > 0 {
+		list = append(list, g.fallback(group, round-1, list)...)
 	}
 	return list
 }
+
+// fallback returns the hosts to ask in a round besides those in named. Each round takes the
+// next ones. Voters of a domain group are in its failure domain; those of the control group
+// are anywhere.
+func (g *groups) fallback(group string, round int, named []string) []string {
+	var others []string
+	for _, host := range g.live(domainOf(group)) {
+		if host != g.self && !slices.Contains(named, host) {
+			others = append(others, host)
+		}
+	}
+	if len(others) <= fallbackHosts {
+		return others
+	}
+	chosen := make([]string, 0, fallbackHosts)
+	for i := range fallbackHosts {
+		chosen = append(chosen, others[(round*fallbackHosts+i)%len(others)])
+	}
+	return chosen
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -112,7 +112,7 @@
 	h.pool = rpc.NewPool(rpc.Options{
 		Self: h.sender, Token: s.ClusterToken.Reveal(), Address: h.address, Log: h.log, TracerProvider: h.tracing.Provider(),
 	})
-	h.groups = newGroups(s.Host, voters(s), h.pool.Peer)
+	h.groups = newGroups(s.Host, voters(s), h.pool.Peer, func(domain string) []string { return h.members.Live(domain) })
 	h.config = newConfigService(s.FailureDomain, s.Timing.ConfigPoll, h.groups, h.log)
 	h.members = newMembershipService(membership.Config{
 		Self:          membership.Host{ID: s.Host, Domain: s.FailureDomain, Addr: s.Peer, Incarnation: h.incarnation},
@@ -180,7 +180,7 @@
 	return list
 }
 
-// openGroups opens the replicas that this host votes in.
+// openGroups opens the replicas of the groups that the settings name this host for.
 func (h *Host) openGroups(seed uint64) error {
 	s := h.settings
 	t := newTransport(h.pool.Peer, h.log)
@@ -218,8 +218,11 @@
 		return &errs.Invalid{Path: "$.data_dir", Want: "a folder, because the host votes in group " + name, Got: "nothing"}
 	}
 	start := storage.Existing
-	if s.Bootstrap {
+	switch {
+	case s.Bootstrap:
 		start = storage.Bootstrap
+	case s.Join:
+		start = storage.Join
 	}
 	g, err := group.Open(group.Options{
 		Group: name, ID: s.Host, Voters: members, Start: start, FS: storage.OS{},
--- a/internal/host/peerserver.go
+++ b/internal/host/peerserver.go
@@ -121,6 +121,11 @@
 	return &rpc.ReadReply{Result: result}, nil
 }
 
+// ChangeMember implements rpc.PeerServer.
+func (s *peerServer) ChangeMember(ctx context.Context, r *rpc.ChangeMemberRequest) (*rpc.ChangeMemberReply, error) {
+	return s.groups.changeLocal(ctx, r)
+}
+
 // catchUp makes a request wait until the sender's configuration is in force here, and counts
 // it as in progress.
 func (s *peerServer) catchUp(ctx context.Context) (done func(), err error) {
@@ -170,7 +175,7 @@
 // LeaseWork implements rpc.PeerServer.
 func (s *peerServer) LeaseWork(ctx context.Context, r *rpc.LeaseWorkRequest) (*rpc.LeaseWorkReply, error) {
 	if s.work == nil || r.Domain != s.domain {
-		return nil, &errs.NotLeader{Group: domainGroup(r.Domain)}
+		return nil, s.groups.elsewhere(domainGroup(r.Domain))
 	}
 	sender, _ := rpc.SenderFrom(ctx)
 	return s.work.LeaseWork(sender.Host, r)
@@ -179,7 +184,7 @@
 // ReportWork implements rpc.PeerServer.
 func (s *peerServer) ReportWork(ctx context.Context, r *rpc.ReportWorkRequest) (*rpc.ReportWorkReply, error) {
 	if s.work == nil || r.Domain != s.domain {
-		return nil, &errs.NotLeader{Group: domainGroup(r.Domain)}
+		return nil, s.groups.elsewhere(domainGroup(r.Domain))
 	}
 	return s.work.ReportWork(ctx, r)
 }
@@ -239,7 +244,7 @@
 // ReportTargets implements rpc.PeerServer.
 func (s *peerServer) ReportTargets(ctx context.Context, r *rpc.ReportTargetsRequest) (*rpc.ReportTargetsReply, error) {
 	if s.orders == nil {
-		return nil, &errs.NotLeader{Group: domainGroup(s.domain)}
+		return nil, s.groups.elsewhere(domainGroup(s.domain))
 	}
 	sender, _ := rpc.SenderFrom(ctx)
 	return s.orders.Report(sender.Host, r)
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -34,7 +34,7 @@
 
 func (r *reader) settings(n node) *Settings {
 	o := r.object(n, "host", "failure_domain", "http", "peer", "data_dir", "operator_token",
-		"cluster_token", "hosts", "groups", "bootstrap", "trace", "log", "timing", "initial_config")
+		"cluster_token", "hosts", "groups", "bootstrap", "join", "trace", "log", "timing", "initial_config")
 	s := &Settings{
 		Host:          r.name(o.need("host")),
 		FailureDomain: r.name(o.need("failure_domain")),
@@ -55,6 +55,9 @@
 	if v, ok := o.get("bootstrap"); ok {
 		s.Bootstrap = r.boolean(v)
 	}
+	if v, ok := o.get("join"); ok {
+		s.Join = r.boolean(v)
+	}
 	if v, ok := o.get("trace"); ok {
 		s.Trace = r.trace(v)
 	}
@@ -196,6 +199,12 @@
 	if s.Bootstrap && !votes {
 		return &errs.Invalid{Path: "$.bootstrap", Want: "false, because $.groups does not name this host as a voter", Got: "true"}
 	}
+	if s.Join && s.Bootstrap {
+		return &errs.Invalid{Path: "$.join", Want: "false, because $.bootstrap is true", Got: "true"}
+	}
+	if s.Join && !votes {
+		return &errs.Invalid{Path: "$.join", Want: "false, because $.groups does not name this host", Got: "true"}
+	}
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,7 +50,9 @@
 	HTTP          string `json:"http"`
 }
 
-// Groups names the voters of the consensus groups.
+// Groups names the voters at the first start of the consensus groups. Once a group has
+// started, its own membership decides; the names are where hosts look for its leader first.
+// With Join, the host names itself in the groups that it is to be added to.
 type Groups struct {
 	Control []string            `json:"control"`
 	Domains map[string][]string `json:"domains"`
@@ -100,6 +102,7 @@
 	Hosts         []Host // seeds
 	Groups        Groups
 	Bootstrap     bool
+	Join          bool // an empty data folder is started as a learner's
 	Trace         Trace
 	Log           Log
 	Timing        Timing
@@ -118,7 +121,7 @@
 		slog.String("host", s.Host), slog.String("failure_domain", s.FailureDomain),
 		slog.String("http", s.HTTP), slog.String("peer", s.Peer),
 		slog.String("data_dir", s.DataDir), slog.Int("seeds", len(s.Hosts)),
-		slog.Bool("bootstrap", s.Bootstrap))
+		slog.Bool("bootstrap", s.Bootstrap), slog.Bool("join", s.Join))
 }
 
 // Self returns the host's own entry.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,6 +54,8 @@
 		{`127.0.0.1:7070`, `127.0.0.1`, "$.peer", "IP:port"},
 		{`127.0.0.1:7070`, `127.0.0.1:0`, "$.peer", "IP:port"},
 		{`127.0.0.1:7070`, `0.0.0.0:7070`, "$.peer", "reach"},
+		{`"heartbeat":20}`, `"heartbeat":20},"bootstrap":true,"join":true`, "$.join", "bootstrap"},
+		{`"data_dir":"/d",`, `"data_dir":"/d","join":1,`, "$.join", "true or false"},
 		{`"control":["e1","e2"]`, `"control":["e1","e9"]`, "$.groups.control[1]", "$.hosts"},
 		{`"control":["e1","e2"]`, `"control":[]`, "$.groups.control", "at least one"},
 		{`"Yeka":["e2"]`, `"Yeka":["e1"]`, "$.groups.domains.Yeka[0]", "Yeka"},
