The search for a leader goes on after a redirect to an unknown host

A redirect can name a host whose address gossip has not brought yet. The search then ended with not_found, seen as status 404 when a third host was added in TestLeaderIsFoundAfterAllVotersMoved.

Such a host now counts as unavailable, also for work leases and target reports. The test kills all former voters, so that only the fallback over the live hosts finds the leader.

--- a/internal/demo/members_test.go
+++ b/internal/demo/members_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -218,7 +217,7 @@
 	c := newTrio(t)
 	c.commit("kolfe-1", "before")
 	voters := []string{"kolfe-1", "kolfe-2", "kolfe-3"}
-	for i, name := range []string{"kolfe-4", "kolfe-5", "kolfe-6"} {
+	for _, name := range []string{"kolfe-4", "kolfe-5", "kolfe-6"} {
 		if err := c.Join(name, "kolfe", c.dir); err != nil {
 			t.Fatal(err)
 		}
@@ -229,25 +228,26 @@
 		c.member(name, api.PromoteMember, name, false, voters, []string{})
 		voters = voters[1:]
 		c.member(name, api.RemoveMember, old, false, voters, []string{})
-		if i < 2 {
-			c.commit(name, "step-"+name)
-		}
+		c.commit(name, "step-"+name)
 	}
-	// A host without a replica, whose settings name only the removed voters.
+	// A host without a replica, whose groups name only the removed voters. One of its seeds
+	// is alive, which joining the gossip needs.
 	if err := c.Join("kolfe-7", "kolfe", c.dir); err != nil {
 		t.Fatal(err)
 	}
 	s := c.settings["kolfe-7"]
 	s.Join, s.DataDir, s.Groups.Domains = false, "", c.settings["kolfe-1"].Groups.Domains
-	c.kill("kolfe-2")
-	c.kill("kolfe-3")
+	s.Hosts = append(slices.Clone(s.Hosts), c.settings["kolfe-4"].Self())
+	for _, name := range []string{"kolfe-1", "kolfe-2", "kolfe-3"} {
+		c.kill(name)
+	}
 	c.start("kolfe-7")
 	ctx, cancel := context.WithTimeout(t.Context(), changeTimeout)
 	defer cancel()
 	for ready := false; !ready; time.Sleep(20 * time.Millisecond) {
 		var reason string
 		if ready, reason = c.Host("kolfe-7").Ready(); ctx.Err() != nil {
-			t.Fatal(strings.Join([]string{"kolfe-7 is not ready", reason}, ": "))
+			t.Fatalf("kolfe-7 is not ready: %s", reason)
 		}
 	}
 	c.commit("kolfe-7", "moved")
--- a/internal/host/groups.go
+++ b/internal/host/groups.go
@@ -81,13 +81,25 @@
 	return &groups{
 		self:    self,
 		voters:  voters,
-		peer:    peer,
+		peer:    reachable(peer),
 		live:    live,
 		local:   make(map[string]replica),
 		leaders: make(map[string]string),
 	}
 }
 
+// reachable turns the failure for a host whose address is not known yet into one after which
+// the search for a leader goes on: a redirect can arrive before the gossip about its host.
+func reachable(peer func(string) (rpc.PeerClient, error)) func(string) (rpc.PeerClient, error) {
+	return func(host string) (rpc.PeerClient, error) {
+		client, err := peer(host)
+		if errs.CodeOf(err) == errs.CodeNotFound {
+			return nil, &errs.Unavailable{Resource: "host " + host, Reason: "its address is not known"}
+		}
+		return client, err
+	}
+}
+
 func (g *groups) addLocal(name string, r replica) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -151,11 +151,11 @@
 	}
 	h.sampler = &samplerService{
 		config: h.config, quota: h.quota, dispatcher: h.dispatcher, executor: h.executor, payloads: h.payloads,
-		groups: h.groups, self: s.Host, domains: domains, peer: h.pool.Peer, log: h.log, metrics: h.hostMetrics,
+		groups: h.groups, self: s.Host, domains: domains, peer: h.groups.peer, log: h.log, metrics: h.hostMetrics,
 	}
 	h.sampler.init()
 	h.reporter = &targetReporter{
-		self: s.Host, domain: s.FailureDomain, targets: h.targets, groups: h.groups, peer: h.pool.Peer, log: h.log,
+		self: s.Host, domain: s.FailureDomain, targets: h.targets, groups: h.groups, peer: h.groups.peer, log: h.log,
 	}
 }
 
