--- a/internal/demo/members_test.go
+++ b/internal/demo/members_test.go
@@ -16,6 +16,7 @@
 
 	"fuchsiaflow/confstate"
 	"fuchsiaflow/internal/api"
+	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/host"
 	"fuchsiaflow/storage"
 )
@@ -172,7 +173,19 @@
 	if err := c.Start(t.Context(), "kolfe-3"); !errors.As(err, &lost) {
 		t.Fatalf("start without the data: %v, want DiskLost", err)
 	}
-	delete(c.hosts, "kolfe-3")
+	// With join left set the empty folder is opened, and a peer must notice.
+	c.settings["kolfe-3"].Join = true
+	c.start("kolfe-3")
+	var refused *group.IdentityRefused
+	select {
+	case err := <-c.Host("kolfe-3").Failed():
+		if !errors.As(err, &refused) {
+			t.Fatalf("start without the data and with join: %v, want IdentityRefused", err)
+		}
+	case <-time.After(changeTimeout):
+		t.Fatal("a voter without its data takes part")
+	}
+	c.kill("kolfe-3")
 	c.commit("kolfe-2", "degraded")
 
 	if err := c.Join("kolfe-4", "kolfe", c.dir); err != nil {
