--- a/cmd/fuchsiaflow/main.go
+++ b/cmd/fuchsiaflow/main.go
@@ -34,6 +34,7 @@
 	Demo    demoCommand    `cmd:"" help:"Run a small system in one process and check its guarantees."`
 	Measure measureCommand `cmd:"" help:"Measure the policy and baselines in simulated time."`
 	Replay  replayCommand  `cmd:"" help:"Replay a recorded trace and compare its outcome with the stated one."`
+	Member  memberCommand  `cmd:"" help:"Change the membership of a consensus group by one host."`
 }
 
 func main() {
--- a/internal/host/claims_test.go
+++ b/internal/host/claims_test.go
@@ -8,15 +8,18 @@
 	"testing"
 	"time"
 
+	"fuchsiaflow/consensus"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/domainstate"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/retry"
 )
 
-// memoryGroup is a group of one replica without a log. LoseAnswers makes it apply commands
-// and then report an unknown outcome.
+// memoryGroup is a group of one replica without a log. While lose is positive, it applies
+// commands and reports an unknown outcome. The embedded interface stands for what claims do
+// not use.
 type memoryGroup struct {
+	localGroup
 	mu    sync.Mutex
 	state *domainstate.State
 	index uint64
@@ -41,6 +44,8 @@
 	return "", 1, false
 }
 
+func (g *memoryGroup) Status() consensus.Status { return consensus.Status{} }
+
 func newClaimHosts(t *testing.T, names ...string) (*memoryGroup, map[string]*claimService) {
 	t.Helper()
 	state, err := domainstate.New(domainstate.NewClaims())
@@ -50,7 +55,7 @@
 	g := &memoryGroup{state: state}
 	hosts := make(map[string]*claimService)
 	for _, name := range names {
-		gs := newGroups(name, map[string][]string{"domain/d": {name}}, nil)
+		gs := newGroups(name, map[string][]string{"domain/d": {name}}, nil, func(string) []string { return nil })
 		gs.addLocal("domain/d", replica{group: g, query: state.Query})
 		k := kernel.New(slog.New(slog.DiscardHandler))
 		c := newClaimService(name, 1, gs, slog.New(slog.DiscardHandler))
