--- a/internal/demo/capacity_test.go
+++ b/internal/demo/capacity_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"runtime"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +41,9 @@
 	return c
 }
 
+// largeVoters is the number of voters of a domain group. The other hosts have no disk.
+const largeVoters = 3
+
 // startLarge starts a cluster with the default timing and the large configuration.
 func startLarge(b *testing.B, perDomain, homes int) *Cluster {
 	b.Helper()
@@ -48,8 +54,13 @@
 	b.Cleanup(func() { cluster.KillAll(context.Background()) })
 	ctx, cancel := context.WithTimeout(b.Context(), readyTimeout)
 	defer cancel()
-	for _, s := range cluster.settings {
+	for name, s := range cluster.settings {
 		s.Timing = settings.DefaultTiming()
+		voters := s.Groups.Domains[s.FailureDomain] // the map is shared by all settings
+		s.Groups.Domains[s.FailureDomain] = voters[:min(len(voters), largeVoters)]
+		if !slices.Contains(s.Groups.Domains[s.FailureDomain], name) {
+			s.DataDir, s.Bootstrap = "", false
+		}
 	}
 	if err := cluster.StartAll(ctx); err != nil {
 		b.Fatal(err)
@@ -88,6 +99,51 @@
 	}
 }
 
+// BenchmarkAnnouncements posts the announcements of 30 targets a host each second through all
+// hosts in turn, as a load balancer does. It reports the processor time and bytes of hosts and
+// targets together, which include those of idle hosts.
+func BenchmarkAnnouncements(b *testing.B) {
+	const perHost = 30
+	for _, perDomain := range []int{1, 3} { // with one host a domain, nothing is forwarded
+		b.Run("hosts="+strconv.Itoa(perDomain*len(Domains)), func(b *testing.B) {
+			cluster := startLarge(b, perDomain, 3)
+			time.Sleep(2 * time.Second)
+			hosts := float64(len(cluster.Hosts()))
+			cpu, bytes := usage(b)
+			start, sent := time.Now(), 0
+			tick := time.NewTicker(time.Second / time.Duration(perHost*len(cluster.Hosts())))
+			defer tick.Stop()
+			for range 5 * b.N * perHost * len(cluster.Hosts()) {
+				<-tick.C
+				domain := Domains[sent%len(Domains)]
+				urls := cluster.URLs(domain)
+				target := sent / len(Domains) % (perHost * perDomain)
+				announce(b, urls[sent/len(Domains)/7%len(urls)], domain, target)
+				sent++
+			}
+			cpuAfter, bytesAfter := usage(b)
+			seconds := time.Since(start).Seconds() * hosts
+			b.ReportMetric((cpuAfter-cpu).Seconds()/seconds*100, "%core/host")
+			b.ReportMetric(float64(bytesAfter-bytes)/seconds, "B/s/host")
+			b.ReportMetric(float64(sent)/seconds, "announcements/s/host")
+		})
+	}
+}
+
+func announce(b *testing.B, url, domain string, target int) {
+	body := fmt.Sprintf(`{"id":"pool-%d-%d","incarnation":1700000000000,"failure_domain":%q,"pool":"pool-%d","address":"127.0.0.1:9",`+
+		`"kind":"engine","slots":16,"loaded":{"sorter":123456},"load":{"running":16,"queued":3}}`, target%50, 100+target, domain, target%50)
+	response, err := http.Post(url+"/v1/targets/announce", "application/json", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		b.Fatal("announcement is refused: ", response.Status)
+	}
+}
+
 // memory returns the bytes of live objects and goroutine stacks.
 func memory() uint64 {
 	var m runtime.MemStats
@@ -108,7 +164,8 @@
 			time.Sleep(2 * time.Second)
 			var times []float64
 			version := uint64(1)
-			next := time.Now()
+			start := time.Now()
+			next := start
 			cpu, bytes := usage(b)
 			for range b.N {
 				version++
@@ -127,7 +184,8 @@
 			}
 			cpuAfter, bytesAfter := usage(b)
 			slices.Sort(times)
-			seconds := (interval * time.Duration(b.N)).Seconds() * float64(len(cluster.Hosts()))
+			seconds := time.Since(start).Seconds() * float64(len(cluster.Hosts()))
+			b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "changes/s")
 			b.ReportMetric(float64(len(confstate.Canonical(largeConfig(version, 3)))), "B/config")
 			b.ReportMetric((cpuAfter-cpu).Seconds()/seconds*100, "%core/host")
 			b.ReportMetric(float64(bytesAfter-bytes)/seconds, "B/s/host")
