--- a/internal/joined/trainer_test.go
+++ b/internal/joined/trainer_test.go
@@ -5,10 +5,9 @@
 	"strconv"
 	"time"
 
+	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/domainstate"
 	"fuchsiaflow/ledger"
-
-	"fuchsiaflow/errs"
 )
 
 const (
