settings: drain_grace

Cause: a draining host refused new connections 0.5 s after /readyz turned to 503, which is shorter than a usual health check interval, so a balancer could still send requests to a closed port. Change: the grace is a setting, 3 s by default. Measured: go test ./internal/settings passes; demo and end-to-end tests keep 0.5 s.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -99,6 +99,7 @@
 	return settings.Timing{
 		Heartbeat: 50 * time.Millisecond, Election: 500 * time.Millisecond, Probe: 300 * time.Millisecond,
 		TargetLease: 3 * time.Second, WorkLease: 20 * time.Second, ConfigPoll: 250 * time.Millisecond, DrainTimeout: 20 * time.Second,
+		DrainGrace: 500 * time.Millisecond,
 	}
 }
 
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -176,7 +176,7 @@
 			"groups": map[string]any{"control": control, "domains": groups}, "log": map[string]any{"level": "debug"},
 			"timing": map[string]any{
 				"heartbeat": 50, "election": 500, "probe": 300, "target_lease": 3000, "work_lease": 10000,
-				"config_poll": 200, "drain_timeout": 30000,
+				"config_poll": 200, "drain_timeout": 30000, "drain_grace": 500,
 			},
 		}
 		if votes {
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -202,9 +202,6 @@
 	return nil
 }
 
-// balancerGrace is the time that the balancer gets to notice that the host is not ready.
-const balancerGrace = 500 * time.Millisecond
-
 // drain ends the host's part in the system without cutting off a request: the balancer and
 // the other hosts stop sending, leadership is handed over, and requests in progress finish.
 func (h *Host) drain(ctx context.Context) {
@@ -214,7 +211,7 @@
 		name string
 		run  func()
 	}{
-		{"balancer", func() { pause(ctx, balancerGrace) }},
+		{"balancer", func() { pause(ctx, h.settings.Timing.DrainGrace) }},
 		{"membership", func() { h.members.Leave(); h.http.CloseListener() }},
 		{"samples", func() { h.sampler.Drain(ctx) }},
 		{"requests", func() { h.http.Wait(ctx); h.inflight.Wait(ctx) }},
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -17,7 +17,8 @@
 type limit struct{ preset, min, max int64 }
 
 // The leases follow from the announcement interval of one second: a target is dropped
-// after three missed announcements. A work lease covers the four minutes of a step.
+// after three missed announcements. A work lease covers the four minutes of a step. The
+// drain grace covers two health checks of a balancer that asks once a second.
 var timingLimits = map[string]limit{
 	"heartbeat":     {100, 10, 10_000},
 	"election":      {1_000, 50, 60_000},
@@ -26,6 +27,7 @@
 	"work_lease":    {240_000, 100, 3_600_000},
 	"config_poll":   {1_000, 10, 13_000},
 	"drain_timeout": {300_000, 100, 3_600_000},
+	"drain_grace":   {3_000, 0, 60_000},
 }
 
 // minElectionHeartbeats is how many heartbeats must fit into an election timeout. With
@@ -151,7 +153,7 @@
 	t := Timing{
 		Heartbeat: ms("heartbeat"), Election: ms("election"), Probe: ms("probe"),
 		TargetLease: ms("target_lease"), WorkLease: ms("work_lease"),
-		ConfigPoll: ms("config_poll"), DrainTimeout: ms("drain_timeout"),
+		ConfigPoll: ms("config_poll"), DrainTimeout: ms("drain_timeout"), DrainGrace: ms("drain_grace"),
 	}
 	if least := minElectionHeartbeats * t.Heartbeat; t.Election < least {
 		r.fail(n.path+".election", fmt.Sprintf("at least %d, %d times the heartbeat",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,7 @@
 	WorkLease    time.Duration // after which a leased slot is planned again
 	ConfigPoll   time.Duration // between two questions for a newer configuration
 	DrainTimeout time.Duration // limit of a graceful shutdown
+	DrainGrace   time.Duration // between turning not ready and refusing new connections
 }
 
 // Settings are the validated settings of one host.
