demo: recorded steps and desk requests as input

Cause: the main job ran on generated prompts; it should run on recorded input. The expected configuration version follows what was applied.

--- a/cmd/fuchsiaflow/demo.go
+++ b/cmd/fuchsiaflow/demo.go
@@ -17,12 +17,17 @@
 const demoTimeout = 28 * time.Second
 
 type demoCommand struct {
-	JSON    bool `name:"json" help:"Print one JSON object and nothing else."`
-	Verbose bool `short:"v" help:"Print the hosts' log."`
+	JSON    bool   `name:"json" help:"Print one JSON object and nothing else."`
+	Verbose bool   `short:"v" help:"Print the hosts' log."`
+	Input   string `type:"existingfile" help:"Recorded steps and desk requests, one JSON object per line; a part of the binary by default."`
 }
 
 // Run fails when a guarantee is broken.
 func (c *demoCommand) Run() error {
+	input, err := c.readInput()
+	if err != nil {
+		return err
+	}
 	dir, err := os.MkdirTemp("", "fuchsiaflow-demo-")
 	if err != nil {
 		return &errs.Unavailable{Resource: "temporary folder", Reason: err.Error()}
@@ -37,7 +42,7 @@
 	if c.Verbose {
 		level = slog.LevelDebug
 	}
-	report, err := demo.Run(ctx, dir, progress, observe.NewLogger(os.Stderr, level, "demo"))
+	report, err := demo.Run(ctx, input, dir, progress, observe.NewLogger(os.Stderr, level, "demo"))
 	if report == nil {
 		return err
 	}
@@ -52,3 +57,14 @@
 	report.Print(os.Stdout)
 	return err
 }
+
+func (c *demoCommand) readInput() (*demo.Input, error) {
+	if c.Input == "" {
+		return demo.DefaultInput()
+	}
+	data, err := os.ReadFile(c.Input)
+	if err != nil {
+		return nil, &errs.NotFound{Kind: "file", ID: c.Input}
+	}
+	return demo.ParseInput(data)
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -21,13 +20,10 @@
 const (
 	engines        = 9
 	services       = 3
-	steps          = 6
-	groupsPerStep  = 12
-	samplesInGroup = 8
-	maxTokens      = 64
 	tokenTime      = 2 * time.Millisecond
 	swapTime       = 150 * time.Millisecond
 	deskInterval   = 60 * time.Millisecond
+	deskTimeout    = 10 * time.Second
 	stalenessBound = 2
 	stepTimeout    = 20 * time.Second
 	// readyTimeout bounds the start of the hosts.
@@ -54,6 +50,7 @@
 	DeskUnknown          int               `json:"desk_unknown"`
 	UnsafeExecutedTwice  int               `json:"unsafe_executed_twice"`
 	RanAfterNotRun       int               `json:"ran_after_not_run"`
+	ConfigApplied        uint64            `json:"config_applied"`
 	ConfigVersions       map[string]uint64 `json:"config_versions"`
 	Events               []string          `json:"events"`
 	Seconds              float64           `json:"seconds"`
@@ -93,17 +90,16 @@
 		}
 	}
 	for host, version := range r.ConfigVersions {
-		if version != finalVersion {
+		if version != r.ConfigApplied {
 			return &Broken{Guarantee: "the newest configuration is in force on host " + host, Count: 1}
 		}
 	}
 	return nil
 }
 
-const finalVersion = 2
-
 // run is one execution of the demo.
 type run struct {
+	input    *Input
 	cluster  *Cluster
 	truth    *fakes.Truth
 	engines  []*fakes.Engine
@@ -114,14 +110,14 @@
 	report   *Report
 }
 
-// Run executes the demo with its data under dir and prints progress to w.
-func Run(ctx context.Context, dir string, w io.Writer, log *slog.Logger) (*Report, error) {
+// Run sends the input through a cluster with its data under dir and prints progress to w.
+func Run(ctx context.Context, input *Input, dir string, w io.Writer, log *slog.Logger) (*Report, error) {
 	start := time.Now()
 	cluster, err := NewCluster(3, dir, log)
 	if err != nil {
 		return nil, err
 	}
-	r := &run{cluster: cluster, truth: fakes.NewTruth(), progress: w, report: &Report{ConfigVersions: make(map[string]uint64)}}
+	r := &run{input: input, cluster: cluster, truth: fakes.NewTruth(), progress: w, report: &Report{ConfigVersions: make(map[string]uint64)}}
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
 		return nil, err
@@ -166,7 +162,10 @@
 	body := confstate.Canonical(Config(version))
 	for _, name := range r.cluster.Hosts() {
 		if h := r.cluster.Host(name); h != nil {
-			_, err := h.Apply(ctx, body)
+			reply, err := h.Apply(ctx, body)
+			if err == nil {
+				r.report.ConfigApplied = reply.Version
+			}
 			return err
 		}
 	}
@@ -243,15 +242,15 @@
 	if err := r.trainer.Publish(ctx, 1); err != nil {
 		return err
 	}
-	for i := range steps {
+	for i, step := range r.input.Steps {
 		if err := r.disturb(ctx, i); err != nil {
 			return err
 		}
-		began := time.Now()
-		if err := r.trainer.RunStep(ctx, "step-"+strconv.Itoa(i+1), r.groups(i), stepTimeout); err != nil {
+		began, before := time.Now(), r.trainer.Tally().Delivered
+		if err := r.trainer.RunStep(ctx, step.Step, step.Groups, stepTimeout); err != nil {
 			return err
 		}
-		r.event("step %d: %d samples in %.2f s", i+1, groupsPerStep*samplesInGroup, time.Since(began).Seconds())
+		r.event("step %s: %d samples in %.2f s", step.Step, r.trainer.Tally().Delivered-before, time.Since(began).Seconds())
 		if err := r.trainer.Publish(ctx, uint64(i+2)); err != nil {
 			return err
 		}
@@ -259,16 +258,6 @@
 	return nil
 }
 
-func (r *run) groups(step int) []fakes.Group {
-	groups := make([]fakes.Group, groupsPerStep)
-	for i := range groups {
-		groups[i] = fakes.Group{
-			Prompt: fmt.Sprintf("drum head %d of round %d: reuse or pulp?", i, step), Samples: samplesInGroup, MaxTokens: maxTokens,
-		}
-	}
-	return groups
-}
-
 // disturb makes something fail before a step.
 func (r *run) disturb(ctx context.Context, step int) error {
 	switch step {
@@ -282,10 +271,10 @@
 		}
 		return r.cluster.Kill(ctx, "yeka-2")
 	case 3:
-		if err := r.apply(ctx, finalVersion); err != nil {
+		if err := r.apply(ctx, 2); err != nil {
 			return err
 		}
-		r.event("configuration %d is accepted", finalVersion)
+		r.event("configuration %d is accepted", r.report.ConfigApplied)
 		r.event("host yeka-2 is started again")
 		return r.cluster.Start(ctx, "yeka-2")
 	case 4:
@@ -295,29 +284,28 @@
 	return nil
 }
 
-// desk sends requests until its context ends: generations, safe calls and unsafe calls.
+// desk sends the recorded requests until its context ends.
 func (r *run) desk(until, ctx context.Context) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	for i := 0; until.Err() == nil; i++ {
-		calls.Go(func() { r.deskRequest(ctx, i) })
+	for _, request := range r.input.Desk {
+		calls.Go(func() { r.deskRequest(ctx, request) })
 		select {
 		case <-until.Done():
+			return
 		case <-time.After(deskInterval):
 		}
 	}
 }
 
-func (r *run) deskRequest(ctx context.Context, i int) {
-	if i%2 == 0 {
-		_, _ = r.desks["sorting"].Do(ctx, fakes.DeskRequest{
-			Model: "sorter", Prompt: fmt.Sprintf("arrival %d: which shelf?", i), MaxTokens: 24, Timeout: 10 * time.Second,
-		})
+func (r *run) deskRequest(ctx context.Context, in DeskInput) {
+	desk, ok := r.desks[in.Pool]
+	if !ok {
 		return
 	}
-	body, _ := json.Marshal(map[string]int{"drum_head": i})
-	_, _ = r.desks["intake-log"].Do(ctx, fakes.DeskRequest{
-		Body: body, Key: "log-" + strconv.Itoa(i), Unsafe: true, Timeout: 10 * time.Second,
+	// The desk counts answers and failures itself.
+	_, _ = desk.Do(ctx, fakes.DeskRequest{
+		Model: in.Model, Prompt: in.Prompt, MaxTokens: in.MaxTokens, Body: in.Body, Key: in.Key, Unsafe: in.Unsafe, Timeout: deskTimeout,
 	})
 }
 
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"fuchsiaflow/confstate"
+	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/engine"
 	"fuchsiaflow/internal/fakes"
 	"fuchsiaflow/internal/settings"
@@ -30,12 +31,22 @@
 func TestRunKeepsGuarantees(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 	defer cancel()
-	report, err := Run(ctx, t.TempDir(), io.Discard, quiet())
+	input, err := DefaultInput()
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(ctx, input, t.TempDir(), io.Discard, quiet())
 	if err != nil {
 		t.Fatalf("%v; report %+v", err, report)
 	}
-	if report.SamplesDelivered != steps*groupsPerStep*samplesInGroup {
-		t.Errorf("delivered %d samples", report.SamplesDelivered)
+	want := 0
+	for _, step := range input.Steps {
+		for _, g := range step.Groups {
+			want += g.Samples
+		}
+	}
+	if report.SamplesDelivered != want {
+		t.Errorf("delivered %d samples, want %d", report.SamplesDelivered, want)
 	}
 }
 
@@ -54,7 +65,7 @@
 		"config":     func(r *Report) { r.ConfigVersions["a"] = 1 },
 	}
 	for name, change := range breaks {
-		r := &Report{SamplesRequested: 5, SamplesDelivered: 5, ConfigVersions: map[string]uint64{"a": finalVersion}}
+		r := &Report{SamplesRequested: 5, SamplesDelivered: 5, ConfigApplied: 2, ConfigVersions: map[string]uint64{"a": 2}}
 		if err := r.Check(); err != nil {
 			t.Fatalf("intact report: %v", err)
 		}
@@ -64,6 +75,15 @@
 	}
 }
 
+// Guards against an input that is read in part or with fields that mean nothing.
+func TestParseInputRefuses(t *testing.T) {
+	for _, in := range []string{"", `{"kind":"step","step":"s","groups":[]}`, `{"kind":"other"}`, `{"kind":"desk","colour":1}`, `{`} {
+		if _, err := ParseInput([]byte(in)); errs.CodeOf(err) != errs.CodeInvalid {
+			t.Errorf("%s: %v", in, err)
+		}
+	}
+}
+
 // single is one host with one engine, for measurements.
 type single struct {
 	cluster *Cluster
