--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -42,7 +42,7 @@
 		}
 	})
 	defer expiry.Stop()
-	body := OrderBody{Kind: o.Kind, Model: o.Model, Version: o.Version, Role: o.Role, Fence: o.Fence, ExpiresMS: o.ExpiresAt.UnixMilli()}
+	body := OrderBody{Kind: o.Kind, Model: o.Model, Version: o.Version, Role: o.Role, Fence: o.Fence, ExpiresMS: o.ExpiresAt.UnixMilli(), InFlight: o.InFlight}
 	err := c.exchange(ctx, c.fresh, "order", addr, c.builder(addr).Post("/v1/orders").BodyJSON(body), nil)
 	if err != nil && !h.happened() && !time.Now().Before(o.ExpiresAt) {
 		return &errs.Deadline{Operation: "order", Result: errs.NotRun}
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -76,6 +76,8 @@
 	Role      string
 	Fence     uint64
 	ExpiresAt time.Time
+	// InFlight tells what the target does with running requests: finish, resume or discard.
+	InFlight string
 }
 
 // OrderBody is the JSON form of an Order.
@@ -86,6 +88,7 @@
 	Role      string `json:"role,omitempty"`
 	Fence     uint64 `json:"fence"`
 	ExpiresMS int64  `json:"expires_ms"`
+	InFlight  string `json:"in_flight,omitempty"`
 }
 
 // Load is the load that a target reports.
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -44,6 +44,7 @@
 	planner   *weights.Planner
 	addresses map[string]string
 	pools     map[string]string
+	inFlight  map[string]string // by pool
 	reporters map[string]uint64
 	running   int
 }
@@ -54,6 +55,7 @@
 		planner:   weights.NewPlanner(weights.Config{}),
 		addresses: make(map[string]string),
 		pools:     make(map[string]string),
+		inFlight:  make(map[string]string),
 		reporters: make(map[string]uint64),
 	}
 }
@@ -76,6 +78,7 @@
 	o.planner.SetStoreRate(cfg.WeightStore.LoadsPerSecond/float64(max(1, domains)), float64(cfg.WeightStore.MaxConcurrent)/float64(max(1, domains)))
 	for _, pool := range cfg.Pools {
 		if pool.Kind == confstate.Engine {
+			o.inFlight[pool.Name] = string(pool.InFlight)
 			o.planner.SetPool(pool.Name, weights.Pool{
 				MaxUnavailable: float64(pool.MaxUnavailablePercent) / 100, Models: pool.Models,
 			})
@@ -130,9 +133,9 @@
 	}
 	for _, order := range o.planner.Tick(now, weights.Authority{Term: term, LeaseUntil: until, OK: ok}) {
 		o.running++
-		addr := o.addresses[order.Target]
+		addr, inFlight := o.addresses[order.Target], o.inFlight[o.pools[order.Target]]
 		o.kern.Go("weights/order", func(ctx context.Context) error {
-			o.give(ctx, addr, order)
+			o.give(ctx, addr, inFlight, order)
 			return nil
 		})
 	}
@@ -140,10 +143,10 @@
 
 // give sends one order and then asks the target for its state, because only what the target
 // reports is trusted.
-func (o *orderService) give(ctx context.Context, addr string, order weights.Order) {
+func (o *orderService) give(ctx context.Context, addr, inFlight string, order weights.Order) {
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	err := o.client.Order(orderCtx, addr, engine.Order{
-		Kind: engine.OrderLoad, Model: order.Model, Version: order.Version, Fence: order.Fence, ExpiresAt: order.ExpiresAt,
+		Kind: engine.OrderLoad, Model: order.Model, Version: order.Version, Fence: order.Fence, ExpiresAt: order.ExpiresAt, InFlight: inFlight,
 	})
 	cancel()
 	result := orderResult(order, err)
