--- a/cmd/fuchsiaflow/operator.go
+++ b/cmd/fuchsiaflow/operator.go
@@ -145,7 +145,8 @@
 	fmt.Fprintf(w, "configuration\tversion %d\t%s\n", s.ConfigVersion, s.ConfigDigest)
 	for _, name := range slices.Sorted(maps.Keys(s.Groups)) {
 		g := s.Groups[name]
-		fmt.Fprintf(w, "group\t%s\t%s\tleader %s\tterm %d\tcommit %d\n", name, g.Role, g.Leader, g.Term, g.Commit)
+		fmt.Fprintf(w, "group\t%s\t%s\tleader %s\tterm %d\tcommit %d\tvoters %s\tlearners %s\n",
+			name, g.Role, g.Leader, g.Term, g.Commit, names(g.Voters), names(g.Learners))
 	}
 	for _, h := range s.Hosts {
 		fmt.Fprintf(w, "member\t%s\t%s\t%s\n", h.Host, h.FailureDomain, h.State)
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -224,8 +224,8 @@
 	Host   string `json:"host"`
 }
 
-// MemberReply is the membership of a group after a change. Repeated is set when the change
-// was in force before the call.
+// MemberReply is the membership of a group after a change. Repeated is set when the leader
+// found the change in force already, by an earlier call or an earlier attempt of this one.
 type MemberReply struct {
 	Group    string   `json:"group"`
 	Voters   []string `json:"voters"`
