--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -71,30 +71,38 @@
 	desk    *fakes.Desk
 }
 
-func newSingle(tb testing.TB) *single {
+// newDomain starts the hosts of one failure domain, which is the home of all tenancies.
+func newDomain(ctx context.Context, tb testing.TB, domain string, hosts int, dir string) *Cluster {
 	tb.Helper()
 	saved := Domains
-	Domains = []string{"akaki"}
+	Domains = []string{domain}
 	defer func() { Domains = saved }()
-	cluster, err := NewCluster(1, tb.TempDir(), quiet())
-	if err != nil {
-		tb.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(tb.Context(), readyTimeout)
-	defer cancel()
-	if err := cluster.StartAll(ctx); err != nil {
-		tb.Fatal(err)
-	}
+	cluster, err := NewCluster(hosts, dir, quiet())
+	must(tb, err)
+	tb.Cleanup(func() { cluster.KillAll(context.Background()) })
+	must(tb, cluster.StartAll(ctx))
 	cfg := Config(1)
 	for i := range cfg.Tenancies {
-		cfg.Tenancies[i].Home, cfg.Tenancies[i].Limits = "akaki", nil
-	}
-	if _, err := cluster.Host("akaki-1").Apply(ctx, confstate.Canonical(cfg)); err != nil {
-		tb.Fatal(err)
+		cfg.Tenancies[i].Home, cfg.Tenancies[i].Limits = domain, nil
 	}
-	if err := cluster.AwaitReady(ctx); err != nil {
+	_, err = cluster.Host(domain+"-1").Apply(ctx, confstate.Canonical(cfg))
+	must(tb, err)
+	must(tb, cluster.AwaitReady(ctx))
+	return cluster
+}
+
+func must(tb testing.TB, err error) {
+	tb.Helper()
+	if err != nil {
 		tb.Fatal(err)
 	}
+}
+
+func newSingle(tb testing.TB) *single {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(tb.Context(), readyTimeout)
+	defer cancel()
+	cluster := newDomain(ctx, tb, "akaki", 1, tb.TempDir())
 	e, err := fakes.NewEngine(fakes.EngineOptions{
 		TargetOptions: fakes.TargetOptions{ID: "engine-1", FailureDomain: "akaki", Pool: "sorting", Slots: 64, Hosts: cluster.URLs("")},
 		Models:        map[string]uint64{"sorter": 1},
@@ -106,7 +114,6 @@
 	tb.Cleanup(func() {
 		desk.Close()
 		e.Close()
-		cluster.KillAll(context.Background())
 	})
 	s := &single{cluster: cluster, engine: e, desk: desk}
 	for s.request(ctx, "warm-up") != nil {
