claims: an answer that is not stored is not given

Cause: a host that stood still during an unsafe request was declared lost, so its home ended the claim as unknown. The host then recorded the answer, did not look at the result, and gave the answer to its caller, while every resend got unknown.

Change: the caller gets the answer only if the home has stored it; otherwise the outcome is unknown for all. The new test TestSuspendedClaimHolder suspends the host during the run. The other way, to accept the late answer in the claim table, contradicts TestClaimDecisions of package retry and was not taken.

Conclusion: an answer and its resends agree. When the record takes more than 2 s (finishWait), the answer is still given before it is stored, as the claim service states.

--- a/internal/e2e/targets_test.go
+++ b/internal/e2e/targets_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/demo"
 	"fuchsiaflow/internal/fakes"
 )
@@ -140,3 +142,44 @@
 		c.t.Errorf("another body under key %s ran", key)
 	}
 }
+
+// TestSuspendedClaimHolder guards P6 against a host that stands still during the run of an
+// unsafe request for so long that the others declare it dead, and then goes on. If it gives
+// the answer to its caller, a resend through another host must get the same answer.
+func TestSuspendedClaimHolder(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{targets: 1})
+	c.setDelay(time.Second)
+	holder := c.procs["yeka-2"]
+	r := entry("suspended")
+	r.Timeout = 2 * waitLimit
+	first := make(chan error, 1)
+	var a fakes.DeskAnswer
+	go func() {
+		var err error
+		a, err = c.desk(demo.DeskToken, "intake-log", c.url(holder.name)).Do(c.ctx, r)
+		first <- err
+	}()
+	c.eventually("the first run is under way", func() string {
+		for _, s := range c.services {
+			if s.Running() > 0 {
+				return ""
+			}
+		}
+		return "no service runs it"
+	})
+	holder.signal(syscall.SIGSTOP)
+	c.awaitMembers("akaki-1", len(c.order)-1)
+	holder.signal(syscall.SIGCONT)
+	firstErr := <-first
+	b, err := c.desk(demo.DeskToken, "intake-log", c.url("akaki-1")).Do(c.ctx, r)
+	switch {
+	case firstErr != nil && errs.OutcomeOf(firstErr) != errs.Unknown:
+		t.Errorf("P5: the request ran, but its caller was told %v", firstErr)
+	case firstErr == nil && (err != nil || string(b.Body) != string(a.Body)):
+		t.Errorf("P6: the acknowledged answer was %s, the resend got %s: %v", a.Body, b.Body, err)
+	}
+	if n := c.executions(string(r.Body)); n != 1 {
+		t.Errorf("P6: the request ran %d times", n)
+	}
+}
--- a/internal/host/claims.go
+++ b/internal/host/claims.go
@@ -142,7 +142,9 @@
 	c.record(kernelCtx, r, a, result)
 }
 
-// record stores the outcome. The answer is given once it is stored, or after finishWait.
+// record stores the outcome. The answer is given once it is stored, or after finishWait. When
+// this host was declared lost meanwhile, the claim has ended as unknown for every resend, so the
+// caller is told the same.
 func (c *claimService) record(ctx context.Context, r claimRequest, a *claimRun, granted retry.ClaimResult) {
 	command := c.command(retry.Finish, r)
 	command.Incarnation = granted.Incarnation
@@ -154,10 +156,14 @@
 		command.Answer = nil
 	}
 	timer := time.AfterFunc(finishWait, func() { close(a.done) })
-	c.untilApplied(ctx, r.home, command)
-	if timer.Stop() {
-		close(a.done)
+	result, applied := c.untilApplied(ctx, r.home, command)
+	if !timer.Stop() {
+		return
 	}
+	if a.err == nil && applied && result.Status != retry.Done {
+		a.answer, a.err = nil, &errs.Interrupted{Operation: "unsafe request", Reason: "the home declared this host lost during the run"}
+	}
+	close(a.done)
 }
 
 // release gives a key free that this host may hold without having dispatched anything.
@@ -178,17 +184,19 @@
 	}
 }
 
-func (c *claimService) untilApplied(ctx context.Context, home string, command retry.ClaimCommand) {
+// untilApplied repeats a command until it is applied or ctx ends.
+func (c *claimService) untilApplied(ctx context.Context, home string, command retry.ClaimCommand) (result retry.ClaimResult, applied bool) {
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		_, err := c.claim(attempt, home, command)
+		result, err := c.claim(attempt, home, command)
 		cancel()
 		if err == nil {
-			return
+			return result, true
 		}
 		c.log.Warn("outcome of an unsafe request is not recorded yet", "tenancy", command.Tenancy, "error", err)
 		pause(ctx, claimRetry)
 	}
+	return retry.ClaimResult{}, false
 }
 
 // begin claims the key. While another host runs the request, it waits for the outcome. Once
