host: a host that leaves keeps its claims until it has drained

Cause: the first step of a graceful shutdown tells the members that the host leaves. The homes took that as a lost host and ended its open claims as unknown, while it was still finishing those requests.

Change: the work of a host that left counts as lost only after the drain timeout, or when the host returns with a higher incarnation. A host that dies without leaving is reported at once, as before.

If a leaving host is killed before it has finished, resends wait for its claims until the drain timeout.

--- a/internal/host/gossip.go
+++ b/internal/host/gossip.go
@@ -57,6 +57,9 @@
 	node  *membership.Node
 	known map[string]membership.Member
 	heard map[string]heardSummary
+	// left has the time at which the work of a host that leaves counts as lost.
+	left  map[string]time.Time
+	drain time.Duration
 
 	bytesSent, bytesReceived uint64
 }
@@ -67,7 +70,7 @@
 	summary summary
 }
 
-func newMembershipService(cfg membership.Config, token string, log *slog.Logger, now time.Time) *membershipService {
+func newMembershipService(cfg membership.Config, token string, drain time.Duration, log *slog.Logger, now time.Time) *membershipService {
 	return &membershipService{
 		self:   cfg.Self,
 		token:  []byte(token),
@@ -76,6 +79,8 @@
 		node:   membership.New(cfg, now),
 		known:  make(map[string]membership.Member),
 		heard:  make(map[string]heardSummary),
+		left:   make(map[string]time.Time),
+		drain:  drain,
 	}
 }
 
@@ -168,11 +173,26 @@
 		}
 		switch {
 		case member.Host.Incarnation > old.Host.Incarnation:
+			delete(m.left, id)
 			m.report(hostEvent{host: id, upto: member.Host.Incarnation - 1})
+		case old.State.Live() && member.State == membership.Left:
+			m.left[id] = now.Add(m.drain)
 		case old.State.Live() && !member.State.Live():
 			m.report(hostEvent{host: id, upto: uint64(now.UnixMilli())})
 		}
 	}
+	m.reportLeft(now)
+}
+
+// reportLeft reports the hosts that left and must have ended by now. A host that leaves first
+// finishes its requests, whose claims must stay valid until then.
+func (m *membershipService) reportLeft(now time.Time) {
+	for id, end := range m.left {
+		if !now.Before(end) {
+			delete(m.left, id)
+			m.report(hostEvent{host: id, upto: uint64(now.UnixMilli())})
+		}
+	}
 }
 
 func (m *membershipService) report(e hostEvent) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -119,7 +119,7 @@
 		Seeds:         seeds(s),
 		ProbeInterval: s.Timing.Probe,
 		Rand:          random(seed, 1),
-	}, s.ClusterToken.Reveal(), h.log, h.started)
+	}, s.ClusterToken.Reveal(), s.Timing.DrainTimeout, h.log, h.started)
 	h.composeRequests(seed)
 	if err := h.openGroups(seed); err != nil {
 		return err
