--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -14,6 +14,26 @@
 	"fuchsiaflow/internal/demo"
 )
 
+// config returns the configuration of the tests: that of the demo, with a trainer homed in
+// akaki and a desk homed in kolfe besides.
+func config(version uint64) *confstate.Config {
+	cfg := demo.Config(version)
+	trainer, desk := cfg.Tenancies[0], cfg.Tenancies[1]
+	trainer.Name, trainer.Home, trainer.Model = "sorting-akaki", "akaki", "sorter-akaki"
+	trainer.TokenSHA256 = confstate.TokenDigest(akakiTrainerToken)
+	desk.Name, desk.Home, desk.TokenSHA256 = "intake-kolfe", "kolfe", confstate.TokenDigest(kolfeDeskToken)
+	cfg.Tenancies = append(cfg.Tenancies, trainer, desk)
+	cfg.Pools[0].Models = append(cfg.Pools[0].Models, "sorter-akaki")
+	return cfg
+}
+
+// altered returns the configuration with content that differs by n.
+func altered(version uint64, n int) *confstate.Config {
+	cfg := config(version)
+	cfg.Queues.Desk += uint64(n)
+	return cfg
+}
+
 // TestOperatorsRace guards P9 against two operators who apply files of equal version and
 // different content through different hosts at the same time. Exactly one file must win on
 // all hosts, and the other operator must get a conflict that names both digests.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -36,7 +36,7 @@
 	peerPort    = 7001
 )
 
-// Tokens of the callers homed in akaki and of the trainer's twin there.
+// Tokens of the tenancies that config adds to those of the demo.
 const (
 	akakiTrainerToken = "e2e-trainer-akaki"
 	kolfeDeskToken    = "e2e-desk-kolfe"
@@ -500,26 +500,6 @@
 	return list
 }
 
-// config returns the configuration of the tests: that of the demo, with a trainer homed in
-// akaki and a desk homed in kolfe besides.
-func config(version uint64) *confstate.Config {
-	cfg := demo.Config(version)
-	trainer, desk := cfg.Tenancies[0], cfg.Tenancies[1]
-	trainer.Name, trainer.Home, trainer.Model = "sorting-akaki", "akaki", "sorter-akaki"
-	trainer.TokenSHA256 = confstate.TokenDigest(akakiTrainerToken)
-	desk.Name, desk.Home, desk.TokenSHA256 = "intake-kolfe", "kolfe", confstate.TokenDigest(kolfeDeskToken)
-	cfg.Tenancies = append(cfg.Tenancies, trainer, desk)
-	cfg.Pools[0].Models = append(cfg.Pools[0].Models, "sorter-akaki")
-	return cfg
-}
-
-// altered returns the configuration with content that differs by n.
-func altered(version uint64, n int) *confstate.Config {
-	cfg := config(version)
-	cfg.Queues.Desk += uint64(n)
-	return cfg
-}
-
 // trainer returns a trainer of the tenancy sorting or, with its token, of its twin in akaki.
 // It has published the version that the engines have at start.
 func (c *cluster) trainer(token string, urls []string) *fakes.Trainer {
