--- a/internal/host/claims.go
+++ b/internal/host/claims.go
@@ -156,8 +156,8 @@
 		command.Answer = nil
 	}
 	if len(command.Answer) > retry.MaxAnswerBytes {
-		// The answer cannot be stored. The key stays used, and a resend learns that the
-		// outcome is unknown, because it must not run again.
+		// The answer cannot be stored but is given to this caller. The key stays used, and a
+		// resend learns that the outcome is unknown, because it must not run again.
 		c.log.Warn("answer of an unsafe request is too large to be stored", "tenancy", r.tenancy, "bytes", len(a.answer))
 		command.Outcome, command.Answer = retry.Unknown, nil
 	}
@@ -166,7 +166,7 @@
 	if !timer.Stop() {
 		return
 	}
-	if a.err == nil && applied && result.Status != retry.Done {
+	if command.Outcome == retry.Ran && applied && result.Status != retry.Done {
 		a.answer, a.err = nil, &errs.Interrupted{Operation: "unsafe request", Reason: "the home declared this host lost during the run"}
 	}
 	close(a.done)
