--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -523,15 +523,6 @@
 	return d
 }
 
-// groups returns n prompts of a step with 8 samples each.
-func groups(step string, n, tokens int) []fakes.Group {
-	list := make([]fakes.Group, n)
-	for i := range list {
-		list[i] = fakes.Group{Prompt: fmt.Sprintf("%s drum head %d", step, i), Samples: 8, MaxTokens: uint32(tokens)}
-	}
-	return list
-}
-
 // runStep runs a step in the background and returns its result.
 func (c *cluster) runStep(tr *fakes.Trainer, id string, g []fakes.Group) <-chan error {
 	done := make(chan error, 1)
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -53,6 +53,15 @@
 	return fakes.DeskRequest{Body: body, Key: key, Unsafe: true, Timeout: requestTimeout}
 }
 
+// groups returns n prompts of a step with 8 samples each.
+func groups(step string, n, tokens int) []fakes.Group {
+	list := make([]fakes.Group, n)
+	for i := range list {
+		list[i] = fakes.Group{Prompt: fmt.Sprintf("%s drum head %d", step, i), Samples: 8, MaxTokens: uint32(tokens)}
+	}
+	return list
+}
+
 // finish ends the load and checks what was answered.
 func (c *cluster) finish(l *load) (safe, unsafe fakes.DeskTally) {
 	c.t.Helper()
