Clusters in one process take ports below the range of outgoing connections

Cause: ports were taken from the range of outgoing connections and released before the host bound them. A connection of another host could take one in between: BenchmarkIdleMemory failed with 'address already in use' in two of three runs of five clusters. Change: ports 12000 to 31999 in turn from a random start, still checked for TCP and UDP. Conclusion: a port can still be taken by another process that listens in the same range.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"fuchsiaflow/confstate"
@@ -35,14 +37,28 @@
 	hosts    map[string]*host.Host
 }
 
+// Ports of the hosts. They are below the range from which Linux takes the ports of outgoing
+// connections by default (32768 and up): a connection of a host that is already running could
+// otherwise take the port of one that starts later.
+const (
+	firstPort = 12_000
+	lastPort  = 31_999
+)
+
+// nextPort counts the ports that were tried, so that no two hosts of this process get the same
+// one. It starts at a random port, because other processes run clusters too.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
 // freeAddress returns an IP:port of the loopback interface that is free for TCP and UDP.
 func freeAddress() (string, error) {
 	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		addr := "127.0.0.1:" + strconv.Itoa(firstPort+int(nextPort.Add(1)%(lastPort-firstPort+1)))
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", &errs.Unavailable{Resource: "loopback port", Reason: err.Error()}
+			continue
 		}
-		addr := l.Addr().String()
 		_ = l.Close()
 		u, err := net.ListenPacket("udp", addr)
 		if err == nil {
