sampler: windows are refilled soon, and a drain waits for its reports

Cause: a host whose windows were all busy got no work and then waited 0.5 s before it looked again, as if the home had none. A drain did not wait for a report that was already taken from the ring, so its slots stayed leased until their lease ended. Change: a host without free capacity looks every 50 ms and asks only for attempts to cancel, twice a second; a drain waits until every attempt is reported.

--- a/internal/host/sampler.go
+++ b/internal/host/sampler.go
@@ -19,7 +19,7 @@
 	// leaseInterval is the interval at which free capacity is offered to a home. Each home
 	// has its own duty, so that one that is cut off delays no other.
 	leaseInterval = 50 * time.Millisecond
-	// leaseIdleInterval replaces leaseInterval while a home has no work.
+	// leaseIdleInterval replaces leaseInterval while a home has no work for free capacity.
 	leaseIdleInterval = 500 * time.Millisecond
 	// reportInterval is the time over which results are gathered into one report, so that
 	// one log entry covers many samples.
@@ -57,6 +57,8 @@
 	// waiting counts by pool the attempts that wait for their tenancy's quota. They will need
 	// a window that the dispatcher still reports as free.
 	waiting map[string]int
+	// unreported counts the attempts that are not reported yet, running ones included.
+	unreported int
 }
 
 // attemptReport is a result that must reach the home before its lease ends.
@@ -97,21 +99,12 @@
 			return
 		}
 	}
-	pause(ctx, 2*reportInterval)
 }
 
 func (s *samplerService) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.running) > 0 {
-		return false
-	}
-	for _, ring := range s.reports {
-		if ring.Depth() > 0 {
-			return false
-		}
-	}
-	return true
+	return s.unreported == 0
 }
 
 // Running returns the number of attempts in progress.
@@ -122,11 +115,17 @@
 }
 
 func (s *samplerService) leaseLoop(ctx context.Context, domain string) error {
+	var asked time.Time
 	for {
 		wait := leaseIdleInterval
 		if s.wantsWork(domain) {
-			if leased := s.lease(ctx, domain); leased > 0 {
-				wait = leaseInterval
+			capacity := s.freeCapacity()
+			// A host without free capacity only asks for attempts to cancel, but looks for
+			// capacity often: a window that becomes free must not stay empty.
+			wait = leaseInterval
+			if len(capacity) > 0 || time.Since(asked) >= leaseIdleInterval {
+				asked = time.Now()
+				wait = s.lease(ctx, domain, capacity)
 			}
 		}
 		if !pause(ctx, wait) {
@@ -153,20 +152,24 @@
 	return false
 }
 
-func (s *samplerService) lease(ctx context.Context, domain string) int {
-	request := &rpc.LeaseWorkRequest{Domain: domain, Capacity: s.freeCapacity()}
+// lease asks a home for work and returns the time until the next look for capacity.
+func (s *samplerService) lease(ctx context.Context, domain string, capacity []*rpc.PoolCapacity) time.Duration {
+	request := &rpc.LeaseWorkRequest{Domain: domain, Capacity: capacity}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	reply, err := s.leaseFrom(ctx, domain, request)
 	if err != nil {
 		s.log.Debug("no work is leased", "domain", domain, "error", err)
-		return 0
+		return leaseIdleInterval
 	}
 	s.cancelAttempts(domain, reply.Cancelled)
 	for _, work := range reply.Work {
 		s.start(domain, work)
 	}
-	return len(reply.Work)
+	if len(reply.Work) == 0 && len(capacity) > 0 {
+		return leaseIdleInterval
+	}
+	return leaseInterval
 }
 
 // freeCapacity lists the free room less what runs already but is not queued yet.
@@ -247,6 +250,7 @@
 	s.mu.Lock()
 	id := attemptID{domain, work.Attempt}
 	s.running[id] = cancel
+	s.unreported++
 	s.mu.Unlock()
 	s.kern.Go("sampler/attempt", func(context.Context) error {
 		defer cancel()
@@ -379,7 +383,11 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-ring.C():
-			s.report(ctx, domain, s.gather(ctx, ring, first))
+			batch := s.gather(ctx, ring, first)
+			s.report(ctx, domain, batch)
+			s.mu.Lock()
+			s.unreported -= len(batch)
+			s.mu.Unlock()
 		}
 	}
 }
