config: a waiting request notices an activation at any moment

Cause: CatchUp looked at the version first and took the channel of the next change afterwards; an activation in between was missed, and the request was refused as not run after 2 s. Change: the channel is taken first. Measured: go test -race -count=3 -run CatchUpNotices ./internal/host: before, fails (the request is refused); after, go test -race -run CatchUp ./internal/host passes.

--- a/internal/host/configsync.go
+++ b/internal/host/configsync.go
@@ -107,10 +107,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	for c.Version() < version {
+	for {
+		// The channel is taken before the version is looked at, so that an activation in
+		// between is not missed.
 		c.mu.Lock()
 		changed := c.changed
 		c.mu.Unlock()
+		if c.Version() >= version {
+			return nil
+		}
 		_ = c.wake.Push(ctx, struct{}{})
 		select {
 		case <-changed:
@@ -118,7 +123,6 @@
 			return &errs.Unavailable{Resource: "host", Reason: "its configuration is older than the sender's"}
 		}
 	}
-	return nil
 }
 
 // follow reads the newest version of the domain group at each poll interval, and at once
