limits: a restarted host waits one window for its cut-off share

Change: the fault is back in the state machine. CutOffFrom withholds the share for one window after the start of a process; the share is divided by the greatest number of hosts seen. Measured: go test -race ./limits: the state machine finds the fault, which is the former behaviour of the host, and passes without it; go test ./internal/host passes. Cost: in the first minute of a process a cut-off host refuses such tenancies as not run.

--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -33,13 +33,16 @@
 
 	mu   sync.Mutex
 	core *limits.Host
-	kern *kernel.Kernel
+	// hosts is the greatest number of hosts seen in the failure domain. The domain's cut-off
+	// share is divided by it, because a host that is gone may have spent its part.
+	hosts int
+	kern  *kernel.Kernel
 }
 
 func newQuotaService(self, domain string, domains int, incarnation uint64, g *groups, c *configService, m *membershipService, log *slog.Logger) *quotaService {
 	return &quotaService{
 		self: self, domain: domain, domains: domains, incarnation: incarnation, groups: g, config: c, members: m, log: log,
-		core: limits.NewHost(limits.HostConfig{Incarnation: incarnation}),
+		core: limits.NewHost(limits.HostConfig{Incarnation: incarnation, CutOffFrom: time.Now().Add(limits.Window)}),
 	}
 }
 
@@ -53,19 +56,37 @@
 // Stop implements kernel.Service.
 func (q *quotaService) Stop(context.Context) error { return nil }
 
-// SetConfig starts over with the cut-off shares of a configuration that changes them.
+// SetConfig applies the cut-off shares of a configuration.
 func (q *quotaService) SetConfig(cfg *confstate.Config) {
-	cutOff := make(map[string]limits.Amount)
-	hosts := max(1, len(q.members.Live(q.domain)))
+	live := len(q.members.Live(q.domain))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.hosts = max(q.hosts, live, 1)
+	q.core.SetCutOff(cutOffShares(cfg, q.domain, q.domains, q.hosts))
+}
+
+// followHosts divides the cut-off shares anew when more hosts are seen. A host sees only
+// itself at its start; it cannot spend its share before one window has passed.
+func (q *quotaService) followHosts() {
+	live := len(q.members.Live(q.domain))
+	q.mu.Lock()
+	grown := live > q.hosts
+	q.mu.Unlock()
+	if cfg := q.config.Current(); grown && cfg != nil {
+		q.SetConfig(cfg)
+	}
+}
+
+// cutOffShares returns what one host may spend of the quotas homed in other domains while it
+// has no lease.
+func cutOffShares(cfg *confstate.Config, domain string, domains, hosts int) map[string]limits.Amount {
+	shares := make(map[string]limits.Amount)
 	for _, t := range cfg.Tenancies {
-		if t.Limits == nil || t.Home == q.domain {
-			continue
+		if t.Limits != nil && t.Home != domain {
+			shares[t.Name] = limits.CutOffQuota(quotaOf(t.Limits), t.Limits.CutOffShare, domains, hosts)
 		}
-		cutOff[t.Name] = limits.CutOffQuota(quotaOf(t.Limits), t.Limits.CutOffShare, q.domains, hosts)
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.core.SetCutOff(cutOff)
+	return shares
 }
 
 func quotaOf(l *confstate.Limits) limits.Amount {
@@ -111,6 +132,7 @@
 
 // demand sends the demands that are due, one at a time per tenancy.
 func (q *quotaService) demand() {
+	q.followHosts()
 	cfg := q.config.Current()
 	if cfg == nil {
 		return
--- a/limits/host.go
+++ b/limits/host.go
@@ -11,6 +11,10 @@
 	// CutOff is the amount per minute that this host may spend of each tenancy's quota while
 	// it has no lease, see CutOffQuota.
 	CutOff map[string]Amount
+	// CutOffFrom is the time before which nothing of CutOff may be spent. A process sets it to
+	// one Window after its start, because an earlier process of the host may have spent its
+	// share just before.
+	CutOffFrom time.Time
 	// MaxIDs bounds the request IDs that are remembered.
 	MaxIDs int
 	// DemandInterval is the time between demands; a host asks for what it used in that time
@@ -126,6 +130,9 @@
 		a.held = Amount{}
 		a.cutOff.expire(now)
 		rest := a.cutOffQ.Sub(a.cutOff.Sum)
+		if now.Before(h.cfg.CutOffFrom) {
+			rest = Amount{}
+		}
 		if !rest.Covers(amount) {
 			a.need = a.need.Max(amount)
 			return a.exceeded(now, rest)
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -42,6 +42,7 @@
 	grantWholeQuota       // the home leaves nothing for cut-off domains
 	applyOldShares        // a host applies answers to older demands
 	forgetIDs             // a host settles a request again and again
+	refillCutOff          // a restarted host spends its cut-off share again
 )
 
 // use is one accepted reservation as the oracle sees it.
@@ -192,7 +193,11 @@
 			h := host.Draw(t, "host")
 			cfg := c.hosts[h].cfg
 			cfg.Incarnation++
-			cfg.CutOff = nil // a restarted host may have spent its cut-off share already
+			// The former process may have spent the cut-off share a moment ago.
+			cfg.CutOffFrom = c.now.Add(Window)
+			if c.f == refillCutOff {
+				cfg.CutOffFrom = time.Time{}
+			}
 			c.hosts[h] = NewHost(cfg)
 			for id, owner := range c.byID {
 				if owner == h {
@@ -272,7 +277,7 @@
 func TestDeliberateFaultsAreFound(t *testing.T) {
 	_ = flag.Set("rapid.shrinktime", "0s")
 	defer func() { _ = flag.Set("rapid.shrinktime", "30s") }()
-	for _, f := range []fault{forgetWindow, reclaimEarly} {
+	for _, f := range []fault{forgetWindow, reclaimEarly, refillCutOff} {
 		if !catches(t, f) {
 			t.Errorf("fault %d was not found", f)
 		}
