Tests of limits and routing use the shared fault check, which is tested itself

Cause: both packages had their own recorder of expected failures, and the shared one changed the time for minimization for all tests that followed. Change: both use faultcheck.Failure, which restores the time; a test shows that it tells properties that hold from those that do not. Conclusion: one way left in the stateful tests.

--- a/internal/faultcheck/faultcheck.go
+++ b/internal/faultcheck/faultcheck.go
@@ -49,10 +49,13 @@
 // Failure returns the message of a property that is expected to fail, or "".
 func Failure(t *testing.T, property func(*rapid.T)) string {
 	t.Helper()
-	// The smallest failing case is of no interest here.
-	if err := flag.Set("rapid.shrinktime", "1ms"); err != nil {
+	// The smallest failing case is of no interest here, but it is in the tests that follow.
+	const shrinkTime = "rapid.shrinktime"
+	former := flag.Lookup(shrinkTime).Value.String()
+	if err := flag.Set(shrinkTime, "1ms"); err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = flag.Set(shrinkTime, former) }()
 	r := &recorder{TB: t}
 	rapid.Check(r, property)
 	return r.message
--- /dev/null
+++ b/internal/faultcheck/faultcheck_test.go
@@ -0,0 +1,33 @@
+package faultcheck
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a helper that reports a failure for every property, or for none: all tests
+// of deliberate faults rest on it.
+func TestFailureTellsPropertiesApart(t *testing.T) {
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
+	property := func(limit int) func(*rapid.T) {
+		return func(rt *rapid.T) {
+			if n := rapid.IntRange(0, 9).Draw(rt, "n"); n > limit {
+				rt.Fatalf("%d is above %d", n, limit)
+			}
+		}
+	}
+	before := flag.Lookup("rapid.shrinktime").Value.String()
+	if got := Failure(t, property(9)); got != "" {
+		t.Errorf("a property that holds failed: %s", got)
+	}
+	if Failure(t, property(3)) == "" {
+		t.Error("a property that does not hold passed")
+	}
+	if after := flag.Lookup("rapid.shrinktime").Value.String(); after != before {
+		t.Errorf("shrink time is %s afterwards, was %s", after, before)
+	}
+}
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/faultcheck"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -237,46 +238,17 @@
 	})
 }
 
-// quietTB takes the verdict of a check that is expected to fail.
-type quietTB struct {
-	testing.TB
-	failed bool
-}
-
-type stopped struct{}
-
-func (q *quietTB) Logf(string, ...any)   {}
-func (q *quietTB) Log(...any)            {}
-func (q *quietTB) Error(...any)          { q.failed = true }
-func (q *quietTB) Errorf(string, ...any) { q.failed = true }
-func (q *quietTB) Fatalf(string, ...any) { q.FailNow() }
-func (q *quietTB) Fatal(...any)          { q.FailNow() }
-func (q *quietTB) Fail()                 { q.failed = true }
-func (q *quietTB) Failed() bool          { return q.failed }
-func (q *quietTB) FailNow()              { q.failed = true; panic(stopped{}) }
-
 // catches reports whether the state machine finds a fault.
 func catches(t *testing.T, f fault) bool {
-	q := &quietTB{TB: t}
-	func() {
-		defer func() {
-			if r := recover(); r != nil && r != any(stopped{}) {
-				panic(r)
-			}
-		}()
-		rapid.Check(q, func(t *rapid.T) {
-			c := newCluster(2, Amount{60, 200}, 0.2)
-			c.f = f
-			t.Repeat(c.actions(t))
-		})
-	}()
-	return q.failed
+	return faultcheck.Failure(t, func(t *rapid.T) {
+		c := newCluster(2, Amount{60, 200}, 0.2)
+		c.f = f
+		t.Repeat(c.actions(t))
+	}) != ""
 }
 
 // Guards against a state machine that cannot fail: each deliberate fault must be found.
 func TestDeliberateFaultsAreFound(t *testing.T) {
-	_ = flag.Set("rapid.shrinktime", "0s")
-	defer func() { _ = flag.Set("rapid.shrinktime", "30s") }()
 	for _, f := range []fault{forgetWindow, reclaimEarly, refillCutOff} {
 		if !catches(t, f) {
 			t.Errorf("fault %d was not found", f)
--- a/routing/machine_test.go
+++ b/routing/machine_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/faultcheck"
 )
 
 // TestMain fixes the seed of the state machines, so that every run gives the same verdict.
@@ -261,49 +262,15 @@
 	})
 }
 
-// quietTB takes the verdict of a check that is expected to fail.
-type quietTB struct {
-	testing.TB
-	failed bool
-}
-
-type stopped struct{}
-
-func (q *quietTB) Logf(string, ...any)   {}
-func (q *quietTB) Log(...any)            {}
-func (q *quietTB) Error(...any)          { q.failed = true }
-func (q *quietTB) Errorf(string, ...any) { q.failed = true }
-func (q *quietTB) Fatalf(string, ...any) { q.FailNow() }
-func (q *quietTB) Fatal(...any)          { q.FailNow() }
-func (q *quietTB) Fail()                 { q.failed = true }
-func (q *quietTB) Failed() bool          { return q.failed }
-func (q *quietTB) FailNow()              { q.failed = true; panic(stopped{}) }
-
-// catches reports whether a check fails.
-func catches(t *testing.T, check func(*rapid.T)) bool {
-	q := &quietTB{TB: t}
-	func() {
-		defer func() {
-			if r := recover(); r != nil && r != any(stopped{}) {
-				panic(r)
-			}
-		}()
-		rapid.Check(q, check)
-	}()
-	return q.failed
-}
-
 // Guards against a state machine that cannot fail: each deliberate fault must be found.
 func TestDeliberateFaultsAreFound(t *testing.T) {
-	_ = flag.Set("rapid.shrinktime", "0s")
-	defer func() { _ = flag.Set("rapid.shrinktime", "30s") }()
 	faults := map[string]fault{"dispatch twice": dispatchTwice, "keep removed targets": keepRemoved, "ignore version": ignoreVersion,
 		"drop refusals": dropRefusal, "samples first": samplesFirst, "ignore queue limit": ignoreLimit, "ignore silence": ignoreSuspension}
 	for name, f := range faults {
-		if !catches(t, func(t *rapid.T) {
+		if faultcheck.Failure(t, func(t *rapid.T) {
 			o := newOracle(f)
 			t.Repeat(o.actions())
-		}) {
+		}) == "" {
 			t.Errorf("fault %q was not found", name)
 		}
 	}
