--- a/cmd/fuchsiaflow/main.go
+++ b/cmd/fuchsiaflow/main.go
@@ -27,6 +27,8 @@
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
 	Run     runCommand     `cmd:"" help:"Run a host until it is stopped or drained."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry host of the platform, which serves callers."`
+	Store   storeCommand   `cmd:"" help:"Run a store host of the platform, which keeps the state and runs batch jobs."`
 	Check   checkCommand   `cmd:"" help:"Check a configuration or settings file without a host."`
 	Apply   applyCommand   `cmd:"" help:"Apply a configuration file as one unit."`
 	Status  statusCommand  `cmd:"" help:"Show the state of a host."`
--- /dev/null
+++ b/cmd/fuchsiaflow/role.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/entry"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/internal/store"
+	"fuchsiaflow/platform"
+	"fuchsiaflow/storage"
+)
+
+const (
+	// gcPercent keeps the heap small: these hosts pay for memory, and their heaps are a few MB.
+	gcPercent = 40
+	// stopReserve is the part of the grace period that is left for the end of the process.
+	stopReserve = 500 * time.Millisecond
+	// engineIdle is how long a connection for orders to an engine is kept.
+	engineIdle = 3 * time.Second
+)
+
+type entryCommand struct {
+	Settings string `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
+}
+
+type storeCommand struct {
+	Settings string `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
+}
+
+// roleHost is a host of one role.
+type roleHost interface {
+	Start(ctx context.Context) error
+	Failed() <-chan error
+	Shutdown(ctx context.Context) error
+	Reload(s *settings.Role)
+}
+
+// Run serves callers until the process is told to stop.
+func (c *entryCommand) Run() error {
+	return runRole("entry", c.Settings, func(s *settings.Role, log *slog.Logger, m *observe.Metrics) (roleHost, error) {
+		return entry.New(entry.Options{Settings: s, Headers: platform.Headers, Front: platform.Front, Ready: platform.Ready, Log: log, Metrics: m})
+	})
+}
+
+// Run keeps the state until the process is told to stop.
+func (c *storeCommand) Run() error {
+	return runRole("store", c.Settings, func(s *settings.Role, log *slog.Logger, m *observe.Metrics) (roleHost, error) {
+		if s.DataDir == "" {
+			return nil, &errs.Invalid{Path: "$.data_dir", Want: "a folder", Got: "none"}
+		}
+		client := &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdle, MaxIdleConnsPerHost: 1}}
+		return store.New(store.Options{Settings: s, Headers: platform.Headers, Calls: platform.Engine{Client: client}, Control: platform.Control,
+			Log: log, Metrics: m, FS: storage.OS{}})
+	})
+}
+
+// runRole runs a host until SIGTERM, SIGINT or a failure.
+func runRole(role, path string, open func(*settings.Role, *slog.Logger, *observe.Metrics) (roleHost, error)) error {
+	debug.SetGCPercent(gcPercent)
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	out := observe.NewRingWriter(os.Stdout)
+	defer func() { _ = out.Close() }()
+	log := observe.NewLogger(out, s.Log.Level, s.Host).With("role", role)
+	metrics := observe.NewMetrics()
+	metrics.GaugeFunc("log_lines_dropped", "Log lines that were dropped since the start.", func() float64 { return float64(out.Dropped()) })
+	host, err := open(s, log, metrics)
+	if err != nil {
+		log.Error("host cannot start", "error", err)
+		return err
+	}
+	log.Info("host starts", "version", version, "failure_domain", s.FailureDomain, "ip", s.IP, "seeds", s.Seeds, "first_start", s.FirstStart,
+		"voters", s.Voters(), "pid", os.Getpid())
+	if err := host.Start(context.Background()); err != nil {
+		log.Error("host cannot start", "error", err)
+		return err
+	}
+	failure := waitRole(host, log, path)
+	ctx, cancel := context.WithTimeout(context.Background(), max(s.Timing.Grace-stopReserve, stopReserve))
+	defer cancel()
+	begin := time.Now()
+	err = host.Shutdown(ctx)
+	log.Info("host stopped", "took_ms", time.Since(begin).Milliseconds(), "lines_dropped", out.Dropped(), "error", errText(err), "failure", errText(failure))
+	if failure != nil {
+		return failure
+	}
+	return nil
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// waitRole returns when the host is to stop, with the failure of a duty if that is the reason.
+func waitRole(host roleHost, log *slog.Logger, path string) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				log.Info("host stops", "signal", sig.String())
+				return nil
+			}
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				log.Error("settings not reloaded", "error", err)
+				continue
+			}
+			host.Reload(s)
+			log.Info("settings reloaded", "seeds", s.Seeds)
+		case err := <-host.Failed():
+			log.Error("host stops", "error", err)
+			return err
+		}
+	}
+}
--- a/internal/host/groups.go
+++ b/internal/host/groups.go
@@ -7,10 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"fuchsiaflow/consensus"
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/leader"
 	"fuchsiaflow/internal/rpc"
 )
 
@@ -34,8 +33,6 @@
 
 // Times of the search for a group's leader.
 const (
-	// redirectPause separates two rounds over all voters, so that an election can finish.
-	redirectPause = 50 * time.Millisecond
 	// attemptTimeout bounds one call to a voter, so that a silent voter does not use up the
 	// whole deadline of the caller.
 	attemptTimeout = 2 * time.Second
@@ -75,20 +72,24 @@
 	// live lists the live hosts of a failure domain, or of all for an empty domain.
 	live func(domain string) []string
 
-	mu      sync.Mutex
-	local   map[string]replica
-	leaders map[string]string
+	finder leader.Finder
+
+	mu    sync.Mutex
+	local map[string]replica
 }
 
 func newGroups(self string, voters map[string][]string, peer func(string) (rpc.PeerClient, error), live func(string) []string) *groups {
-	return &groups{
-		self:    self,
-		voters:  voters,
-		peer:    reachable(peer),
-		live:    live,
-		local:   make(map[string]replica),
-		leaders: make(map[string]string),
+	g := &groups{
+		self:   self,
+		voters: voters,
+		peer:   reachable(peer),
+		live:   live,
+		local:  make(map[string]replica),
 	}
+	g.finder.Known = g.localLeader
+	g.finder.Candidates = g.candidates
+	g.finder.AttemptTimeout = attemptTimeout
+	return g
 }
 
 // reachable turns the failure for a host whose address is not known yet into one after which
@@ -194,117 +195,33 @@
 	return &errs.NotLeader{Group: group, Leader: g.knownLeader(group)}
 }
 
-func (g *groups) knownLeader(group string) string {
-	g.mu.Lock()
-	r, isLocal := g.local[group]
-	known := g.leaders[group]
-	g.mu.Unlock()
-	if isLocal {
-		if id, _, ok := r.group.Leader(); ok {
-			return id
-		}
-	}
-	return known
-}
+// knownLeader returns the leader that this host knows, or "".
+func (g *groups) knownLeader(group string) string { return g.finder.Leader(group) }
 
-// forgetLeader drops the remembered leader if it is host.
-func (g *groups) forgetLeader(group, host string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.leaders[group] == host {
-		delete(g.leaders, group)
+// localLeader returns the leader that this host's own replica knows, or "".
+func (g *groups) localLeader(group string) string {
+	r, ok := g.localReplica(group)
+	if !ok {
+		return ""
 	}
+	id, _, _ := r.group.Leader()
+	return id
 }
 
-func (g *groups) setLeader(group, host string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.leaders[group] = host
-}
-
-// toLeader calls the group's leader: first the known one, then the voters, and each host
-// that one of them names as the leader. When all of them fail, a few other hosts are asked
-// in each round, because the membership may have moved away from the settings. When an
-// earlier attempt of an idempotent command may have run, the final failure says so.
-func (g *groups) toLeader(ctx context.Context, group string, idempotent bool, call leaderCall) ([]byte, error) {
+// toLeader calls the group's leader; see leader.Finder. After the first round some hosts that
+// the settings do not name are asked too, because the membership may have moved.
+func (g *groups) toLeader(ctx context.Context, group string, idempotent bool, call leader.Call) ([]byte, error) {
 	if len(g.voters[group]) == 0 {
 		return nil, &errs.NotFound{Kind: "group", ID: group}
 	}
-	uncertain := false
-	for round := 0; ; round++ {
-		var last error
-		tried := make(map[string]bool)
-		queue := g.candidates(group, round)
-		for len(queue) > 0 {
-			host := queue[0]
-			queue = queue[1:]
-			if tried[host] {
-				continue
-			}
-			tried[host] = true
-			result, redirect, err := g.attempt(ctx, group, host, call)
-			if err == nil {
-				g.setLeader(group, host)
-				return result, nil
-			}
-			last = err
-			uncertain = uncertain || errs.OutcomeOf(err) != errs.NotRun
-			if final(err, idempotent) {
-				return nil, err
-			}
-			// A removed replica may name a leader of the past; one that has failed in this
-			// round is not remembered.
-			if redirect != "" && !tried[redirect] {
-				g.setLeader(group, redirect)
-				queue = append([]string{redirect}, queue...)
-			} else {
-				g.forgetLeader(group, host)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			if uncertain {
-				return nil, &errs.Interrupted{Operation: "command to group " + group, Reason: last.Error()}
-			}
-			return nil, &errs.Unavailable{Resource: "group " + group, Reason: last.Error()}
-		case <-time.After(redirectPause):
-		}
-	}
+	return g.finder.Do(ctx, group, idempotent, call)
 }
 
-type leaderCall func(ctx context.Context, host string) ([]byte, error)
-
-// attempt calls one host. redirect is the leader that it names if it is not the leader.
-func (g *groups) attempt(ctx context.Context, group, host string, call leaderCall) (result []byte, redirect string, err error) {
-	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	result, err = call(callCtx, host)
-	var notLeader *errs.NotLeader
-	if errors.As(err, &notLeader) {
-		redirect = notLeader.Leader
-	}
-	return result, redirect, err
-}
-
-// final reports whether a failure must be returned to the caller instead of trying another
-// voter.
-func final(err error, idempotent bool) bool {
-	switch errs.CodeOf(err) {
-	case errs.CodeNotLeader, errs.CodeUnavailable, errs.CodeOverloaded, errs.CodeDeadline, errs.CodeInterrupted:
-		return !idempotent && errs.OutcomeOf(err) != errs.NotRun
-	default:
-		return true
-	}
-}
-
-// candidates returns the hosts to ask in a round: the known leader, the voters that this
-// host's own replica knows, the voters in the settings, and after the first round some
+// candidates returns the hosts to ask in a round besides the known leader: the voters that
+// this host's own replica knows, the voters in the settings, and after the first round some
 // other live hosts.
 func (g *groups) candidates(group string, round int) []string {
 	var list []string
-	if known := g.knownLeader(group); known != "" {
-		list = append(list, known)
-	}
 	if r, ok := g.localReplica(group); ok {
 		list = append(list, r.group.Status().Voters...)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,9 +24,11 @@
 	"fuchsiaflow/internal/engine"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/leader"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/internal/transport"
 	"fuchsiaflow/membership"
 	"fuchsiaflow/retry"
 	"fuchsiaflow/storage"
@@ -183,7 +185,7 @@
 // openGroups opens the replicas of the groups that the settings name this host for.
 func (h *Host) openGroups(seed uint64) error {
 	s := h.settings
-	t := newTransport(h.pool.Peer, h.log)
+	t := transport.New(h.pool.Peer, h.log)
 	if err := h.kernel.Register("transport", t); err != nil {
 		return err
 	}
@@ -212,7 +214,7 @@
 	return nil
 }
 
-func (h *Host) openGroup(name string, members []string, state group.StateMachine, query func([]byte) []byte, t *transport, random *rand.Rand) error {
+func (h *Host) openGroup(name string, members []string, state group.StateMachine, query func([]byte) []byte, t *transport.Transport, random *rand.Rand) error {
 	s := h.settings
 	if s.DataDir == "" {
 		return &errs.Invalid{Path: "$.data_dir", Want: "a folder, because the host votes in group " + name, Got: "nothing"}
@@ -399,7 +401,7 @@
 		if err == nil {
 			return nil
 		}
-		pause(ctx, redirectPause)
+		pause(ctx, leader.RetryPause)
 	}
 	return nil
 }
--- a/internal/host/peerserver.go
+++ b/internal/host/peerserver.go
@@ -3,23 +3,21 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/encoding/gzip"
 
-	"fuchsiaflow/consensus"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/api"
 	"fuchsiaflow/internal/domainstate"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/rpc"
+	"fuchsiaflow/internal/transport"
 	"fuchsiaflow/routing"
 )
 
@@ -74,34 +72,10 @@
 
 // Raft implements rpc.PeerServer.
 func (s *peerServer) Raft(stream grpc.BidiStreamingServer[rpc.RaftRequest, rpc.RaftReply]) error {
-	for {
-		r, err := stream.Recv()
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := s.deliver(r); err != nil {
-			return err
-		}
-		if err := stream.Send(&rpc.RaftReply{}); err != nil || s.stopping.Load() {
-			return err
-		}
-	}
-}
-
-func (s *peerServer) deliver(r *rpc.RaftRequest) error {
-	g, ok := s.local[r.Group]
-	if !ok {
-		return &errs.NotFound{Kind: "group", ID: r.Group}
-	}
-	var messages []consensus.Message
-	if err := cbor.Unmarshal(r.Messages, &messages); err != nil {
-		return &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
-	}
-	g.Deliver(messages)
-	return nil
+	return transport.Receive(stream, func(name string) (transport.Replica, bool) {
+		g, ok := s.local[name]
+		return g, ok
+	}, s.stopping.Load)
 }
 
 // Propose implements rpc.PeerServer.
--- /dev/null
+++ b/internal/mesh/event.go
@@ -0,0 +1,82 @@
+// Package mesh spreads what the store hosts know to all hosts: the configuration in force, the
+// targets, the store hosts themselves and their leader. Each host watches every store host it
+// knows of, over one stream each, and merges what arrives into one View.
+package mesh
+
+import (
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
+)
+
+// Store describes a store host.
+type Store struct {
+	// ID names the replica that the host's disk holds; see ReplicaID. It changes when the disk
+	// is lost.
+	ID string `cbor:"1,keyasint"`
+	// Host is the name under which operators know the host.
+	Host   string `cbor:"2,keyasint"`
+	Domain string `cbor:"3,keyasint"`
+}
+
+// IP returns the address of the store host.
+func (s Store) IP() string { return IPOf(s.ID) }
+
+const replicaSeparator = "~"
+
+// ReplicaID names the replica on one disk of the host at ip. The identity is drawn when the
+// disk is first used.
+func ReplicaID(ip, identity string) string { return ip + replicaSeparator + identity }
+
+// IPOf returns the address of the host with a replica. An address without an identity is
+// returned as it is.
+func IPOf(id string) string {
+	ip, _, _ := strings.Cut(id, replicaSeparator)
+	return ip
+}
+
+// Address returns the address of the gRPC server of a store host.
+func Address(id string, port int) string { return net.JoinHostPort(IPOf(id), strconv.Itoa(port)) }
+
+// Event is one message of a watch.
+type Event struct {
+	From Store `cbor:"1,keyasint"`
+	// Leader is the replica that leads the state group in Term, as far as the sender knows.
+	Leader string `cbor:"2,keyasint,omitempty"`
+	Term   uint64 `cbor:"3,keyasint,omitempty"`
+	// Stores are the live store hosts; only the leader knows them all.
+	Stores []Store `cbor:"4,keyasint,omitempty"`
+	// Config is set when it is newer than what the sender sent before.
+	Config  *Config        `cbor:"5,keyasint,omitempty"`
+	Targets []fleet.Target `cbor:"6,keyasint,omitempty"`
+}
+
+// Config is a routing configuration that is committed.
+type Config struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Body is the CBOR encoding of routes.Config.
+	Body []byte `cbor:"2,keyasint"`
+}
+
+// Encode returns the encoding of an event or store.
+func Encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // the types of this package always have an encoding
+	}
+	return b
+}
+
+// Decode decodes what Encode returned.
+func Decode[T any](what string, b []byte) (T, error) {
+	var v T
+	if err := cbor.Unmarshal(b, &v); err != nil {
+		return v, &errs.Corrupt{What: what, Detail: err.Error()}
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/mesh/view.go
@@ -0,0 +1,271 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/routes"
+)
+
+// The times of a View.
+const (
+	// targetExpiry is the silence after which a target is forgotten. Targets that are cut off
+	// from the store hosts for some seconds still serve.
+	targetExpiry = 20 * time.Second
+	// targetRefresh bounds how old the age of a silent target is at other hosts.
+	targetRefresh = 5 * time.Second
+	// storeExpiry is how long a store host that is no seed is watched without a sign of it.
+	storeExpiry = 30 * time.Second
+)
+
+// View is what one host knows. It is safe for concurrent use.
+type View struct {
+	log   *slog.Logger
+	seeds []string
+	table atomic.Pointer[routes.Table]
+
+	mu       sync.Mutex
+	config   Config
+	registry *fleet.Registry
+	stores   map[string]storeSeen // by IP
+	leader   string
+	term     uint64
+	led      time.Time     // when a host last said that it knows the leader
+	changed  chan struct{} // closed at each change
+}
+
+type storeSeen struct {
+	Store
+	heard time.Time
+}
+
+// NewView returns a view that knows only the addresses of the seeds.
+func NewView(log *slog.Logger, seeds []string) *View {
+	return &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh),
+		stores: make(map[string]storeSeen), changed: make(chan struct{})}
+}
+
+// notify wakes all waiters; the caller holds the lock.
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// SetSeeds replaces the addresses of the seeds.
+func (v *View) SetSeeds(seeds []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seeds = seeds
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Table returns the routes in force, or nil before the first configuration is known.
+func (v *View) Table() *routes.Table { return v.table.Load() }
+
+// OfferConfig puts a committed configuration into force unless a version at least as high is.
+func (v *View) OfferConfig(c Config, from string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c.Version <= v.config.Version {
+		return
+	}
+	var decoded routes.Config
+	if err := cbor.Unmarshal(c.Body, &decoded); err != nil {
+		v.log.Error("configuration cannot be decoded", "version", c.Version, "from", from, "error", err)
+		return
+	}
+	v.log.Info("configuration in force", "version", c.Version, "previous", v.config.Version, "from", from, "routes", len(decoded.Routes))
+	v.config = c
+	v.table.Store(routes.NewTable(&decoded))
+	v.notify()
+}
+
+// Merge takes in an event of a watch.
+func (v *View) Merge(e *Event) {
+	if e.Config != nil {
+		v.OfferConfig(*e.Config, e.From.ID)
+	}
+	now := bootclock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.seeStore(now, e.From)
+	for _, s := range e.Stores {
+		changed = v.seeStore(now, s) || changed
+	}
+	if e.Leader != "" && e.Term >= v.term {
+		v.led = now
+	}
+	if e.Leader != "" && e.Term >= v.term && (e.Leader != v.leader || e.Term != v.term) {
+		v.log.Info("leader of the state group changed", "leader", e.Leader, "term", e.Term, "previous", v.leader, "from", e.From.ID)
+		v.leader, v.term, changed = e.Leader, e.Term, true
+	}
+	for _, t := range e.Targets {
+		changed = v.mergeTarget(now, t, e.From.ID) || changed
+	}
+	if changed {
+		v.notify()
+	}
+}
+
+func (v *View) seeStore(now time.Time, s Store) bool {
+	if s.ID == "" {
+		return false
+	}
+	old, known := v.stores[s.IP()]
+	v.stores[s.IP()] = storeSeen{s, now}
+	return !known || old.ID != s.ID
+}
+
+// mergeTarget logs what other decisions depend on; the caller holds the lock.
+func (v *View) mergeTarget(now time.Time, t fleet.Target, from string) bool {
+	old, known := v.registry.Get(t.ID)
+	before := v.registry.Revision()
+	if !v.registry.Merge(now, t) {
+		return false
+	}
+	current, _ := v.registry.Get(t.ID)
+	if !known || old.State != current.State || old.Born != current.Born {
+		v.log.Info("target changed", "target", t.ID, "service", t.Service, "address", t.Address, "state", current.State,
+			"previous", old.State, "sequence", t.Sequence, "age_ms", t.Silence.Milliseconds(), "from", from)
+	}
+	return v.registry.Revision() != before
+}
+
+// Hear takes in a statement that a target made to this host.
+func (v *View) Hear(t fleet.Target) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.mergeTarget(bootclock.Now(), t, "itself") {
+		v.notify()
+	}
+}
+
+// Leave takes in that a target ends. It reports whether the target is known.
+func (v *View) Leave(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before := v.registry.Revision()
+	known := v.registry.Leave(bootclock.Now(), id)
+	if v.registry.Revision() != before {
+		v.log.Info("target changed", "target", id, "state", fleet.Gone, "from", "itself")
+		v.notify()
+	}
+	return known
+}
+
+// Expire forgets targets and store hosts that have been silent for long.
+func (v *View) Expire() {
+	now := bootclock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, id := range v.registry.Expire(now) {
+		v.log.Info("target forgotten", "target", id, "silence_ms", targetExpiry.Milliseconds())
+	}
+	maps.DeleteFunc(v.stores, func(_ string, s storeSeen) bool { return now.Sub(s.heard) > storeExpiry })
+}
+
+// Serving lists the targets of a service that take new work.
+func (v *View) Serving(service string) []fleet.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Serving(service)
+}
+
+// Target returns what is known of a target.
+func (v *View) Target(id string) (fleet.Target, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Get(id)
+}
+
+// TargetsSince lists targets for a watch; see fleet.Registry.Since.
+func (v *View) TargetsSince(rev uint64) ([]fleet.Target, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Since(bootclock.Now(), rev)
+}
+
+// ConfigAfter returns the configuration in force if it is newer than version.
+func (v *View) ConfigAfter(version uint64) *Config {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config.Version <= version {
+		return nil
+	}
+	c := v.config
+	return &c
+}
+
+// SetLeader records the leader that this host's own replica knows.
+func (v *View) SetLeader(id string, term uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if id == "" || term < v.term || (id == v.leader && term == v.term) {
+		return
+	}
+	v.log.Info("leader of the state group changed", "leader", id, "term", term, "previous", v.leader, "from", "own replica")
+	v.leader, v.term = id, term
+	v.notify()
+}
+
+// Leader returns the replica that leads in the newest term that is known, or "".
+func (v *View) Leader() (id string, term uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leader, v.term
+}
+
+// LeaderAge returns the time since a store host last said that it knows the leader of the newest
+// term.
+func (v *View) LeaderAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.led.IsZero() {
+		return targetExpiry
+	}
+	return bootclock.Now().Sub(v.led)
+}
+
+// StoreIPs lists the addresses of the seeds and the known store hosts, in a stable order.
+func (v *View) StoreIPs() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ips := slices.Clone(v.seeds)
+	for ip := range v.stores {
+		if !slices.Contains(ips, ip) {
+			ips = append(ips, ip)
+		}
+	}
+	slices.Sort(ips)
+	return ips
+}
+
+// WaitConfig waits until a configuration is known or ctx ends.
+func (v *View) WaitConfig(ctx context.Context) *routes.Table {
+	for {
+		changed := v.Changed()
+		if t := v.Table(); t != nil {
+			return t
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/watch.go
@@ -0,0 +1,149 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/rpc"
+)
+
+// The times of a watch.
+const (
+	// watchPing is the longest pause between two events of a stream.
+	watchPing = 500 * time.Millisecond
+	// watchSilence is the pause after which a stream counts as broken: three pings.
+	watchSilence = 1500 * time.Millisecond
+	// watchRetry is the pause before a broken stream is opened again.
+	watchRetry = 200 * time.Millisecond
+	// discoverInterval is how often new store hosts are looked for in the view.
+	discoverInterval = 250 * time.Millisecond
+)
+
+// Watcher keeps a watch on each store host that the view knows. It implements kernel.Service.
+type Watcher struct {
+	View *View
+	Self string // own address, which is not watched
+	Peer func(host string) (rpc.PeerClient, error)
+	// Store is set when this host is a store host itself.
+	Store bool
+	Log   *slog.Logger
+
+	running map[string]context.CancelFunc
+}
+
+// Start implements kernel.Service.
+func (w *Watcher) Start(_ context.Context, k *kernel.Kernel) error {
+	w.running = make(map[string]context.CancelFunc)
+	w.discover(k)
+	k.Every("watch/discover", discoverInterval, func(context.Context) {
+		w.View.Expire()
+		w.discover(k)
+	})
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (w *Watcher) Stop(context.Context) error { return nil }
+
+func (w *Watcher) discover(k *kernel.Kernel) {
+	known := make(map[string]bool)
+	for _, ip := range w.View.StoreIPs() {
+		known[ip] = true
+		if ip == w.Self || w.running[ip] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(k.Context())
+		w.running[ip] = cancel
+		k.Go("watch/"+ip, func(context.Context) error {
+			w.keep(ctx, ip)
+			return nil
+		})
+	}
+	for ip, cancel := range w.running {
+		if !known[ip] {
+			cancel()
+			delete(w.running, ip)
+		}
+	}
+}
+
+// keep watches one store host until ctx ends.
+func (w *Watcher) keep(ctx context.Context, ip string) {
+	connected := false
+	for ctx.Err() == nil {
+		events, err := w.follow(ctx, ip, func() {
+			if !connected {
+				connected = true
+				w.Log.Info("store host connected", "store", ip)
+			}
+		})
+		if connected && ctx.Err() == nil {
+			connected = false
+			w.Log.Warn("store host lost", "store", ip, "events", events, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+// follow reads one stream until it fails or falls silent.
+func (w *Watcher) follow(ctx context.Context, ip string, onEvent func()) (events int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	peer, err := w.Peer(ip)
+	if err != nil {
+		return 0, err
+	}
+	stream, err := peer.Watch(ctx, &rpc.WatchRequest{Store: w.Store})
+	if err != nil {
+		return 0, err
+	}
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return events, err
+		}
+		silence.Reset(watchSilence)
+		e, err := Decode[Event]("watch event", m.Event)
+		if err != nil {
+			return events, err
+		}
+		events++
+		onEvent()
+		w.View.Merge(&e)
+	}
+}
+
+// Serve answers a watch from a view until the stream ends or done is closed. self describes the
+// sender and stores the live store hosts that it knows.
+func Serve(v *View, stream grpc.ServerStreamingServer[rpc.WatchEvent], self func() Store, stores func() []Store, done <-chan struct{}) error {
+	var revision, version uint64
+	for {
+		changed := v.Changed()
+		e := Event{From: self(), Stores: stores(), Config: v.ConfigAfter(version)}
+		e.Leader, e.Term = v.Leader()
+		e.Targets, revision = v.TargetsSince(revision)
+		if e.Config != nil {
+			version = e.Config.Version
+		}
+		if err := stream.Send(&rpc.WatchEvent{Event: Encode(e)}); err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-done:
+			return nil
+		case <-changed:
+		case <-time.After(watchPing):
+		}
+	}
+}
--- /dev/null
+++ b/internal/rolehost/rolehost.go
@@ -0,0 +1,114 @@
+// Package rolehost has what hosts of every role need: the gRPC server and client pool, HTTP
+// servers, and the metrics address.
+package rolehost
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/rpc"
+	"fuchsiaflow/internal/settings"
+)
+
+const (
+	// peerToken keeps out callers that are no hosts of the service. The deployment's network
+	// keeps out the others; it gives hosts no secret.
+	peerToken = "fuchsiaflow"
+	// maxMessageBytes bounds a message between hosts: a snapshot with the results of some
+	// minutes.
+	maxMessageBytes = 64 << 20
+	// silenceBeforeProbe and probeTimeout replace a silent connection within a second.
+	silenceBeforeProbe = 500 * time.Millisecond
+	probeTimeout       = 500 * time.Millisecond
+	dialTimeout        = 800 * time.Millisecond
+	// idleTimeout is how long an HTTP server keeps an idle connection. It exceeds the longest
+	// idle time that clients are told of, so that they never meet a closed connection.
+	idleTimeout = 60 * time.Second
+	// headerTimeout bounds the reading of the head of a request.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// NewPool returns the client pool of a host.
+func NewPool(s *settings.Role, self string, log *slog.Logger) *rpc.Pool {
+	incarnation := rand.Uint64()
+	return rpc.NewPool(rpc.Options{
+		Self:    func() rpc.Sender { return rpc.Sender{Host: self, Incarnation: incarnation} },
+		Token:   peerToken,
+		Address: func(host string) (string, bool) { return mesh.Address(host, s.PeerPort), true },
+		Log:     log, MaxMessageBytes: maxMessageBytes, SilenceBeforeProbe: silenceBeforeProbe, ProbeTimeout: probeTimeout,
+		DialTimeout: dialTimeout,
+	})
+}
+
+// NewServer returns the gRPC server of a host.
+func NewServer(log *slog.Logger) *grpc.Server {
+	return rpc.NewServer(rpc.ServerOptions{Token: peerToken, Log: log, MaxMessageBytes: maxMessageBytes})
+}
+
+// HTTPServer returns a server for a handler.
+func HTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+}
+
+// Serve runs a server until it is shut down.
+func Serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		return &errs.Unavailable{Resource: "HTTP server", Reason: err.Error()}
+	}
+	return nil
+}
+
+// StopServer ends a server after the requests in progress; nil is allowed.
+func StopServer(ctx context.Context, s *http.Server) error {
+	if s == nil {
+		return nil
+	}
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close()
+		return &errs.Deadline{Operation: "shutdown of an HTTP server", Result: errs.Ran}
+	}
+	return nil
+}
+
+// metricsService serves metrics.
+type metricsService struct {
+	address string
+	metrics *observe.Metrics
+	server  *http.Server
+}
+
+// Metrics returns a service that serves metrics at an address; an empty one serves none.
+func Metrics(address string, m *observe.Metrics) any {
+	return &metricsService{address: address, metrics: m}
+}
+
+// Start implements kernel.Service.
+func (s *metricsService) Start(_ context.Context, k *kernel.Kernel) error {
+	if s.address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return &errs.Unavailable{Resource: "metrics address " + s.address, Reason: err.Error()}
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", s.metrics.Handler())
+	s.server = HTTPServer(mux)
+	k.Go("metrics/serve", func(context.Context) error { return Serve(s.server, listener) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *metricsService) Stop(ctx context.Context) error { return StopServer(ctx, s.server) }
--- /dev/null
+++ b/internal/runner/machine.go
@@ -0,0 +1,102 @@
+package runner
+
+import (
+	"sync"
+
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/storestate"
+)
+
+// Machine is the replicated state machine with notice of its changes. It implements
+// group.StateMachine.
+type Machine struct {
+	// OnConfig is called with each configuration that is committed.
+	OnConfig func(mesh.Config)
+
+	mu       sync.Mutex
+	state    *storestate.State
+	revision uint64
+	changed  chan struct{}
+	fresh    []string // jobs that were not asked for with NewJobs
+	seen     map[string]bool
+	config   uint64
+}
+
+// NewMachine returns a machine in the state before the first command.
+func NewMachine(onConfig func(mesh.Config)) *Machine {
+	return &Machine{OnConfig: onConfig, state: storestate.New(), changed: make(chan struct{}), seen: make(map[string]bool)}
+}
+
+// Apply implements group.StateMachine.
+func (m *Machine) Apply(index uint64, cmd []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := m.state.Apply(index, cmd)
+	m.notify()
+	return out
+}
+
+// notify tells of a change; the caller holds the lock.
+func (m *Machine) notify() {
+	m.revision++
+	for _, e := range m.state.Book().Entries() {
+		if !m.seen[e.ID] {
+			m.seen[e.ID] = true
+			m.fresh = append(m.fresh, e.ID)
+		}
+	}
+	if c := m.state.Config(); c.Version > m.config {
+		m.config = c.Version
+		m.OnConfig(mesh.Config{Version: c.Version, Body: c.Body})
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot implements group.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Snapshot()
+}
+
+// Restore implements group.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.state.Restore(data); err != nil {
+		return err
+	}
+	m.notify()
+	return nil
+}
+
+// View runs fn while the state does not change. fn must not keep what it gets.
+func (m *Machine) View(fn func(*storestate.State)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fn(m.state)
+}
+
+// Changed returns a channel that is closed at the next change.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Revision rises with each change.
+func (m *Machine) Revision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// NewJobs returns the jobs that have appeared since the last call.
+func (m *Machine) NewJobs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := m.fresh
+	m.fresh = nil
+	return out
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,421 @@
+// Package runner runs the items of batch jobs on the leader of the store hosts' state group. It
+// carries out the decisions of package schedule: it streams items from engines, commits their
+// results, and gives engines the orders to load weights. It works only while the replica holds
+// a lease, so that two hosts never give orders at a time.
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/group"
+	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/storestate"
+	"fuchsiaflow/jobs"
+	"fuchsiaflow/routes"
+	"fuchsiaflow/schedule"
+)
+
+// Limits of the runner.
+const (
+	// tickInterval bounds the delay of a decision that no event triggers, such as the end of a
+	// pause.
+	tickInterval = 25 * time.Millisecond
+	// eventRing holds the ends of runs and orders that wait for the duty.
+	eventRing = 4096
+	// maxIdleConns bounds the idle connections to one engine; one run needs one.
+	maxIdleConns = 16
+	// giveUpSlack is added to the age at which an item may be given up, because the age is
+	// measured from the moment at which this replica learned of the job.
+	giveUpSlack = time.Second
+	// keepSlack is added to the time for which results are kept, for the same reason.
+	keepSlack = 20 * time.Second
+	// partialAge is how long the text of a run that was stopped is kept for a later job.
+	partialAge = 60 * time.Second
+	// housekeeping is how often old jobs and texts are looked for.
+	housekeeping = time.Second
+)
+
+// Options sets up a Runner. All fields are required.
+type Options struct {
+	Group   *group.Group
+	Machine *Machine
+	View    *mesh.View
+	Calls   dialect.EngineCalls
+	Headers dialect.Headers
+	// Holder names this replica in orders.
+	Holder string
+	// OrderWait is the time that a new leader waits before its first order.
+	OrderWait time.Duration
+	// KeepResults is how long results stay readable after the submission of their job.
+	KeepResults time.Duration
+	Log         *slog.Logger
+	Metrics     *observe.Metrics
+}
+
+// Runner is the duty. It implements kernel.Service.
+type Runner struct {
+	o       Options
+	pool    *httpconn.Pool
+	metrics *metrics
+	events  *kernel.Ring[func(now time.Time)]
+	kern    *kernel.Kernel
+
+	first map[string]time.Time // when this replica learned of a job
+
+	// The fields below belong to one period of leadership.
+	term     uint64
+	since    time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	sched    *schedule.Scheduler
+	jobs     map[string]*openJob
+	runs     map[schedule.Key]*run
+	partials map[string]*partial // by item
+	known    map[string]bool     // items of earlier jobs
+	orders   map[string]*orderState
+	named    map[string]uint64
+	applied  uint64 // revision of the machine that was taken in
+	routes   uint64 // version of the configuration that was taken in
+	cleaned  time.Time
+}
+
+// openJob is what the runner needs of a job.
+type openJob struct {
+	*jobs.Job
+	items    map[string]*openItem
+	route    string
+	deadline time.Time
+	giveUp   time.Time // zero: never
+}
+
+type openItem struct {
+	jobs.Item
+	failures int // answers of an engine that the item failed
+}
+
+// New returns a runner.
+func New(o Options) *Runner {
+	r := &Runner{o: o, pool: httpconn.NewPool(maxIdleConns), first: make(map[string]time.Time),
+		events: kernel.NewRing[func(time.Time)]("runner/events", eventRing, kernel.Block)}
+	r.metrics = newMetrics(o.Metrics, r.pool)
+	return r
+}
+
+// Start implements kernel.Service.
+func (r *Runner) Start(_ context.Context, k *kernel.Kernel) error {
+	r.kern = k
+	k.Go("runner", r.loop)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (r *Runner) Stop(context.Context) error { return nil }
+
+func (r *Runner) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	defer r.standDown("stop")
+	for {
+		changed := r.o.Machine.Changed()
+		r.turn()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-changed:
+		case e := <-r.events.C():
+			e(bootclock.Now())
+			r.drain()
+		}
+	}
+}
+
+func (r *Runner) drain() {
+	for {
+		select {
+		case e := <-r.events.C():
+			e(bootclock.Now())
+		default:
+			return
+		}
+	}
+}
+
+// post hands the end of a run or an order over to the duty.
+func (r *Runner) post(term uint64, e func(now time.Time)) {
+	guarded := func(now time.Time) {
+		if r.term == term && r.sched != nil {
+			e(now)
+		}
+	}
+	_ = r.events.Push(r.kern.Context(), guarded) // fails only when the host stops
+}
+
+// turn makes all decisions that are due.
+func (r *Runner) turn() {
+	now := bootclock.Now()
+	r.noteJobs(now)
+	if !r.lead(now) {
+		return
+	}
+	r.takeIn(now)
+	r.sched.SetEngines(r.engines())
+	for _, a := range r.sched.Next(now) {
+		r.start(now, a)
+	}
+	for _, m := range r.sched.Moves(now) {
+		r.stopRun(m.Key, "moved to a faster engine")
+	}
+	r.giveOrders(now)
+	r.clean(now)
+}
+
+// lead starts and ends the period of leadership. It reports whether the replica leads.
+func (r *Runner) lead(now time.Time) bool {
+	_, term, _ := r.o.Group.Leader()
+	_, leased := r.o.Group.Lease(now)
+	if !r.o.Group.IsLeader() || !leased {
+		r.standDown("lease lost")
+		return false
+	}
+	if r.sched != nil && r.term == term {
+		return true
+	}
+	r.standDown("new term")
+	r.term, r.since = term, now
+	r.ctx, r.cancel = context.WithCancel(r.kern.Context())
+	r.sched = schedule.New()
+	r.jobs, r.runs = make(map[string]*openJob), make(map[schedule.Key]*run)
+	r.partials, r.known = make(map[string]*partial), make(map[string]bool)
+	r.orders, r.named = make(map[string]*orderState), nil
+	r.applied, r.routes = 0, 0
+	r.o.Log.Info("runner starts", "term", term, "holder", r.o.Holder)
+	return true
+}
+
+// standDown stops all runs. Their results are made again by the next leader.
+func (r *Runner) standDown(reason string) {
+	if r.sched == nil {
+		return
+	}
+	r.o.Log.Info("runner stops", "term", r.term, "reason", reason, "runs", len(r.runs))
+	r.cancel()
+	r.sched = nil
+}
+
+// noteJobs remembers when this replica learned of each job. Ages are measured from then on a
+// clock that never jumps.
+func (r *Runner) noteJobs(now time.Time) {
+	for _, id := range r.o.Machine.NewJobs() {
+		r.first[id] = now
+	}
+}
+
+// takeIn compares the committed state with the scheduler's.
+func (r *Runner) takeIn(now time.Time) {
+	table := r.o.View.Table()
+	if table == nil {
+		return
+	}
+	if revision := r.o.Machine.Revision(); revision != r.applied {
+		var fresh []*openJob
+		open := make(map[string]bool)
+		r.o.Machine.View(func(s *storestate.State) {
+			r.named = s.Versions()
+			for _, e := range s.Book().Entries() {
+				if e.Open() {
+					open[e.ID] = true
+				}
+				if e.Open() && r.jobs[e.ID] == nil {
+					fresh = append(fresh, r.openJob(now, e, table))
+				}
+			}
+		})
+		r.applied = revision
+		for id := range r.jobs {
+			if !open[id] {
+				r.endJob(now, id)
+			}
+		}
+		for _, j := range fresh {
+			r.addJob(now, j, table)
+		}
+	}
+	if table.Config.Version != r.routes {
+		r.routes = table.Config.Version
+		for _, key := range r.sched.Retarget(func(t *schedule.Task) string { return r.serviceOf(table, t.Key()) }) {
+			r.terminate(key, "its route was removed")
+		}
+	}
+}
+
+// openJob copies what the runner needs of a job, so that later commands do not change it.
+func (r *Runner) openJob(now time.Time, e *jobs.Entry, table *routes.Table) *openJob {
+	job := e.Job
+	job.Items = nil
+	o := &openJob{Job: &job, items: make(map[string]*openItem)}
+	for _, it := range e.Items {
+		if !e.Listed(it.ID) {
+			o.items[it.ID] = &openItem{Item: it}
+		}
+	}
+	first, ok := r.first[e.ID]
+	if !ok {
+		first = now
+		r.first[e.ID] = now
+	}
+	if route, ok := table.Match(e.Host, e.Path); ok {
+		o.route = route.Name
+		o.deadline = first.Add(route.RunDeadline)
+		if route.MaxAge > 0 {
+			o.giveUp = first.Add(route.MaxAge + giveUpSlack)
+		}
+	}
+	return o
+}
+
+func (r *Runner) addJob(now time.Time, j *openJob, table *routes.Table) {
+	r.jobs[j.ID] = j
+	var tasks []schedule.Task
+	var lost []schedule.Key
+	carried, resumed := 0, 0
+	for id, it := range j.items {
+		key := schedule.Key{Job: j.ID, Item: id}
+		service := r.serviceOf(table, key)
+		if service == "" {
+			lost = append(lost, key)
+			continue
+		}
+		t := schedule.Task{Job: j.ID, Item: id, Service: service, Model: j.Model, MinVersion: j.MinVersion, Group: it.Group,
+			Carried: r.known[id], Size: it.Hint, Prompt: it.Prompt, Deadline: j.deadline}
+		if t.Carried {
+			carried++
+		}
+		if p := r.usablePartial(j, id); p != nil {
+			resumed++
+			t.Size, t.OnlyVersion = p.remaining(it.Hint), p.only(j)
+		}
+		tasks = append(tasks, t)
+	}
+	for id := range j.items {
+		r.known[id] = true
+	}
+	r.o.Log.Info("batch job opened", "job", j.ID, "model", j.Model, "step", j.Step, "min_version", j.MinVersion, "wanted", j.Wanted,
+		"items", len(j.items), "carried", carried, "resumed", resumed, "age_ms", now.Sub(r.first[j.ID]).Milliseconds(), "route", j.route)
+	r.sched.AddJob(j.ID, sortTasks(tasks))
+	for _, key := range lost {
+		r.terminate(key, "no route")
+	}
+}
+
+// serviceOf returns the service to which the routes send an item, or "".
+func (r *Runner) serviceOf(table *routes.Table, key schedule.Key) string {
+	j := r.jobs[key.Job]
+	if j == nil || j.items[key.Item] == nil {
+		return ""
+	}
+	route, ok := table.Match(j.Host, j.items[key.Item].Path)
+	if !ok {
+		return ""
+	}
+	return route.Choose(xxhash.Sum64String(key.Item))
+}
+
+func (r *Runner) endJob(now time.Time, id string) {
+	j := r.jobs[id]
+	waiting, running := r.sched.Counts()
+	for _, key := range r.sched.EndJob(id) {
+		r.stopRun(key, "job ended")
+	}
+	delete(r.jobs, id)
+	r.o.Log.Info("batch job closed", "job", id, "model", j.Model, "step", j.Step, "age_ms", now.Sub(r.first[id]).Milliseconds(),
+		"unlisted", len(j.items), "waiting", waiting, "running", running)
+}
+
+// engines lists the targets that generate text, with what the routes say of their service.
+func (r *Runner) engines() []schedule.Engine {
+	table := r.o.View.Table()
+	if table == nil {
+		return nil
+	}
+	var list []schedule.Engine
+	for _, t := range r.o.View.Serving("") {
+		service, ok := table.Service(t.Service)
+		if !ok || service.Slots == 0 {
+			continue
+		}
+		t.Slots = service.Slots
+		t.State = fleet.Ready
+		list = append(list, schedule.Engine{Target: t, Tokens: service.CacheTokens, Models: service.Models})
+	}
+	return list
+}
+
+// clean gives up items that are too old and drops what is no longer needed.
+func (r *Runner) clean(now time.Time) {
+	if now.Sub(r.cleaned) < housekeeping {
+		return
+	}
+	r.cleaned = now
+	r.pool.Sweep()
+	for item, p := range r.partials {
+		if now.Sub(p.at) > partialAge {
+			delete(r.partials, item)
+		}
+	}
+	for _, j := range r.jobs {
+		if j.giveUp.IsZero() || now.Before(j.giveUp) {
+			continue
+		}
+		for item := range j.items {
+			r.terminate(schedule.Key{Job: j.ID, Item: item}, "too old")
+		}
+	}
+	for id, first := range r.first {
+		if r.jobs[id] == nil && now.Sub(first) > r.o.KeepResults+keepSlack {
+			delete(r.first, id)
+			r.propose(&storestate.Command{Drop: &storestate.Drop{Job: id}}, func(time.Time, storestate.Reply) {})
+		}
+	}
+	r.metrics.state(r.sched)
+}
+
+// proposeRetry is the pause before a command that was not taken is proposed again.
+const proposeRetry = 100 * time.Millisecond
+
+// propose commits a command and calls done in the duty. It is repeated until it succeeds or the
+// leadership ends; all commands of the runner are idempotent.
+func (r *Runner) propose(c *storestate.Command, done func(now time.Time, reply storestate.Reply)) {
+	data, ctx, term := storestate.Encode(c), r.ctx, r.term
+	r.kern.Go("runner/propose", func(context.Context) error {
+		for {
+			out, err := r.o.Group.Propose(ctx, data)
+			if err == nil {
+				var reply storestate.Reply
+				if reply, err = storestate.DecodeReply(out); err == nil {
+					r.post(term, func(now time.Time) { done(now, reply) })
+					return nil
+				}
+			}
+			if ctx.Err() != nil {
+				return nil
+			}
+			r.o.Log.Warn("command not committed", "term", term, "error", err)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(proposeRetry):
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/peerserver.go
@@ -0,0 +1,200 @@
+package store
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/rpc"
+	"fuchsiaflow/internal/storestate"
+	"fuchsiaflow/internal/transport"
+)
+
+// maxWait bounds how long a query waits for a result.
+const maxWait = time.Second
+
+// peerServer implements the part of the service between hosts that store hosts offer.
+type peerServer struct {
+	rpc.UnimplementedPeerServer
+	st *Store
+}
+
+// Start implements kernel.Service.
+func (p peerServer) Start(_ context.Context, k *kernel.Kernel) error {
+	s := p.st.o.Settings
+	listener, err := net.Listen("tcp", mesh.Address(s.IP, s.PeerPort))
+	if err != nil {
+		return &errs.Unavailable{Resource: "peer address", Reason: err.Error()}
+	}
+	rpc.RegisterPeerServer(p.st.grpc, p)
+	k.Go("peer/serve", func(context.Context) error {
+		if err := p.st.grpc.Serve(listener); err != nil {
+			return &errs.Unavailable{Resource: "peer server", Reason: err.Error()}
+		}
+		return nil
+	})
+	return nil
+}
+
+// streamGrace is the time that open streams get to end; they carry nothing that is not repeated.
+const streamGrace = 200 * time.Millisecond
+
+// Stop implements kernel.Service.
+func (p peerServer) Stop(context.Context) error {
+	abort := time.AfterFunc(streamGrace, p.st.grpc.Stop)
+	defer abort.Stop()
+	p.st.grpc.GracefulStop()
+	return nil
+}
+
+// Raft implements rpc.PeerServer.
+func (p peerServer) Raft(stream grpc.BidiStreamingServer[rpc.RaftRequest, rpc.RaftReply]) error {
+	return transport.Receive(stream, func(name string) (transport.Replica, bool) {
+		return p.st.group, name == storestate.Group
+	}, p.st.stopping)
+}
+
+// Propose implements rpc.PeerServer.
+func (p peerServer) Propose(ctx context.Context, r *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+	if r.Group != storestate.Group {
+		return nil, &errs.NotFound{Kind: "group", ID: r.Group}
+	}
+	out, err := p.st.Propose(ctx, r.Command)
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.ProposeReply{Result: out}, nil
+}
+
+// Read implements rpc.PeerServer.
+func (p peerServer) Read(ctx context.Context, r *rpc.ReadRequest) (*rpc.ReadReply, error) {
+	if r.Group != storestate.Group {
+		return nil, &errs.NotFound{Kind: "group", ID: r.Group}
+	}
+	out, err := p.st.Read(ctx, r.Query)
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.ReadReply{Result: out}, nil
+}
+
+// Watch implements rpc.PeerServer.
+func (p peerServer) Watch(_ *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
+	st := p.st
+	return mesh.Serve(st.view, stream, st.self, func() []mesh.Store {
+		if !st.group.IsLeader() {
+			return nil
+		}
+		return st.present.live()
+	}, st.done)
+}
+
+// Present implements rpc.PeerServer.
+func (p peerServer) Present(ctx context.Context, r *rpc.PresentRequest) (*rpc.PresentReply, error) {
+	s, err := mesh.Decode[mesh.Store]("store host", r.Store)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.st.Present(ctx, s); err != nil {
+		return nil, err
+	}
+	return &rpc.PresentReply{}, nil
+}
+
+// Propose implements statecall.Local.
+func (st *Store) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if !st.group.IsLeader() || st.stopping() {
+		return nil, st.notLeader()
+	}
+	return st.group.Propose(ctx, command)
+}
+
+func (st *Store) notLeader() error {
+	id, _, _ := st.group.Leader()
+	if id == st.disk.ID {
+		id = ""
+	}
+	return &errs.NotLeader{Group: storestate.Group, Leader: mesh.IPOf(id)}
+}
+
+// Read implements statecall.Local.
+func (st *Store) Read(ctx context.Context, query []byte) ([]byte, error) {
+	q, err := mesh.Decode[storestate.Query]("query", query)
+	if err != nil {
+		return nil, err
+	}
+	if q.Results != nil && q.Results.WaitMs > 0 {
+		st.waitForResult(ctx, q.Results)
+	}
+	if !st.group.IsLeader() || st.stopping() {
+		return nil, st.notLeader()
+	}
+	if err := st.group.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	var a storestate.Answer
+	var out []byte
+	st.machine.View(func(s *storestate.State) {
+		a = s.Answer(&q)
+		if q.Retire == nil {
+			out = storestate.Encode(a)
+		}
+	})
+	if q.Retire != nil {
+		st.answerRetire(&a, q.Retire.Host)
+		out = storestate.Encode(a)
+	}
+	return out, nil
+}
+
+// waitForResult returns when there is a result at the position, when none can come any more, or
+// when the wait is over.
+func (st *Store) waitForResult(ctx context.Context, q *storestate.ReadPage) {
+	timer := time.NewTimer(min(time.Duration(q.WaitMs)*time.Millisecond, maxWait))
+	defer timer.Stop()
+	for st.group.IsLeader() {
+		changed := st.machine.Changed()
+		ready := true
+		st.machine.View(func(s *storestate.State) {
+			if e, ok := s.Book().Entry(q.Job); ok {
+				ready = q.After < len(e.Results) || !e.Open()
+			}
+		})
+		if ready {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-st.done:
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// answerRetire adds what the leader knows of a store host.
+func (st *Store) answerRetire(a *storestate.Answer, host string) {
+	ids := st.present.replicasOf(host)
+	a.Missing = len(ids) == 0 && !a.Retiring
+	if a.Retiring {
+		a.Emptied = !st.isMember(ids)
+		return
+	}
+	var retiring map[string]bool
+	st.machine.View(func(s *storestate.State) { retiring = s.Retiring() })
+	others := 0
+	for _, s := range st.present.live() {
+		if s.Host != host && !retiring[s.Host] {
+			others++
+		}
+	}
+	a.TooFew = others < st.o.Settings.Voters()
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,220 @@
+// Package store is a store host: a replica of the state group, the membership of the group, the
+// runner of batch jobs where it leads, and the calls of operators and targets.
+package store
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/group"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/rolehost"
+	"fuchsiaflow/internal/rpc"
+	"fuchsiaflow/internal/runner"
+	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/internal/statecall"
+	"fuchsiaflow/internal/storestate"
+	"fuchsiaflow/internal/transport"
+	"fuchsiaflow/storage"
+)
+
+// Times of the state group.
+const (
+	// heartbeat is the interval of the leader's heartbeats. Domains are under 2 ms apart.
+	heartbeat = 100 * time.Millisecond
+	// electionTimeout is the shortest silence of a leader that starts an election. It must
+	// exceed a sync of a busy disk and the pauses of a machine with a share of a core.
+	electionTimeout = 800 * time.Millisecond
+	// snapshotEvery is the number of commands between two snapshots.
+	snapshotEvery = 2000
+	segmentBytes  = 4 << 20
+)
+
+// Options sets up a Store. All fields are required.
+type Options struct {
+	Settings *settings.Role
+	Headers  dialect.Headers
+	Calls    dialect.EngineCalls
+	// Control returns the handler of the calls of operators and targets.
+	Control func(*Control) http.Handler
+	Log     *slog.Logger
+	Metrics *observe.Metrics
+	FS      storage.FS
+}
+
+// Store is one store host.
+type Store struct {
+	o       Options
+	disk    *disk
+	kernel  *kernel.Kernel
+	view    *mesh.View
+	pool    *rpc.Pool
+	group   *group.Group
+	machine *runner.Machine
+	calls   *statecall.Client
+	present *presence
+	grpc    *grpc.Server
+	control *http.Server
+	done    chan struct{} // closed when the host stops
+	refused chan error
+}
+
+// New opens the disk and returns the host; Start makes it take part.
+func New(o Options) (*Store, error) {
+	s := o.Settings
+	d, err := openDisk(o.FS, s)
+	if err != nil {
+		return nil, err
+	}
+	st := &Store{o: o, disk: d, kernel: kernel.New(o.Log), done: make(chan struct{}), refused: make(chan error, 1), present: newPresence()}
+	st.view = mesh.NewView(o.Log, s.Seeds)
+	st.machine = runner.NewMachine(func(c mesh.Config) { st.view.OfferConfig(c, "own replica") })
+	st.pool = rolehost.NewPool(s, d.ID, o.Log)
+	link := transport.New(st.peer, o.Log)
+	st.group, err = group.Open(group.Options{Group: storestate.Group, ID: d.ID, Voters: d.Voters, Start: d.start(), FS: o.FS, Dir: s.DataDir,
+		StateMachine: st.machine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger: o.Log, HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery, SegmentBytes: segmentBytes})
+	if err != nil {
+		return nil, err
+	}
+	st.calls = statecall.New(st.view, s.IP, st, st.peer)
+	st.grpc = rolehost.NewServer(o.Log)
+	run := runner.New(runner.Options{Group: st.group, Machine: st.machine, View: st.view, Calls: o.Calls, Headers: o.Headers, Holder: d.ID,
+		OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics})
+	services := []struct {
+		name    string
+		service any
+	}{
+		{"peers", st.pool},
+		{"transport", link},
+		{"group", groupService{st}},
+		{"peer-server", peerServer{st: st}},
+		{"watch", &mesh.Watcher{View: st.view, Self: s.IP, Peer: st.peer, Store: true, Log: o.Log}},
+		{"keeper", &keeper{st: st}},
+		{"runner", run},
+		{"control", controlService{st}},
+		{"metrics", rolehost.Metrics(s.Listen.Metrics, o.Metrics)},
+	}
+	for _, v := range services {
+		if err := st.kernel.Register(v.name, v.service); err != nil {
+			return nil, err
+		}
+	}
+	st.registerMetrics()
+	return st, nil
+}
+
+// peer returns a client of a host, by its address or a replica on it.
+func (st *Store) peer(host string) (rpc.PeerClient, error) { return st.pool.Peer(mesh.IPOf(host)) }
+
+// self describes this host to others.
+func (st *Store) self() mesh.Store {
+	return mesh.Store{ID: st.disk.ID, Host: st.o.Settings.Host, Domain: st.o.Settings.FailureDomain}
+}
+
+// Start makes the host take part.
+func (st *Store) Start(ctx context.Context) error { return st.kernel.Start(ctx) }
+
+// Failed delivers the failure that makes the host stop.
+func (st *Store) Failed() <-chan error { return st.kernel.Failed() }
+
+// Shutdown hands the leadership over and stops the host.
+func (st *Store) Shutdown(ctx context.Context) error {
+	close(st.done)
+	if st.group.IsLeader() {
+		if err := st.group.Transfer(ctx); err != nil {
+			st.o.Log.Warn("leadership not handed over", "error", err)
+		} else {
+			st.o.Log.Info("leadership handed over")
+		}
+	}
+	return st.kernel.Stop(ctx)
+}
+
+func (st *Store) stopping() bool {
+	select {
+	case <-st.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// groupService runs the replica.
+type groupService struct{ st *Store }
+
+// Start implements kernel.Service.
+func (g groupService) Start(_ context.Context, k *kernel.Kernel) error {
+	st := g.st
+	k.Go("group/run", func(ctx context.Context) error {
+		err := st.group.Run(ctx)
+		var refused *group.IdentityRefused
+		if errors.As(err, &refused) {
+			st.o.Log.Error("the replica is not accepted any more; the disk starts anew", "error", err)
+			if werr := wipe(st.o.FS, st.o.Settings.DataDir); werr != nil {
+				return werr
+			}
+		}
+		return err
+	})
+	k.Every("group/leader", heartbeat, func(context.Context) {
+		id, term, _ := st.group.Leader()
+		st.view.SetLeader(id, term)
+	})
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (g groupService) Stop(context.Context) error { return nil }
+
+// controlService serves the calls of operators and targets.
+type controlService struct{ st *Store }
+
+// Start implements kernel.Service.
+func (c controlService) Start(_ context.Context, k *kernel.Kernel) error {
+	st := c.st
+	listener, err := net.Listen("tcp", st.o.Settings.Listen.Control)
+	if err != nil {
+		return &errs.Unavailable{Resource: "control address", Reason: err.Error()}
+	}
+	st.control = rolehost.HTTPServer(st.o.Control(&Control{st: st}))
+	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(st.control, listener) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (c controlService) Stop(ctx context.Context) error {
+	return rolehost.StopServer(ctx, c.st.control)
+}
+
+// registerMetrics adds the state of the replica to the metrics.
+func (st *Store) registerMetrics() {
+	m := st.o.Metrics
+	gauge := func(name, help string, read func() float64) { m.GaugeFunc(name, help, read) }
+	gauge("group_leading", "1 while this replica leads the state group.", func() float64 {
+		if st.group.IsLeader() {
+			return 1
+		}
+		return 0
+	})
+	gauge("group_term", "Term of the state group.", func() float64 { return float64(st.group.Status().Term) })
+	gauge("group_commit_index", "Newest committed entry.", func() float64 { return float64(st.group.Status().Commit) })
+	gauge("group_applied_index", "Newest applied entry.", func() float64 { return float64(st.group.Status().Applied) })
+	gauge("group_voters", "Voters of the state group.", func() float64 { return float64(len(st.group.Status().Voters)) })
+	gauge("group_waiting_requests", "Commands that wait for the replica.", func() float64 { return float64(st.group.Health().RequestDepth) })
+}
+
+// Reload takes in changed settings: the seeds.
+func (st *Store) Reload(s *settings.Role) { st.view.SetSeeds(s.Seeds) }
--- /dev/null
+++ b/internal/storestate/storestate.go
@@ -0,0 +1,262 @@
+// Package storestate is the replicated state machine of the store hosts: the routing
+// configuration in its highest version, the named weight versions, the batch jobs, and the
+// store hosts that are being emptied.
+package storestate
+
+import (
+	"maps"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/jobs"
+)
+
+// Group is the name of the consensus group that replicates the state.
+const Group = "state"
+
+// Command changes the state. Exactly one field is set.
+type Command struct {
+	PutConfig  *PutConfig  `cbor:"1,keyasint,omitempty"`
+	PutVersion *PutVersion `cbor:"2,keyasint,omitempty"`
+	Submit     *jobs.Job   `cbor:"3,keyasint,omitempty"`
+	Finish     *Finish     `cbor:"4,keyasint,omitempty"`
+	End        *End        `cbor:"5,keyasint,omitempty"`
+	Drop       *Drop       `cbor:"6,keyasint,omitempty"`
+	Retire     *Retire     `cbor:"7,keyasint,omitempty"`
+}
+
+// PutConfig stores a configuration unless one with the same or a higher version is stored.
+type PutConfig struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Body is the CBOR encoding of routes.Config.
+	Body []byte `cbor:"2,keyasint"`
+	// Source is the document as the operator sent it.
+	Source []byte `cbor:"3,keyasint"`
+}
+
+// PutVersion names a weight version of a model.
+type PutVersion struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// Finish lists results of a job.
+type Finish struct {
+	Job     string        `cbor:"1,keyasint"`
+	Results []jobs.Result `cbor:"2,keyasint"`
+}
+
+// End ends a job.
+type End struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// Drop forgets a job.
+type Drop struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// Retire marks a store host as being emptied.
+type Retire struct {
+	Host string `cbor:"1,keyasint"`
+}
+
+// Reply is the result of a command.
+type Reply struct {
+	// Changed tells whether the command changed the state.
+	Changed bool `cbor:"1,keyasint,omitempty"`
+	// Missing tells that the object of the command does not exist.
+	Missing bool `cbor:"2,keyasint,omitempty"`
+	// Version is the configuration or weight version in force after the command.
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+	// Taken has, for each result of a Finish, whether it was listed.
+	Taken []bool `cbor:"4,keyasint,omitempty"`
+}
+
+// State is the state of one replica. It is not safe for concurrent use.
+type State struct {
+	config   PutConfig
+	versions map[string]uint64
+	retiring map[string]bool
+	book     *jobs.Book
+	index    uint64
+}
+
+// New returns the state before the first command.
+func New() *State {
+	return &State{versions: make(map[string]uint64), retiring: make(map[string]bool), book: jobs.NewBook()}
+}
+
+// Encode returns the encoding of a command or reply.
+func Encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // the types of this package always have an encoding
+	}
+	return b
+}
+
+// DecodeReply decodes the result of a command.
+func DecodeReply(b []byte) (Reply, error) {
+	var r Reply
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return r, &errs.Corrupt{What: "reply to a command", Detail: err.Error()}
+	}
+	return r, nil
+}
+
+// Apply implements group.StateMachine. A command that cannot be decoded changes nothing.
+func (s *State) Apply(index uint64, data []byte) []byte {
+	s.index = index
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Encode(Reply{Missing: true})
+	}
+	return Encode(s.apply(&c))
+}
+
+func (s *State) apply(c *Command) Reply {
+	switch {
+	case c.PutConfig != nil:
+		return s.putConfig(c.PutConfig)
+	case c.PutVersion != nil:
+		v := c.PutVersion
+		changed := v.Version > s.versions[v.Model]
+		if changed {
+			s.versions[v.Model] = v.Version
+		}
+		return Reply{Changed: changed, Version: s.versions[v.Model]}
+	case c.Submit != nil:
+		return Reply{Changed: s.book.Submit(*c.Submit)}
+	case c.Finish != nil:
+		r := Reply{}
+		for _, result := range c.Finish.Results {
+			taken := s.book.Finish(c.Finish.Job, result)
+			r.Taken = append(r.Taken, taken)
+			r.Changed = r.Changed || taken
+		}
+		return r
+	case c.End != nil:
+		return Reply{Missing: !s.book.End(c.End.Job), Changed: true}
+	case c.Drop != nil:
+		s.book.Drop(c.Drop.Job)
+		return Reply{Changed: true}
+	case c.Retire != nil:
+		changed := !s.retiring[c.Retire.Host]
+		s.retiring[c.Retire.Host] = true
+		return Reply{Changed: changed}
+	}
+	return Reply{Missing: true}
+}
+
+func (s *State) putConfig(c *PutConfig) Reply {
+	if c.Version <= s.config.Version {
+		return Reply{Version: s.config.Version}
+	}
+	s.config = *c
+	return Reply{Changed: true, Version: c.Version}
+}
+
+// Config returns the configuration in force; its version is 0 before the first.
+func (s *State) Config() PutConfig { return s.config }
+
+// Versions returns the newest named version of each model.
+func (s *State) Versions() map[string]uint64 { return maps.Clone(s.versions) }
+
+// Retiring returns the store hosts that are being emptied.
+func (s *State) Retiring() map[string]bool { return maps.Clone(s.retiring) }
+
+// Book returns the batch jobs. The caller must not change them.
+func (s *State) Book() *jobs.Book { return s.book }
+
+// Index returns the log index of the last command.
+func (s *State) Index() uint64 { return s.index }
+
+type image struct {
+	Config   PutConfig         `cbor:"1,keyasint"`
+	Versions map[string]uint64 `cbor:"2,keyasint"`
+	Retiring map[string]bool   `cbor:"3,keyasint"`
+	Book     jobs.Image        `cbor:"4,keyasint"`
+	Index    uint64            `cbor:"5,keyasint"`
+}
+
+// Snapshot implements group.StateMachine.
+func (s *State) Snapshot() ([]byte, error) {
+	return Encode(image{s.config, s.versions, s.retiring, s.book.Image(), s.index}), nil
+}
+
+// Restore implements group.StateMachine.
+func (s *State) Restore(data []byte) error {
+	var im image
+	if err := cbor.Unmarshal(data, &im); err != nil {
+		return &errs.Corrupt{What: "snapshot of the store state", Detail: err.Error()}
+	}
+	fresh := New()
+	fresh.config, fresh.index = im.Config, im.Index
+	maps.Copy(fresh.versions, im.Versions)
+	maps.Copy(fresh.retiring, im.Retiring)
+	fresh.book = jobs.Load(im.Book)
+	*s = *fresh
+	return nil
+}
+
+// Query asks for a part of the state. Exactly one field is set.
+type Query struct {
+	Config  bool        `cbor:"1,keyasint,omitempty"`
+	Results *ReadPage   `cbor:"2,keyasint,omitempty"`
+	Body    *ReadBody   `cbor:"3,keyasint,omitempty"`
+	Retire  *ReadRetire `cbor:"4,keyasint,omitempty"`
+}
+
+// ReadPage asks for results of a job.
+type ReadPage struct {
+	Job   string `cbor:"1,keyasint"`
+	After int    `cbor:"2,keyasint"`
+	// WaitMs is how long the answer may wait for a result at the position.
+	WaitMs   int `cbor:"3,keyasint,omitempty"`
+	MaxBytes int `cbor:"4,keyasint"`
+}
+
+// ReadBody asks for the body of an item.
+type ReadBody struct {
+	Job  string `cbor:"1,keyasint"`
+	Item string `cbor:"2,keyasint"`
+}
+
+// ReadRetire asks whether a store host is being emptied.
+type ReadRetire struct {
+	Host string `cbor:"1,keyasint"`
+}
+
+// Answer is the answer to a Query.
+type Answer struct {
+	Missing bool      `cbor:"1,keyasint,omitempty"`
+	Config  PutConfig `cbor:"2,keyasint,omitempty"`
+	Page    jobs.Page `cbor:"3,keyasint,omitempty"`
+	Body    []byte    `cbor:"4,keyasint,omitempty"`
+	// Retiring tells that the host is being emptied.
+	Retiring bool `cbor:"5,keyasint,omitempty"`
+	// Emptied tells that the host holds no state any more.
+	Emptied bool `cbor:"6,keyasint,omitempty"`
+	// TooFew tells that too few store hosts would remain without the host.
+	TooFew bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Answer answers a query from the state of this replica. What it cannot know of a store host
+// (Missing, Emptied and TooFew) is left to the caller.
+func (s *State) Answer(q *Query) Answer {
+	switch {
+	case q.Config:
+		return Answer{Config: s.config, Missing: s.config.Version == 0}
+	case q.Results != nil:
+		page, err := s.book.Read(q.Results.Job, q.Results.After, q.Results.MaxBytes)
+		return Answer{Page: page, Missing: err != nil}
+	case q.Body != nil:
+		body, err := s.book.Body(q.Body.Job, q.Body.Item)
+		return Answer{Body: body, Missing: err != nil}
+	case q.Retire != nil:
+		return Answer{Retiring: s.retiring[q.Retire.Host]}
+	}
+	return Answer{Missing: true}
+}
--- a/internal/host/transport.go
+++ b/internal/transport/transport.go
@@ -1,7 +1,10 @@
-package host
+// Package transport carries the messages of consensus groups between hosts: one duty and one
+// stream for each peer.
+package transport
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"time"
@@ -33,8 +36,8 @@
 	messages []consensus.Message
 }
 
-// transport sends consensus messages to the other voters, one duty per peer.
-type transport struct {
+// Transport sends consensus messages to the other voters, one duty per peer.
+type Transport struct {
 	peer func(host string) (rpc.PeerClient, error)
 	log  *slog.Logger
 
@@ -43,12 +46,13 @@
 	rings map[string]*kernel.Ring[outgoingBatch]
 }
 
-func newTransport(peer func(string) (rpc.PeerClient, error), log *slog.Logger) *transport {
-	return &transport{peer: peer, log: log, rings: make(map[string]*kernel.Ring[outgoingBatch])}
+// New returns a transport that reaches a host by peer.
+func New(peer func(string) (rpc.PeerClient, error), log *slog.Logger) *Transport {
+	return &Transport{peer: peer, log: log, rings: make(map[string]*kernel.Ring[outgoingBatch])}
 }
 
 // Start implements kernel.Service.
-func (t *transport) Start(_ context.Context, k *kernel.Kernel) error {
+func (t *Transport) Start(_ context.Context, k *kernel.Kernel) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.kern = k
@@ -56,10 +60,10 @@
 }
 
 // Stop implements kernel.Service.
-func (t *transport) Stop(context.Context) error { return nil }
+func (t *Transport) Stop(context.Context) error { return nil }
 
 // Send implements group.Transport.
-func (t *transport) Send(group string, messages []consensus.Message) {
+func (t *Transport) Send(group string, messages []consensus.Message) {
 	byPeer := make(map[string][]consensus.Message)
 	for _, m := range messages {
 		byPeer[m.To] = append(byPeer[m.To], m)
@@ -71,7 +75,7 @@
 	}
 }
 
-func (t *transport) ring(peer string) *kernel.Ring[outgoingBatch] {
+func (t *Transport) ring(peer string) *kernel.Ring[outgoingBatch] {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.kern == nil {
@@ -92,7 +96,7 @@
 	cancel context.CancelFunc
 }
 
-func (t *transport) deliver(ctx context.Context, peer string, ring *kernel.Ring[outgoingBatch]) error {
+func (t *Transport) deliver(ctx context.Context, peer string, ring *kernel.Ring[outgoingBatch]) error {
 	var stream *raftStream
 	idle := time.NewTimer(transportIdle)
 	defer idle.Stop()
@@ -135,7 +139,7 @@
 }
 
 // send delivers batches in turn over the stream, which it opens when there is none.
-func (t *transport) send(ctx context.Context, stream *raftStream, peer string, batches []outgoingBatch) (*raftStream, error) {
+func (t *Transport) send(ctx context.Context, stream *raftStream, peer string, batches []outgoingBatch) (*raftStream, error) {
 	if stream == nil {
 		client, err := t.peer(peer)
 		if err != nil {
@@ -171,3 +175,34 @@
 		s.cancel()
 	}
 }
+
+// Receive hands the messages of a stream over to the replicas of their groups until the stream
+// ends or stopping reports true. It is the server's side of Transport.
+func Receive(stream grpc.BidiStreamingServer[rpc.RaftRequest, rpc.RaftReply], replica func(group string) (Replica, bool), stopping func() bool) error {
+	for {
+		r, err := stream.Recv()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		g, ok := replica(r.Group)
+		if !ok {
+			return &errs.NotFound{Kind: "group", ID: r.Group}
+		}
+		var messages []consensus.Message
+		if err := cbor.Unmarshal(r.Messages, &messages); err != nil {
+			return &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
+		}
+		g.Deliver(messages)
+		if err := stream.Send(&rpc.RaftReply{}); err != nil || stopping() {
+			return err
+		}
+	}
+}
+
+// Replica takes in messages of its group.
+type Replica interface {
+	Deliver(messages []consensus.Message)
+}
--- /dev/null
+++ b/jobs/jobs.go
@@ -0,0 +1,289 @@
+// Package jobs holds batch jobs: many generation requests that a trainer submits at once and
+// whose results it reads by position. It is a deterministic state machine for replication:
+// every replica that applies the same commands in the same order holds the same state.
+//
+// Invariants:
+//   - An item of a job is listed at most once, and a listed result never changes.
+//   - Positions of results start at 0 and have no gaps.
+//   - A job that was accepted keeps the bodies of its items until they are listed or the job
+//     is dropped.
+package jobs
+
+import (
+	"slices"
+
+	"fuchsiaflow/errs"
+)
+
+// Item is one generation request of a job.
+type Item struct {
+	ID      string            `cbor:"1,keyasint"`
+	Path    string            `cbor:"2,keyasint"`
+	Headers map[string]string `cbor:"3,keyasint,omitempty"`
+	Body    []byte            `cbor:"4,keyasint,omitempty"`
+	// Tokens is the sum of the prompt tokens and the maximum output tokens.
+	Tokens int `cbor:"5,keyasint,omitempty"`
+	// Prompt is the number of prompt tokens; 0 when unknown.
+	Prompt int `cbor:"8,keyasint,omitempty"`
+	// Hint is the client's estimate of the output tokens; 0 without one.
+	Hint int `cbor:"6,keyasint,omitempty"`
+	// Group names the items that share a prompt.
+	Group string `cbor:"7,keyasint,omitempty"`
+}
+
+// Job is what a client submits.
+type Job struct {
+	ID string `cbor:"1,keyasint"`
+	// Host and Path select the route.
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	// Model is empty for a job without weights.
+	Model string `cbor:"4,keyasint,omitempty"`
+	Step  uint64 `cbor:"5,keyasint,omitempty"`
+	// MinVersion is the oldest weight version that may generate its tokens.
+	MinVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// SingleVersion requires that one version generates the whole text of an item.
+	SingleVersion bool `cbor:"7,keyasint,omitempty"`
+	// Wanted is the number of complete groups that the client waits for; 0 for all items.
+	Wanted int    `cbor:"8,keyasint,omitempty"`
+	Items  []Item `cbor:"9,keyasint"`
+}
+
+// Validate reports a job that cannot be accepted.
+func (j *Job) Validate() error {
+	if j.ID == "" {
+		return &errs.Invalid{Path: "$.id", Want: "an id", Got: "an empty string"}
+	}
+	seen := make(map[string]bool, len(j.Items))
+	for _, it := range j.Items {
+		if it.ID == "" || seen[it.ID] {
+			return &errs.Invalid{Path: "$.items.id", Want: "a unique id", Got: it.ID}
+		}
+		seen[it.ID] = true
+	}
+	return nil
+}
+
+// Fits tells whether a text made by these versions may be a result of the job.
+func (j *Job) Fits(versions []uint64) bool {
+	if j.SingleVersion && len(versions) > 1 {
+		return false
+	}
+	return !slices.ContainsFunc(versions, func(v uint64) bool { return v < j.MinVersion })
+}
+
+// State is the end of an item.
+type State string
+
+// The ends of an item.
+const (
+	Completed  State = "completed"
+	Terminated State = "terminated"
+)
+
+// Result is a listed item.
+type Result struct {
+	ID    string `cbor:"1,keyasint"`
+	State State  `cbor:"2,keyasint"`
+	// Text is the data of all events, separated by line feeds.
+	Text []byte `cbor:"3,keyasint,omitempty"`
+	// Versions are the weight versions that generated events of the text, in rising order.
+	Versions []uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Entry is a job with what happened to it.
+type Entry struct {
+	Job     `cbor:"1,keyasint"`
+	Results []Result `cbor:"2,keyasint"`
+	Ended   bool     `cbor:"3,keyasint"`
+	// Order is the rank of the job's acceptance.
+	Order uint64 `cbor:"4,keyasint"`
+
+	listed map[string]int // item to position
+}
+
+// Open tells whether the job still needs work.
+func (e *Entry) Open() bool { return !e.Ended && len(e.Results) < len(e.Items) }
+
+// Listed tells whether an item has a result.
+func (e *Entry) Listed(item string) bool {
+	_, ok := e.listed[item]
+	return ok
+}
+
+// Book is the set of jobs. The zero value is not usable; call NewBook.
+type Book struct {
+	entries map[string]*Entry
+	// source finds the job that last listed an item as completed, so that a later job that
+	// carries the item over can use the text.
+	source map[string]string
+	next   uint64
+}
+
+// NewBook returns a book without jobs.
+func NewBook() *Book {
+	return &Book{entries: make(map[string]*Entry), source: make(map[string]string)}
+}
+
+// Submit accepts a job once. It reports whether the job is new. Items that an earlier job
+// completed, with versions that fit, are listed at once.
+func (b *Book) Submit(j Job) bool {
+	if b.entries[j.ID] != nil {
+		return false
+	}
+	b.next++
+	e := &Entry{Job: j, Order: b.next, listed: make(map[string]int, len(j.Items))}
+	b.entries[j.ID] = e
+	for i := range e.Items {
+		if r, ok := b.carried(e, e.Items[i].ID); ok {
+			b.list(e, r)
+		}
+	}
+	return true
+}
+
+func (b *Book) carried(e *Entry, item string) (Result, bool) {
+	old := b.entries[b.source[item]]
+	if old == nil || old == e {
+		return Result{}, false
+	}
+	r := old.Results[old.listed[item]]
+	return r, e.Fits(r.Versions)
+}
+
+func (b *Book) list(e *Entry, r Result) {
+	e.listed[r.ID] = len(e.Results)
+	e.Results = append(e.Results, r)
+	if r.State == Completed {
+		b.source[r.ID] = e.ID
+	}
+	for i := range e.Items {
+		if e.Items[i].ID == r.ID {
+			e.Items[i].Body, e.Items[i].Headers = nil, nil // no longer needed
+		}
+	}
+}
+
+// Finish lists a result. It reports whether the result was taken: the job is open, the item
+// belongs to it and is not listed yet.
+func (b *Book) Finish(job string, r Result) bool {
+	e := b.entries[job]
+	if e == nil || e.Ended || e.Listed(r.ID) {
+		return false
+	}
+	if !slices.ContainsFunc(e.Items, func(it Item) bool { return it.ID == r.ID }) {
+		return false
+	}
+	b.list(e, r)
+	return true
+}
+
+// End ends a job. What is listed stays listed. It reports whether the job exists.
+func (b *Book) End(job string) bool {
+	e := b.entries[job]
+	if e == nil {
+		return false
+	}
+	e.Ended = true
+	return true
+}
+
+// Drop forgets a job whose results are no longer needed.
+func (b *Book) Drop(job string) {
+	e := b.entries[job]
+	if e == nil {
+		return
+	}
+	delete(b.entries, job)
+	for _, r := range e.Results {
+		if b.source[r.ID] == job {
+			delete(b.source, r.ID)
+		}
+	}
+}
+
+// Entry returns a job. The caller must not change it.
+func (b *Book) Entry(job string) (*Entry, bool) {
+	e, ok := b.entries[job]
+	return e, ok
+}
+
+// Entries lists all jobs in the order of their acceptance.
+func (b *Book) Entries() []*Entry {
+	list := make([]*Entry, 0, len(b.entries))
+	for _, e := range b.entries {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, c *Entry) int { return int(int64(a.Order) - int64(c.Order)) })
+	return list
+}
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int      `cbor:"1,keyasint"`
+	Results []Result `cbor:"2,keyasint"`
+	Next    int      `cbor:"3,keyasint"`
+}
+
+// Read returns results from a position on: at least one if there is one, and at most maxBytes
+// of texts beyond the first.
+func (b *Book) Read(job string, after, maxBytes int) (Page, error) {
+	e := b.entries[job]
+	if e == nil {
+		return Page{}, &errs.NotFound{Kind: "batch job", ID: job}
+	}
+	p := Page{Total: len(e.Items), Next: after}
+	size := 0
+	for i := max(after, 0); i < len(e.Results); i++ {
+		size += len(e.Results[i].Text) + resultOverhead
+		if len(p.Results) > 0 && size > maxBytes {
+			break
+		}
+		p.Results = append(p.Results, e.Results[i])
+		p.Next = i + 1
+	}
+	return p, nil
+}
+
+// resultOverhead approximates the encoded size of a result without its text, in bytes.
+const resultOverhead = 128
+
+// Body returns the body of an item that is not listed.
+func (b *Book) Body(job, item string) ([]byte, error) {
+	e := b.entries[job]
+	if e == nil || e.Listed(item) {
+		return nil, &errs.NotFound{Kind: "item of a batch job", ID: item}
+	}
+	for _, it := range e.Items {
+		if it.ID == item {
+			return it.Body, nil
+		}
+	}
+	return nil, &errs.NotFound{Kind: "item of a batch job", ID: item}
+}
+
+// Image is the stored form of a book.
+type Image struct {
+	Entries []*Entry `cbor:"1,keyasint"`
+	Next    uint64   `cbor:"2,keyasint"`
+}
+
+// Image returns the stored form. It shares memory with the book.
+func (b *Book) Image() Image { return Image{Entries: b.Entries(), Next: b.next} }
+
+// Load returns the book of an image.
+func Load(im Image) *Book {
+	b := NewBook()
+	b.next = im.Next
+	for _, e := range im.Entries {
+		e.listed = make(map[string]int, len(e.Results))
+		b.entries[e.ID] = e
+		for i, r := range e.Results {
+			e.listed[r.ID] = i
+			if r.State == Completed {
+				b.source[r.ID] = e.ID
+			}
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/schedule/engines.go
@@ -0,0 +1,269 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fuchsiaflow/fleet"
+)
+
+// speedShare is the weight of a new measurement in the average pause between events.
+const speedShare = 0.08
+
+// Engine describes a target that generates text.
+type Engine struct {
+	fleet.Target
+	// Tokens is the size of its KV cache; 0 when unknown.
+	Tokens int
+	// Models are the models that the engines of its service share.
+	Models []string
+}
+
+type engine struct {
+	Engine
+	model   string // the model that it is meant for
+	runs    map[Key]*run
+	tokens  int
+	groups  map[string]int // runs of a prompt group
+	weights map[string]uint64
+
+	gap          float64 // average pause between events, seconds; 0 when not measured
+	failures     int
+	pausedUntil  time.Time
+	loading      *load
+	draining     bool
+	orderBackoff time.Time
+}
+
+func (e *engine) free() int { return e.Slots - len(e.runs) }
+
+// known tells whether the engine's speed has been measured.
+func (e *engine) known() bool { return e.gap > 0 }
+
+func (e *engine) add(now time.Time, r *run) {
+	e.runs[r.task.Key()] = r
+	e.tokens += r.task.tokens()
+	e.groups[r.task.Group]++
+	if e.loading != nil && r.task.Model == e.loading.model {
+		e.loading.trial = r
+		e.loading.nextTrial = now.Add(refusedPause)
+	}
+}
+
+func (e *engine) remove(r *run) {
+	if e.runs[r.task.Key()] != r {
+		return
+	}
+	delete(e.runs, r.task.Key())
+	e.tokens -= r.task.tokens()
+	if e.groups[r.task.Group]--; e.groups[r.task.Group] <= 0 {
+		delete(e.groups, r.task.Group)
+	}
+	if e.loading != nil && e.loading.trial == r {
+		e.loading.trial = nil
+	}
+}
+
+// usable tells whether the engine can take the task now.
+func (e *engine) usable(now time.Time, t *Task) bool {
+	switch {
+	case e.draining, e.Service != t.Service, e.free() <= 0, now.Before(e.pausedUntil):
+		return false
+	case e.Tokens > 0 && len(e.runs) > 0 && e.tokens+t.tokens() > e.Tokens:
+		return false
+	case e.failures > 0 && len(e.runs) > 0:
+		return false // one trial run after a failure
+	}
+	version := e.weights[t.Model]
+	if e.loading != nil && e.loading.model == t.Model {
+		if e.loading.trial != nil || now.Before(e.loading.nextTrial) {
+			return false
+		}
+		version = e.loading.version
+	}
+	if t.OnlyVersion > 0 && version != t.OnlyVersion {
+		return false
+	}
+	return t.Model == "" || version >= t.MinVersion
+}
+
+// expected scores how long the task would take; lower is better.
+func (e *engine) expected(t *Task) float64 {
+	occupancy := float64(len(e.runs)+1) / float64(max(e.Slots, 1))
+	score := 1 + spreadGain*occupancy
+	if e.groups[t.Group] > 0 {
+		score -= groupGain
+	}
+	if e.model != t.Model {
+		score += spreadGain // leave it to its own model
+	}
+	if e.known() {
+		return score * e.gap
+	}
+	return score * typicalGap
+}
+
+// typicalGap stands for the pause between events of an engine that was not measured yet, in
+// seconds.
+const typicalGap = 0.045
+
+func (e *engine) observe(gap time.Duration) {
+	// Events of a full engine come more slowly; the average is that of an empty one.
+	g := gap.Seconds() / (1 + spreadGain*float64(len(e.runs))/float64(max(e.Slots, 1)))
+	if e.gap == 0 {
+		e.gap = g
+		return
+	}
+	e.gap += speedShare * (g - e.gap)
+}
+
+func (e *engine) took(now time.Time, o Outcome) {
+	switch o {
+	case Finished, Failed:
+		e.failures = 0
+	case Refused:
+		e.pausedUntil = now.Add(refusedPause)
+	case Broken:
+		pause := min(failedPause<<min(e.failures, 6), maxPause)
+		e.failures++
+		e.pausedUntil = now.Add(pause)
+	}
+}
+
+// SetEngines replaces the list of engines. Those that are left out take no new work; their runs
+// go on.
+func (s *Scheduler) SetEngines(list []Engine) {
+	present := make(map[string]bool, len(list))
+	for _, d := range list {
+		present[d.ID] = true
+		e := s.engines[d.ID]
+		if e == nil || e.Born != d.Born {
+			e = &engine{runs: make(map[Key]*run), groups: make(map[string]int), weights: make(map[string]uint64)}
+			if old := s.engines[d.ID]; old != nil {
+				e.model = old.model
+			}
+			s.engines[d.ID] = e
+		}
+		e.Engine, e.draining = d, d.State != fleet.Ready
+		for model, v := range d.Weights {
+			s.loaded(e, model, v)
+		}
+	}
+	for id, e := range s.engines {
+		if present[id] {
+			continue
+		}
+		e.draining = true
+		if len(e.runs) == 0 {
+			delete(s.engines, id)
+		}
+	}
+	s.assign()
+}
+
+// noteDemand averages the tokens of a job of each model.
+func (s *Scheduler) noteDemand(tasks []Task) {
+	const share = 0.5 // weight of the newest job
+	sums := make(map[string]float64)
+	for i := range tasks {
+		sums[tasks[i].Model] += float64(tasks[i].tokens())
+	}
+	service := tasks[0].Service
+	if s.demand[service] == nil {
+		s.demand[service] = make(map[string]float64)
+	}
+	for model, sum := range sums {
+		if old := s.demand[service][model]; old > 0 {
+			sum = old + share*(sum-old)
+		}
+		s.demand[service][model] = sum
+	}
+	s.assign()
+}
+
+// assign gives each engine a model, in proportion to the demand. An engine changes its model
+// only when the shares are clearly wrong, because it must then load other weights.
+func (s *Scheduler) assign() {
+	byService := make(map[string][]*engine)
+	for _, e := range s.sorted() {
+		if len(e.Models) > 0 && !e.draining {
+			byService[e.Service] = append(byService[e.Service], e)
+		}
+	}
+	for service, engines := range byService {
+		s.assignService(engines, engines[0].Models, s.demand[service])
+	}
+}
+
+// tolerance is how many engines a model's share may be off before one changes its model.
+const tolerance = 0.75
+
+func (s *Scheduler) assignService(engines []*engine, models []string, demand map[string]float64) {
+	want := shares(models, demand, len(engines))
+	have := make(map[string]int)
+	for _, e := range engines {
+		if e.model != "" && slices.Contains(models, e.model) {
+			have[e.model]++
+		} else {
+			e.model = ""
+		}
+	}
+	lack := func(m string) float64 { return want[m] - float64(have[m]) }
+	neediest := func() string {
+		return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(lack(a), lack(b)) })
+	}
+	for _, e := range engines {
+		if e.model == "" {
+			e.model = s.fittest(e, models, lack)
+			have[e.model]++
+		}
+	}
+	for {
+		to := neediest()
+		from := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(lack(a), lack(b)) })
+		if lack(to) < tolerance || lack(from) > -tolerance/2 || have[from] <= 1 {
+			return
+		}
+		i := slices.IndexFunc(engines, func(e *engine) bool { return e.model == from && e.loading == nil })
+		if i < 0 {
+			return
+		}
+		engines[i].model = to
+		have[from]--
+		have[to]++
+	}
+}
+
+// fittest returns the model for an engine without one: the one whose weights are the newest
+// there if that model lacks engines, else the one that lacks most.
+func (s *Scheduler) fittest(e *engine, models []string, lack func(string) float64) string {
+	return slices.MaxFunc(models, func(a, b string) int {
+		need := func(m string) float64 { return min(lack(m), 1) + 0.001*float64(e.weights[m]) }
+		if d := cmp.Compare(need(a), need(b)); d != 0 {
+			return d
+		}
+		return cmp.Compare(lack(a), lack(b))
+	})
+}
+
+// shares splits n engines over the models in proportion to their demand, with at least one for
+// each as long as there are enough.
+func shares(models []string, demand map[string]float64, n int) map[string]float64 {
+	total := 0.0
+	for _, m := range models {
+		total += demand[m]
+	}
+	out := make(map[string]float64, len(models))
+	for _, m := range models {
+		out[m] = float64(n) / float64(len(models))
+		if total > 0 && allKnown(models, demand) {
+			out[m] = max(float64(n)*demand[m]/total, 1)
+		}
+	}
+	return out
+}
+
+func allKnown(models []string, demand map[string]float64) bool {
+	return !slices.ContainsFunc(models, func(m string) bool { return demand[m] == 0 })
+}
--- /dev/null
+++ b/schedule/loads.go
@@ -0,0 +1,138 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// firstLoadTime is the assumed duration of a load before one has been seen.
+	firstLoadTime = 800 * time.Millisecond
+	// loadTimeout is the time after which a load that was accepted counts as failed.
+	loadTimeout = 6 * time.Second
+	// loadShare is the weight of a new measurement in the average duration.
+	loadShare = 0.3
+	// concurrentShare is the share of a service's engines that may load at once; at least two
+	// may. The store of weights slows down beyond about that.
+	concurrentShare = 0.2
+	// orderPause is the pause after an order that was not accepted.
+	orderPause = 500 * time.Millisecond
+)
+
+type load struct {
+	model     string
+	version   uint64
+	ordered   time.Time
+	nextTrial time.Time
+	trial     *run
+	accepted  bool
+}
+
+type loadTimes struct{ average time.Duration }
+
+func (l *loadTimes) expected() time.Duration {
+	if l.average == 0 {
+		return firstLoadTime
+	}
+	return l.average
+}
+
+func (l *loadTimes) took(d time.Duration) {
+	if l.average == 0 {
+		l.average = d
+		return
+	}
+	l.average += time.Duration(loadShare * float64(d-l.average))
+}
+
+// Load tells to order an engine to load a version of its model.
+type Load struct {
+	Engine  string
+	Model   string
+	Version uint64
+}
+
+// Loads picks the engines that load a newer version now: those that are behind the named
+// version of the model they are meant for, the idle ones first, a few at a time. The caller
+// reports each order with Ordered.
+func (s *Scheduler) Loads(now time.Time, named map[string]uint64) []Load {
+	s.expireLoads(now)
+	loading := make(map[string]int)
+	var behind []*engine
+	for _, e := range s.sorted() {
+		if e.loading != nil {
+			loading[e.Service]++
+			continue
+		}
+		if !e.draining && e.failures == 0 && !now.Before(e.orderBackoff) && named[e.model] > e.weights[e.model] {
+			behind = append(behind, e)
+		}
+	}
+	slices.SortStableFunc(behind, func(a, b *engine) int { return len(a.runs) - len(b.runs) })
+	var out []Load
+	for _, e := range behind {
+		if loading[e.Service] >= s.concurrent(e.Service) {
+			continue
+		}
+		loading[e.Service]++
+		version := named[e.model]
+		e.loading = &load{model: e.model, version: version, ordered: now, nextTrial: now.Add(loadTimeout)}
+		out = append(out, Load{Engine: e.ID, Model: e.model, Version: version})
+	}
+	return out
+}
+
+func (s *Scheduler) concurrent(service string) int {
+	n := 0
+	for _, e := range s.engines {
+		if e.Service == service {
+			n++
+		}
+	}
+	return max(2, int(concurrentShare*float64(n)))
+}
+
+// Ordered takes in how an order of Loads went: accepted means that the engine carries it out.
+func (s *Scheduler) Ordered(now time.Time, l Load, accepted bool) {
+	e := s.engines[l.Engine]
+	if e == nil || e.loading == nil || e.loading.model != l.Model || e.loading.version != l.Version {
+		return
+	}
+	if !accepted {
+		e.loading = nil
+		e.orderBackoff = now.Add(orderPause)
+		return
+	}
+	e.loading.accepted, e.loading.ordered = true, now
+	e.loading.nextTrial = now.Add(s.loads.expected())
+}
+
+// Loaded takes in that an engine has at least a version of a model.
+func (s *Scheduler) Loaded(now time.Time, engineID, model string, version uint64) {
+	e := s.engines[engineID]
+	if e == nil {
+		return
+	}
+	if l := e.loading; l != nil && l.model == model && l.accepted && version >= l.version {
+		s.loads.took(now.Sub(l.ordered))
+	}
+	s.loaded(e, model, version)
+}
+
+func (s *Scheduler) loaded(e *engine, model string, version uint64) {
+	if version > e.weights[model] {
+		e.weights[model] = version
+	}
+	if l := e.loading; l != nil && l.model == model && version >= l.version {
+		e.loading = nil
+	}
+}
+
+func (s *Scheduler) expireLoads(now time.Time) {
+	for _, e := range s.engines {
+		if e.loading != nil && now.Sub(e.loading.ordered) > loadTimeout {
+			e.loading = nil
+			e.orderBackoff = now.Add(orderPause)
+		}
+	}
+}
--- /dev/null
+++ b/schedule/schedule.go
@@ -0,0 +1,350 @@
+// Package schedule decides which item of which batch job runs on which engine next, when a run
+// moves to another engine, and which engine loads which weights. The load it answers: several
+// trainers share the engines of a service, each asks for groups of items whose lengths are
+// heavy-tailed and known only as an estimate, and waits for most of its groups.
+//
+// The package is pure: time is an argument, there is no I/O, and the same calls give the same
+// decisions. A Scheduler is not safe for concurrent use.
+package schedule
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits of the decisions.
+const (
+	// refusedPause is the pause after an engine refused an item as not run.
+	refusedPause = 100 * time.Millisecond
+	// failedPause is the first pause of an engine that broke a run off; it doubles with each
+	// failure in a row.
+	failedPause = 250 * time.Millisecond
+	// maxPause bounds the pause, so that an engine that works again is noticed.
+	maxPause = 2 * time.Second
+	// slowFactor is how much slower than the fastest engine one must be for its runs to move
+	// to another. Below it, the prefill at the other engine costs more than the move gains.
+	slowFactor = 1.8
+	// spreadGain weighs the occupancy of an engine against the placement of a group: the
+	// step time of an engine grows by about half when all its slots run.
+	spreadGain = 0.5
+	// groupGain is the advantage of an engine that keeps the prompt of the item's group.
+	groupGain = 0.06
+	// priorSize is the assumed size of an item without an estimate, in output tokens.
+	priorSize = 400
+)
+
+// Task is one item to run.
+type Task struct {
+	Job, Item string
+	Service   string
+	Model     string
+	// MinVersion is the oldest weight version that may run the item.
+	MinVersion uint64
+	// OnlyVersion is set when the text so far was made by this version and must stay so.
+	OnlyVersion uint64
+	Group       string
+	// Carried items belong to groups that the client has waited for before and waits for now
+	// whatever else is complete.
+	Carried bool
+	// Size is the expected number of output tokens that are still to be made; 0 when unknown.
+	Size int
+	// Prompt is the number of prompt tokens.
+	Prompt   int
+	Deadline time.Time
+}
+
+// Key names a task.
+type Key struct{ Job, Item string }
+
+// Key returns the name of the task.
+func (t *Task) Key() Key { return Key{t.Job, t.Item} }
+
+func (t *Task) tokens() int { return t.Prompt + max(t.Size, priorSize) }
+
+// Assignment tells to run a task on an engine now.
+type Assignment struct {
+	Task   Task
+	Engine string
+}
+
+type job struct {
+	waiting []*Task // in the order in which they are to start
+	running map[string]*run
+}
+
+type run struct {
+	task   *Task
+	engine *engine
+	since  time.Time
+	moving bool
+}
+
+// Scheduler holds the open tasks and the engines.
+type Scheduler struct {
+	jobs    map[string]*job
+	order   []string // jobs by acceptance
+	engines map[string]*engine
+	demand  map[string]map[string]float64 // service, model: tokens of a typical job
+	loads   loadTimes
+}
+
+// New returns a scheduler without tasks and engines.
+func New() *Scheduler {
+	return &Scheduler{jobs: make(map[string]*job), engines: make(map[string]*engine), demand: make(map[string]map[string]float64)}
+}
+
+// AddJob adds the open tasks of a job. Carried items start first, then those that are expected
+// to take longest, since the last to end decides when a group is complete.
+func (s *Scheduler) AddJob(id string, tasks []Task) {
+	if s.jobs[id] != nil || len(tasks) == 0 {
+		return
+	}
+	j := &job{running: make(map[string]*run)}
+	for i := range tasks {
+		t := tasks[i]
+		j.waiting = append(j.waiting, &t)
+	}
+	j.sort()
+	s.jobs[id] = j
+	s.order = append(s.order, id)
+	s.noteDemand(tasks)
+}
+
+func (j *job) sort() {
+	slices.SortStableFunc(j.waiting, func(a, b *Task) int {
+		switch {
+		case a.Carried != b.Carried && a.Carried:
+			return -1
+		case a.Carried != b.Carried:
+			return 1
+		}
+		return b.tokens() - a.tokens()
+	})
+}
+
+// EndJob forgets a job. It returns the runs to stop.
+func (s *Scheduler) EndJob(id string) []Key {
+	j := s.jobs[id]
+	if j == nil {
+		return nil
+	}
+	var stop []Key
+	for _, r := range j.running {
+		r.engine.remove(r)
+		stop = append(stop, r.task.Key())
+	}
+	slices.SortFunc(stop, func(a, b Key) int { return strings.Compare(a.Item, b.Item) })
+	delete(s.jobs, id)
+	s.order = slices.DeleteFunc(s.order, func(o string) bool { return o == id })
+	return stop
+}
+
+// Jobs lists the jobs with open tasks in the order of their acceptance.
+func (s *Scheduler) Jobs() []string { return slices.Clone(s.order) }
+
+// Counts returns the number of waiting and running tasks.
+func (s *Scheduler) Counts() (waiting, running int) {
+	for _, j := range s.jobs {
+		waiting += len(j.waiting)
+		running += len(j.running)
+	}
+	return waiting, running
+}
+
+// Next starts tasks on free slots and returns what to run.
+func (s *Scheduler) Next(now time.Time) []Assignment {
+	var out []Assignment
+	for _, id := range s.byDeadline() {
+		j := s.jobs[id]
+		var left []*Task
+		for _, t := range j.waiting {
+			e := s.place(now, t)
+			if e == nil {
+				left = append(left, t)
+				continue
+			}
+			r := &run{task: t, engine: e, since: now}
+			j.running[t.Item] = r
+			e.add(now, r)
+			out = append(out, Assignment{Task: *t, Engine: e.ID})
+		}
+		j.waiting = left
+	}
+	return out
+}
+
+// byDeadline orders the jobs so that the one that is due first is served first.
+func (s *Scheduler) byDeadline() []string {
+	ids := slices.Clone(s.order)
+	due := func(id string) time.Time {
+		if w := s.jobs[id].waiting; len(w) > 0 {
+			return w[0].Deadline
+		}
+		return time.Time{}
+	}
+	slices.SortStableFunc(ids, func(a, b string) int { return due(a).Compare(due(b)) })
+	return ids
+}
+
+// place returns the engine on which the task ends soonest, or nil if none can take it.
+func (s *Scheduler) place(now time.Time, t *Task) *engine {
+	var best *engine
+	var bestScore float64
+	for _, e := range s.sorted() {
+		if !e.usable(now, t) {
+			continue
+		}
+		score := e.expected(t)
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) sorted() []*engine {
+	list := make([]*engine, 0, len(s.engines))
+	for _, e := range s.engines {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Move tells to stop a run, which is then waiting again and starts on a faster engine with the
+// text that it has.
+type Move struct {
+	Key    Key
+	Engine string
+}
+
+// Moves picks runs on slow engines for which a much faster one has a free slot that nothing
+// else waits for. The caller stops each and reports it with Stopped.
+func (s *Scheduler) Moves(now time.Time) []Move {
+	var out []Move
+	taken := make(map[string]int)
+	for _, id := range s.order {
+		j := s.jobs[id]
+		if len(j.waiting) > 0 {
+			continue
+		}
+		for _, r := range sortedRuns(j.running) {
+			if r.moving || !r.engine.known() {
+				continue
+			}
+			to := s.place(now, r.task)
+			if to == nil || to == r.engine || !to.known() || to.free()-taken[to.ID] <= 0 {
+				continue
+			}
+			if r.engine.gap < slowFactor*to.gap {
+				continue
+			}
+			r.moving = true
+			taken[to.ID]++
+			out = append(out, Move{Key: r.task.Key(), Engine: r.engine.ID})
+		}
+	}
+	return out
+}
+
+func sortedRuns(m map[string]*run) []*run {
+	list := make([]*run, 0, len(m))
+	for _, r := range m {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		if d := b.task.Size - a.task.Size; d != 0 {
+			return d
+		}
+		return strings.Compare(a.task.Item, b.task.Item)
+	})
+	return list
+}
+
+// Outcome is how a run ended.
+type Outcome int
+
+// The outcomes of a run.
+const (
+	// Finished runs need no other.
+	Finished Outcome = iota
+	// Refused runs were declared as not run by the engine.
+	Refused
+	// Broken runs ended early, fell silent or could not be started.
+	Broken
+	// Stopped runs were ended by the caller and go on elsewhere.
+	Stopped
+	// Failed runs got a failure for the item itself; the engine works.
+	Failed
+)
+
+// Done takes in the end of a run. Unless it is finished the task waits again; size is the
+// number of output tokens still expected, 0 to keep the estimate, and onlyVersion the version
+// to which a continuation is bound.
+func (s *Scheduler) Done(now time.Time, key Key, outcome Outcome, size int, onlyVersion uint64) {
+	j := s.jobs[key.Job]
+	if j == nil {
+		return
+	}
+	r := j.running[key.Item]
+	if r == nil {
+		return
+	}
+	delete(j.running, key.Item)
+	r.engine.remove(r)
+	r.engine.took(now, outcome)
+	if outcome == Finished {
+		if len(j.waiting) == 0 && len(j.running) == 0 {
+			s.EndJob(key.Job)
+		}
+		return
+	}
+	if size > 0 {
+		r.task.Size = size
+	}
+	r.task.OnlyVersion = onlyVersion
+	j.waiting = append(j.waiting, r.task)
+	j.sort()
+}
+
+// Abandon removes a task that will not be run again.
+func (s *Scheduler) Abandon(key Key) {
+	j := s.jobs[key.Job]
+	if j == nil {
+		return
+	}
+	if r := j.running[key.Item]; r != nil {
+		delete(j.running, key.Item)
+		r.engine.remove(r)
+	}
+	j.waiting = slices.DeleteFunc(j.waiting, func(t *Task) bool { return t.Item == key.Item })
+	if len(j.waiting) == 0 && len(j.running) == 0 {
+		s.EndJob(key.Job)
+	}
+}
+
+// Event takes in the pause between two events of a run, for the engine's speed.
+func (s *Scheduler) Event(engine string, gap time.Duration) {
+	if e := s.engines[engine]; e != nil {
+		e.observe(gap)
+	}
+}
+
+// Retarget asks for the service of each waiting task again, after the routes have changed. Tasks
+// without a service are removed and returned.
+func (s *Scheduler) Retarget(service func(*Task) string) []Key {
+	var gone []Key
+	for _, id := range s.Jobs() {
+		j := s.jobs[id]
+		for _, t := range slices.Clone(j.waiting) {
+			if t.Service = service(t); t.Service == "" {
+				gone = append(gone, t.Key())
+			}
+		}
+	}
+	for _, key := range gone {
+		s.Abandon(key)
+	}
+	return gone
+}
