group: a new replica ignores messages for the lost one at its address

Cause: a store host that lost its disk joins with a new replica at the same address. The leader still sends messages for the lost replica there, with the lost replica's node identity. The new replica took them for a proof that its own disk was exchanged and stopped, again after each restart. Ruled out: a torn replica file (it was read back at each start) and a second use of an identity (each start drew a new one). Change: messages for another replica are counted and ignored before the identities are compared. The new test failed before.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -147,6 +147,8 @@
 	// published is what other goroutines may know about the node.
 	published atomic.Pointer[published]
 	rejected  atomic.Uint64
+	// misaddressed counts messages for another replica than this one.
+	misaddressed atomic.Uint64
 
 	replica // owned by Run
 }
@@ -272,6 +274,7 @@
 	RequestDepth, MessageDepth    int
 	RequestsRefused, MessagesLost uint64
 	MessagesRejected              uint64 // from peers with another node identity
+	MessagesMisaddressed          uint64 // for another replica at this address
 	Stalled                       bool   // the disk refuses writes
 }
 
@@ -281,6 +284,6 @@
 	return Health{
 		RequestDepth: g.requests.Depth(), MessageDepth: g.inbox.Depth(),
 		RequestsRefused: g.requests.Dropped(), MessagesLost: g.inbox.Dropped(),
-		MessagesRejected: g.rejected.Load(), Stalled: p.stalled,
+		MessagesRejected: g.rejected.Load(), MessagesMisaddressed: g.misaddressed.Load(), Stalled: p.stalled,
 	}
 }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -407,3 +407,31 @@
 		})
 	}
 }
+
+// Guards against a new replica at the address of a lost one that stops because the messages for
+// the lost one, with that one's identity, still arrive there.
+func TestMessagesForTheEarlierReplicaAtAnAddressAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		rs := b.three()
+		time.Sleep(settleTime)
+		leader, others := leaderOf(rs)
+		victim := others[0]
+		_ = victim.stop()
+		again := b.start("new", faultfs.New(nil), storage.Join)
+		b.net.mu.Lock()
+		b.net.groups[victim.opt.ID] = again.Group
+		b.net.mu.Unlock()
+		time.Sleep(settleTime)
+		if err := leader.ChangeMember(t.Context(), consensus.ConfChange{Type: consensus.AddLearner, ID: "new"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(settleTime)
+		if err := again.stop(); err != nil {
+			t.Errorf("the new replica ended with %v", err)
+		}
+		if have, want := again.Status().Commit, leader.Status().Commit; have != want {
+			t.Errorf("the new replica knows %d committed entries of %d", have, want)
+		}
+	})
+}
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -138,6 +138,10 @@
 	if g.stalled || g.refused != nil {
 		return
 	}
+	if m.To != g.opt.ID {
+		g.misaddressed.Add(1) // for an earlier replica at the same address
+		return
+	}
 	if m.ToNode != "" && m.ToNode != g.id {
 		g.refused = &IdentityRefused{Group: g.opt.Group, ID: g.opt.ID, Peer: m.From, Have: g.id, Known: m.ToNode}
 		return
