runner: texts of running items are committed; cut-off hosts are not ready

Cause: with the loss of a leader all text of its runs was lost, so that items of 4 s began again and steps came late. Hosts of a cut-off failure domain stayed ready for 2.5 s and refused what others could serve; requests whose targets refuse connections were tried 22 times before they were refused. A host is not ready when it hears fewer than half of the voters for 1.1 s. Unreachable targets are refused at once with 503 and a time to come back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,9 @@
 	// contactLoss is the time without news of a leader after which the host is not ready, so
 	// that callers are sent to hosts that can serve batch jobs.
 	contactLoss = 2500 * time.Millisecond
+	// cutLoss is the time without news of most voters after which the host counts as cut off:
+	// two pings of a watch.
+	cutLoss = 1100 * time.Millisecond
 	// noticeTime is how long a stopping host goes on accepting connections: the balancer asks
 	// every second and takes a host out after two misses.
 	noticeTime = 3200 * time.Millisecond
@@ -109,10 +112,11 @@
 
 // Ready tells whether new connections should come to this host.
 func (e *Entry) Ready() bool {
-	ready := !e.stopping.Load() && e.view.Table() != nil && e.view.LeaderAge() < contactLoss
+	ready := !e.stopping.Load() && e.view.Table() != nil && e.view.LeaderAge() < contactLoss &&
+		e.view.MajorityAge() < cutLoss
 	if e.wasReady.Swap(ready) != ready {
 		e.o.Log.Info("readiness changed", "ready", ready, "stopping", e.stopping.Load(), "configured", e.view.Table() != nil,
-			"leader_age_ms", e.view.LeaderAge().Milliseconds())
+			"leader_age_ms", e.view.LeaderAge().Milliseconds(), "majority_age_ms", e.view.MajorityAge().Milliseconds())
 	}
 	return ready
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -100,7 +100,7 @@
 	}
 	defer func() { go discard(results, pending) }()
 	if !start() {
-		c.refuse(retryAfterNoTarget, "no target serves "+c.service)
+		c.failUnserved()
 		return
 	}
 	hedge := time.NewTimer(max(time.Duration(hedgeShare*float64(c.objective())), minHedge))
@@ -132,8 +132,8 @@
 			}
 			if res.verdict == notRun {
 				c.sent--
+				c.shed = c.shed || res.resp != nil
 			}
-			c.unknown = c.unknown || res.verdict != notRun
 		}
 		if c.retryable() && (start() || c.sent == 0 && pending == 0 && c.waitForRoom(ctx) && start()) {
 			continue
@@ -145,7 +145,7 @@
 			c.deliver(ctx, fallback)
 			return
 		}
-		c.failUnserved(retryAfterFull, "no target took the request")
+		c.failUnserved()
 		return
 	}
 }
@@ -157,10 +157,11 @@
 	}
 }
 
-// waitForRoom waits a little and allows all targets again, as long as the request can still be
-// answered within its objective.
+// waitForRoom waits a little and allows all targets again, if one of them was full and the
+// request can still be answered within its objective. Targets that cannot be reached are not
+// worth the wait.
 func (c *call) waitForRoom(ctx context.Context) bool {
-	if bootclock.Now().Sub(c.start)+shedWait > time.Duration(shedShare*float64(c.objective())) {
+	if !c.shed || bootclock.Now().Sub(c.start)+shedWait > time.Duration(shedShare*float64(c.objective())) {
 		return false
 	}
 	select {
@@ -168,7 +169,7 @@
 		return false
 	case <-time.After(shedWait):
 	}
-	c.tried = nil
+	c.tried, c.shed = nil, false
 	return true
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -47,6 +47,8 @@
 	// retryAfterNoTarget is when a caller may come back if no target is known: about the time
 	// in which a new target announces itself.
 	retryAfterNoTarget = 500 * time.Millisecond
+	// retryAfterLost is when a caller may come back if no known target can be reached.
+	retryAfterLost = 200 * time.Millisecond
 	// retryAfterFull is when a caller may come back if all targets are full.
 	retryAfterFull = 50 * time.Millisecond
 	sweepInterval  = time.Second
@@ -100,7 +102,7 @@
 	body     *heldBody
 	tried    []string // targets of this round
 	sent     int      // attempts that may have run
-	unknown  bool     // an attempt failed and may have run
+	shed     bool     // a target of this round was full
 	attempts int
 }
 
@@ -222,12 +224,17 @@
 }
 
 // failUnserved ends a request for which nothing more can be tried.
-func (c *call) failUnserved(after time.Duration, reason string) {
-	if c.sent > 0 {
-		c.fail(http.StatusBadGateway, reason)
-		return
+func (c *call) failUnserved() {
+	switch {
+	case c.sent > 0:
+		c.fail(http.StatusBadGateway, "no usable answer of a target")
+	case c.attempts == 0:
+		c.refuse(retryAfterNoTarget, "no target serves "+c.service)
+	case c.shed:
+		c.refuse(retryAfterFull, "all targets are full")
+	default:
+		c.refuse(retryAfterLost, "no target can be reached")
 	}
-	c.refuse(after, reason)
 }
 
 // failLate ends a request whose time is up.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,7 +35,7 @@
 			cand, ok = c.pick()
 		}
 		if !ok {
-			s.end(ctx, retryAfterNoTarget, "no target serves "+c.service)
+			s.end(ctx)
 			return
 		}
 		c.attempts++
@@ -43,14 +43,14 @@
 			return
 		}
 		if ctx.Err() != nil || !c.retryable() {
-			s.end(ctx, retryAfterFull, "stream broke off")
+			s.end(ctx)
 			return
 		}
 	}
 }
 
 // end ends a stream that cannot go on.
-func (s *eventStream) end(ctx context.Context, after time.Duration, reason string) {
+func (s *eventStream) end(ctx context.Context) {
 	switch {
 	case s.started:
 		s.finish("broken off", http.StatusOK, s.target, nil)
@@ -58,7 +58,7 @@
 	case ctx.Err() != nil:
 		s.failLate()
 	default:
-		s.failUnserved(after, reason)
+		s.failUnserved()
 	}
 }
 
@@ -81,6 +81,7 @@
 	res := &result{target: cand.ID, resp: resp}
 	if err := s.check(res, cand); err != nil || res.verdict == notRun {
 		outcome := balance.Shed
+		s.shed = s.shed || err == nil
 		if err != nil {
 			s.sent++
 			outcome = balance.Failed
--- a/internal/mesh/event.go
+++ b/internal/mesh/event.go
@@ -49,6 +49,8 @@
 	// Leader is the replica that leads the state group in Term, as far as the sender knows.
 	Leader string `cbor:"2,keyasint,omitempty"`
 	Term   uint64 `cbor:"3,keyasint,omitempty"`
+	// Voters are the replicas that vote in the state group, as far as the sender knows.
+	Voters []string `cbor:"7,keyasint,omitempty"`
 	// Stores are the live store hosts; only the leader knows them all.
 	Stores []Store `cbor:"4,keyasint,omitempty"`
 	// Config is set when it is newer than what the sender sent before.
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -39,8 +39,10 @@
 	stores   map[string]storeSeen // by IP
 	leader   string
 	term     uint64
-	led      time.Time     // when a host last said that it knows the leader
-	changed  chan struct{} // closed at each change
+	led      time.Time            // when a host last said that it knows the leader
+	voters   []string             // of the state group, by the newest term
+	said     map[string]time.Time // when a store host last sent an event, by IP
+	changed  chan struct{}        // closed at each change
 }
 
 type storeSeen struct {
@@ -51,7 +53,7 @@
 // NewView returns a view that knows only the addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
 	return &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh),
-		stores: make(map[string]storeSeen), changed: make(chan struct{})}
+		stores: make(map[string]storeSeen), said: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // notify wakes all waiters; the caller holds the lock.
@@ -107,8 +109,12 @@
 	for _, s := range e.Stores {
 		changed = v.seeStore(now, s) || changed
 	}
+	v.said[e.From.IP()] = now
 	if e.Leader != "" && e.Term >= v.term {
 		v.led = now
+		if len(e.Voters) > 0 {
+			v.voters = e.Voters
+		}
 	}
 	if e.Leader != "" && e.Term >= v.term && (e.Leader != v.leader || e.Term != v.term) {
 		v.log.Info("leader of the state group changed", "leader", e.Leader, "term", e.Term, "previous", v.leader, "from", e.From.ID)
@@ -241,6 +247,28 @@
 	return bootclock.Now().Sub(v.led)
 }
 
+// MajorityAge returns the time since more than half of the voters of the state group were last
+// heard. A host that hears fewer is cut off from the others, while one that hears most of them
+// may see the next leader soon.
+func (v *View) MajorityAge() time.Duration {
+	now := bootclock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ages := make([]time.Duration, 0, len(v.voters))
+	for _, id := range v.voters {
+		age := targetExpiry
+		if at, ok := v.said[IPOf(id)]; ok {
+			age = now.Sub(at)
+		}
+		ages = append(ages, age)
+	}
+	if len(ages) == 0 {
+		return targetExpiry
+	}
+	slices.Sort(ages)
+	return ages[len(ages)/2]
+}
+
 // StoreIPs lists the addresses of the seeds and the known store hosts, in a stable order.
 func (v *View) StoreIPs() []string {
 	v.mu.Lock()
--- a/internal/mesh/watch.go
+++ b/internal/mesh/watch.go
@@ -122,13 +122,21 @@
 	}
 }
 
-// Serve answers a watch from a view until the stream ends or done is closed. self describes the
-// sender and stores the live store hosts that it knows.
-func Serve(v *View, stream grpc.ServerStreamingServer[rpc.WatchEvent], self func() Store, stores func() []Store, done <-chan struct{}) error {
+// Source is the store host that answers a watch.
+type Source interface {
+	// Describe fills in what the host knows of itself, the voters and the live store hosts.
+	Describe(e *Event)
+	// Done is closed when the host stops.
+	Done() <-chan struct{}
+}
+
+// Serve answers a watch from a view until the stream ends or the source stops.
+func Serve(v *View, stream grpc.ServerStreamingServer[rpc.WatchEvent], source Source) error {
 	var revision, version uint64
 	for {
 		changed := v.Changed()
-		e := Event{From: self(), Stores: stores(), Config: v.ConfigAfter(version)}
+		e := Event{Config: v.ConfigAfter(version)}
+		source.Describe(&e)
 		e.Leader, e.Term = v.Leader()
 		e.Targets, revision = v.TargetsSince(revision)
 		if e.Config != nil {
@@ -140,7 +148,7 @@
 		select {
 		case <-stream.Context().Done():
 			return nil
-		case <-done:
+		case <-source.Done():
 			return nil
 		case <-changed:
 		case <-time.After(watchPing):
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"fuchsiaflow/errs"
@@ -31,13 +32,19 @@
 	minDeadline = 5 * time.Second
 )
 
-// partial is the text of an item so far.
+// partial is the text of an item so far. While a run goes on, its goroutine appends to it and the
+// duty commits what is there.
 type partial struct {
+	mu       sync.Mutex
 	text     []byte
 	last     uint64 // id of the last event
 	events   int
 	versions []uint64 // in rising order
-	at       time.Time
+	// stored is the length of the text that is committed as the item's text so far.
+	stored int
+	// storedEvents is the number of events up to which a commit was tried.
+	storedEvents int
+	at           time.Time
 }
 
 // remaining estimates the output tokens that are still to come. Text beyond the estimate means
@@ -70,10 +77,12 @@
 
 // run is one item at one engine.
 type run struct {
-	key    schedule.Key
-	engine string
-	cancel context.CancelFunc
-	reason string // why the duty stopped it
+	key     schedule.Key
+	engine  string
+	cancel  context.CancelFunc
+	reason  string // why the duty stopped it
+	x       *itemRun
+	storing bool // a part of the text is being committed
 }
 
 // ended is how a run ended.
@@ -101,10 +110,10 @@
 	}
 	delete(r.partials, key.Item)
 	ctx, cancel := context.WithCancel(r.ctx)
-	rn := &run{key: key, engine: a.Engine, cancel: cancel}
-	r.runs[key] = rn
 	x := &itemRun{headers: r.o.Headers, pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, text: p,
 		deadline: max(j.deadline.Sub(now), minDeadline)}
+	rn := &run{key: key, engine: a.Engine, cancel: cancel, x: x}
+	r.runs[key] = rn
 	term, from := r.term, p.events
 	r.kern.Go("runner/run", func(context.Context) error {
 		e := x.run(ctx)
@@ -148,7 +157,7 @@
 	}
 	if e.whole && j.Fits(x.text.versions) {
 		r.sched.Done(now, rn.key, schedule.Finished, 0, 0)
-		r.list(j, jobs.Result{ID: rn.key.Item, State: jobs.Completed, Text: x.text.text, Versions: x.text.versions})
+		r.listText(j, rn.key.Item, x.text, x.text.stored)
 		return
 	}
 	r.goOn(now, j, rn.key, x, e)
@@ -187,17 +196,32 @@
 	return 1
 }
 
-// list commits a result of an item.
-func (r *Runner) list(j *openJob, result jobs.Result) {
-	id := result.ID
-	r.propose(&storestate.Command{Finish: &storestate.Finish{Job: j.ID, Results: []jobs.Result{result}}},
+// listText commits the text of an item as a result, from the part on that is not committed yet.
+// A replica whose stored part is another refuses it; the result is then committed whole.
+func (r *Runner) listText(j *openJob, item string, p *partial, from int) {
+	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.Text{p.text[from:]}, Versions: p.versions}
+	r.propose(&storestate.Command{Finish: &storestate.Finish{Job: j.ID, Result: result, From: from}},
 		func(now time.Time, reply storestate.Reply) {
-			delete(j.items, id)
-			r.o.Log.Info("item listed", "job", j.ID, "item", id, "state", result.State, "versions", result.Versions,
-				"taken", reply.Changed, "left", len(j.items), "age_ms", now.Sub(r.first[j.ID]).Milliseconds())
+			if !reply.Changed && from > 0 {
+				r.listText(j, item, p, 0)
+				return
+			}
+			r.listed(now, j, result, reply)
 		})
 }
 
+// list commits a result without a text.
+func (r *Runner) list(j *openJob, result jobs.Result) {
+	r.propose(&storestate.Command{Finish: &storestate.Finish{Job: j.ID, Result: result}},
+		func(now time.Time, reply storestate.Reply) { r.listed(now, j, result, reply) })
+}
+
+func (r *Runner) listed(now time.Time, j *openJob, result jobs.Result, reply storestate.Reply) {
+	delete(j.items, result.ID)
+	r.o.Log.Info("item listed", "job", j.ID, "item", result.ID, "state", result.State, "versions", result.Versions,
+		"taken", reply.Changed, "left", len(j.items), "age_ms", now.Sub(r.first[j.ID]).Milliseconds())
+}
+
 // terminate gives an item up.
 func (r *Runner) terminate(key schedule.Key, reason string) {
 	j := r.jobs[key.Job]
@@ -356,6 +380,8 @@
 
 func (x *itemRun) take(ev sse.Event) {
 	now := bootclock.Now()
+	x.text.mu.Lock()
+	defer x.text.mu.Unlock()
 	if x.got == 0 {
 		x.firstGot = now
 	}
@@ -369,7 +395,6 @@
 	t.last = ev.ID
 	t.events++
 	if x.version > 0 && !slices.Contains(t.versions, x.version) {
-		t.versions = append(t.versions, x.version)
-		slices.Sort(t.versions)
+		t.versions = slices.Sorted(slices.Values(append(slices.Clone(t.versions), x.version)))
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -91,6 +91,7 @@
 	applied  uint64 // revision of the machine that was taken in
 	routes   uint64 // version of the configuration that was taken in
 	cleaned  time.Time
+	stored   time.Time // when texts of runs were last committed
 }
 
 // openJob is what the runner needs of a job.
@@ -181,6 +182,7 @@
 		r.stopRun(m.Key, "moved to a faster engine")
 	}
 	r.giveOrders(now)
+	r.storeProgress(now)
 	r.clean(now)
 }
 
@@ -268,6 +270,7 @@
 				}
 				if e.Open() && r.jobs[e.ID] == nil {
 					fresh = append(fresh, r.openJob(now, e, table))
+					r.recallTexts(s.Book(), e)
 				}
 			}
 		})
@@ -314,6 +317,19 @@
 	return o
 }
 
+// recallTexts takes over the committed texts of a job's items that this leader has not got.
+func (r *Runner) recallTexts(b *jobs.Book, e *jobs.Entry) {
+	for _, it := range e.Items {
+		if r.partials[it.ID] != nil {
+			continue
+		}
+		if p, ok := storedPartial(b, it.ID); ok {
+			p.at = bootclock.Now()
+			r.partials[it.ID] = p
+		}
+	}
+}
+
 func (r *Runner) addJob(now time.Time, j *openJob, table *routes.Table) {
 	r.jobs[j.ID] = j
 	var tasks []schedule.Task
--- a/internal/store/peerserver.go
+++ b/internal/store/peerserver.go
@@ -85,15 +85,21 @@
 
 // Watch implements rpc.PeerServer.
 func (p peerServer) Watch(_ *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
-	st := p.st
-	return mesh.Serve(st.view, stream, st.self, func() []mesh.Store {
-		if !st.group.IsLeader() {
-			return nil
-		}
-		return st.present.live()
-	}, st.done)
+	return mesh.Serve(p.st.view, stream, p.st)
 }
 
+// Describe implements mesh.Source. Only the leader knows which store hosts live.
+func (st *Store) Describe(e *mesh.Event) {
+	e.From = st.self()
+	e.Voters = st.group.Status().Voters
+	if st.group.IsLeader() {
+		e.Stores = st.present.live()
+	}
+}
+
+// Done implements mesh.Source.
+func (st *Store) Done() <-chan struct{} { return st.done }
+
 // Present implements rpc.PeerServer.
 func (p peerServer) Present(ctx context.Context, r *rpc.PresentRequest) (*rpc.PresentReply, error) {
 	s, err := mesh.Decode[mesh.Store]("store host", r.Store)
--- a/internal/storestate/command.go
+++ b/internal/storestate/command.go
@@ -6,32 +6,56 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/jobs"
 )
 
-// A command is encoded as the length of its head, the head in CBOR, and the texts of its results
+// A command is encoded as the length of its head, the head in CBOR, and the pieces of its texts
 // one after the other. The state refers to the texts where they stand in the command, so that
 // the log and the state share one copy of them in memory.
 
-// EncodeCommand returns the encoding of a command.
-func EncodeCommand(c *Command) []byte {
-	head, texts := *c, 0
-	if c.Finish != nil {
-		f := Finish{Job: c.Finish.Job}
-		for _, r := range c.Finish.Results {
-			texts += len(r.Text)
-			f.Lengths = append(f.Lengths, len(r.Text))
-			r.Text = nil
-			f.Results = append(f.Results, r)
+// envelope is the head of a command.
+type envelope struct {
+	Command `cbor:"1,keyasint"`
+	// Lengths has the length of each text in the order of texts.
+	Lengths []int `cbor:"2,keyasint,omitempty"`
+}
+
+// texts lists the texts of a command.
+func (c *Command) texts() []*jobs.Text {
+	switch {
+	case c.Finish != nil:
+		return []*jobs.Text{&c.Finish.Result.Text}
+	case c.Progress != nil:
+		list := make([]*jobs.Text, 0, len(c.Progress.Items))
+		for i := range c.Progress.Items {
+			list = append(list, &c.Progress.Items[i].Text.Text)
 		}
-		head.Finish = &f
+		return list
+	}
+	return nil
+}
+
+// EncodeCommand returns the encoding of a command. It does not keep the command.
+func EncodeCommand(c *Command) []byte {
+	e := envelope{Command: *c}
+	var pieces []jobs.Text
+	for _, t := range c.texts() {
+		pieces = append(pieces, *t)
+		e.Lengths = append(e.Lengths, t.Len())
+		*t = nil
+	}
+	head := Encode(e)
+	size := 0
+	for _, n := range e.Lengths {
+		size += n
 	}
-	h := Encode(head)
-	out := make([]byte, 0, binary.MaxVarintLen64+len(h)+texts)
-	out = binary.AppendUvarint(out, uint64(len(h)))
-	out = append(out, h...)
-	if c.Finish != nil {
-		for _, r := range c.Finish.Results {
-			out = append(out, r.Text...)
+	out := make([]byte, 0, binary.MaxVarintLen32+len(head)+size)
+	out = binary.AppendUvarint(out, uint64(len(head)))
+	out = append(out, head...)
+	for i, t := range c.texts() {
+		*t = pieces[i]
+		for _, piece := range pieces[i] {
+			out = append(out, piece...)
 		}
 	}
 	return out
@@ -39,31 +63,27 @@
 
 // decodeCommand decodes a command whose texts refer to data.
 func decodeCommand(data []byte) (Command, error) {
-	var c Command
 	n, used := binary.Uvarint(data)
 	if used <= 0 || n > uint64(len(data)-used) {
-		return c, &errs.Corrupt{What: "command", Detail: "its head is incomplete"}
+		return Command{}, &errs.Corrupt{What: "command", Detail: "its head is incomplete"}
 	}
+	var e envelope
 	head, rest := data[used:used+int(n)], data[used+int(n):]
-	if err := cbor.Unmarshal(head, &c); err != nil {
-		return c, &errs.Corrupt{What: "command", Detail: err.Error()}
+	if err := cbor.Unmarshal(head, &e); err != nil {
+		return Command{}, &errs.Corrupt{What: "command", Detail: err.Error()}
 	}
-	if c.Finish == nil {
-		return c, nil
+	texts := e.texts()
+	if len(texts) != len(e.Lengths) {
+		return Command{}, &errs.Corrupt{What: "command", Detail: "texts without a length"}
 	}
-	return c, c.Finish.attach(rest)
-}
-
-// attach gives each result its text.
-func (f *Finish) attach(texts []byte) error {
-	if len(f.Lengths) != len(f.Results) {
-		return &errs.Corrupt{What: "command", Detail: "results without a length"}
-	}
-	for i, n := range f.Lengths {
-		if n < 0 || n > len(texts) {
-			return &errs.Corrupt{What: "command", Detail: "the texts are incomplete"}
+	for i, n := range e.Lengths {
+		if n < 0 || n > len(rest) {
+			return Command{}, &errs.Corrupt{What: "command", Detail: "the texts are incomplete"}
+		}
+		if n > 0 {
+			*texts[i] = jobs.Text{rest[:n:n]}
 		}
-		f.Results[i].Text, texts = texts[:n:n], texts[n:]
+		rest = rest[n:]
 	}
-	return nil
+	return e.Command, nil
 }
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -24,6 +24,7 @@
 	End        *End        `cbor:"5,keyasint,omitempty"`
 	Drop       *Drop       `cbor:"6,keyasint,omitempty"`
 	Retire     *Retire     `cbor:"7,keyasint,omitempty"`
+	Progress   *Progress   `cbor:"8,keyasint,omitempty"`
 }
 
 // PutConfig stores a configuration unless one with the same or a higher version is stored.
@@ -41,12 +42,25 @@
 	Version uint64 `cbor:"2,keyasint"`
 }
 
-// Finish lists results of a job.
+// Finish lists a result of a job.
 type Finish struct {
-	Job     string        `cbor:"1,keyasint"`
-	Results []jobs.Result `cbor:"2,keyasint"`
-	// Lengths has the length of each result's text in the encoding of a command.
-	Lengths []int `cbor:"3,keyasint,omitempty"`
+	Job    string      `cbor:"1,keyasint"`
+	Result jobs.Result `cbor:"2,keyasint"`
+	// From is the length of the stored text of the item that the result's text continues.
+	From int `cbor:"3,keyasint,omitempty"`
+}
+
+// Progress stores what running items have generated.
+type Progress struct {
+	Items []ItemProgress `cbor:"1,keyasint"`
+}
+
+// ItemProgress is more text of one item; see jobs.Book.Progress.
+type ItemProgress struct {
+	Job  string       `cbor:"1,keyasint"`
+	Item string       `cbor:"2,keyasint"`
+	From int          `cbor:"3,keyasint,omitempty"`
+	Text jobs.Partial `cbor:"4,keyasint"`
 }
 
 // End ends a job.
@@ -72,7 +86,7 @@
 	Missing bool `cbor:"2,keyasint,omitempty"`
 	// Version is the configuration or weight version in force after the command.
 	Version uint64 `cbor:"3,keyasint,omitempty"`
-	// Taken has, for each result of a Finish, whether it was listed.
+	// Taken has, for each item of a Progress, whether its text was stored.
 	Taken []bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -132,11 +146,11 @@
 	case c.Submit != nil:
 		return Reply{Changed: s.book.Submit(*c.Submit)}
 	case c.Finish != nil:
+		return Reply{Changed: s.book.Finish(c.Finish.Job, c.Finish.From, c.Finish.Result)}
+	case c.Progress != nil:
 		r := Reply{}
-		for _, result := range c.Finish.Results {
-			taken := s.book.Finish(c.Finish.Job, result)
-			r.Taken = append(r.Taken, taken)
-			r.Changed = r.Changed || taken
+		for _, it := range c.Progress.Items {
+			r.Taken = append(r.Taken, s.book.Progress(it.Job, it.Item, it.From, it.Text))
 		}
 		return r
 	case c.End != nil:
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -10,6 +10,8 @@
 package jobs
 
 import (
+	"bytes"
+	"maps"
 	"slices"
 
 	"fuchsiaflow/errs"
@@ -81,16 +83,40 @@
 	Terminated State = "terminated"
 )
 
+// Text is a text in pieces, which stay where they were received.
+type Text [][]byte
+
+// Len returns the length of the text in bytes.
+func (t Text) Len() int {
+	n := 0
+	for _, piece := range t {
+		n += len(piece)
+	}
+	return n
+}
+
+// String returns the whole text.
+func (t Text) String() string { return string(bytes.Join(t, nil)) }
+
 // Result is a listed item.
 type Result struct {
 	ID    string `cbor:"1,keyasint"`
 	State State  `cbor:"2,keyasint"`
 	// Text is the data of all events, separated by line feeds.
-	Text []byte `cbor:"3,keyasint,omitempty"`
+	Text Text `cbor:"3,keyasint,omitempty"`
 	// Versions are the weight versions that generated events of the text, in rising order.
 	Versions []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Partial is the text of an item so far.
+type Partial struct {
+	Text Text `cbor:"1,keyasint,omitempty"`
+	// Last is the id of the last event and Events the number of events.
+	Last     uint64   `cbor:"2,keyasint,omitempty"`
+	Events   int      `cbor:"3,keyasint,omitempty"`
+	Versions []uint64 `cbor:"4,keyasint,omitempty"`
+}
+
 // Entry is a job with what happened to it.
 type Entry struct {
 	Job     `cbor:"1,keyasint"`
@@ -118,12 +144,15 @@
 	// source finds the job that last listed an item as completed, so that a later job that
 	// carries the item over can use the text.
 	source map[string]string
-	next   uint64
+	// partials has the texts of items that are not listed, by item: a later job may carry the
+	// item over.
+	partials map[string]*Partial
+	next     uint64
 }
 
 // NewBook returns a book without jobs.
 func NewBook() *Book {
-	return &Book{entries: make(map[string]*Entry), source: make(map[string]string)}
+	return &Book{entries: make(map[string]*Entry), source: make(map[string]string), partials: make(map[string]*Partial)}
 }
 
 // Submit accepts a job once. It reports whether the job is new. Items that an earlier job
@@ -161,21 +190,59 @@
 	}
 	for i := range e.Items {
 		if e.Items[i].ID == r.ID {
+			delete(b.partials, r.ID)
 			e.Items[i].Body, e.Items[i].Headers = nil, nil // no longer needed
 		}
 	}
 }
 
-// Finish lists a result. It reports whether the result was taken: the job is open, the item
-// belongs to it and is not listed yet, and the job's bounds allow the versions of a text.
-func (b *Book) Finish(job string, r Result) bool {
+// Progress stores more text of an item. from is the length of the text that must be stored
+// before; 0 starts anew. It reports whether the text was taken.
+func (b *Book) Progress(job, item string, from int, p Partial) bool {
 	e := b.entries[job]
-	if e == nil || e.Ended || e.Listed(r.ID) || r.State == Completed && !e.Fits(r.Versions) {
+	if !e.waitsFor(item) {
 		return false
 	}
-	if !slices.ContainsFunc(e.Items, func(it Item) bool { return it.ID == r.ID }) {
+	old := b.partials[item]
+	if from == 0 {
+		old = &Partial{}
+	}
+	if old == nil || old.Text.Len() != from {
 		return false
 	}
+	b.partials[item] = &Partial{Text: slices.Concat(old.Text, p.Text), Last: p.Last, Events: p.Events, Versions: p.Versions}
+	return true
+}
+
+// Partial returns the stored text of an item that is not listed.
+func (b *Book) Partial(item string) (Partial, bool) {
+	p := b.partials[item]
+	if p == nil {
+		return Partial{}, false
+	}
+	return *p, true
+}
+
+// waitsFor tells whether a result of the item can still be listed.
+func (e *Entry) waitsFor(item string) bool {
+	return e != nil && !e.Ended && !e.Listed(item) && slices.ContainsFunc(e.Items, func(it Item) bool { return it.ID == item })
+}
+
+// Finish lists a result, whose text goes on after from bytes of the stored text of the item. It
+// reports whether the result was taken: the job is open, the item belongs to it and is not
+// listed yet, and the job's bounds allow the versions of a text.
+func (b *Book) Finish(job string, from int, r Result) bool {
+	e := b.entries[job]
+	if !e.waitsFor(r.ID) || r.State == Completed && !e.Fits(r.Versions) {
+		return false
+	}
+	if from > 0 {
+		p := b.partials[r.ID]
+		if p == nil || p.Text.Len() != from {
+			return false
+		}
+		r.Text = slices.Concat(p.Text, r.Text)
+	}
 	b.list(e, r)
 	return true
 }
@@ -203,6 +270,11 @@
 			delete(b.source, r.ID)
 		}
 	}
+	for _, it := range e.Items {
+		if !e.Listed(it.ID) {
+			delete(b.partials, it.ID)
+		}
+	}
 }
 
 // Entry returns a job. The caller must not change it.
@@ -231,7 +303,7 @@
 	p := Page{Total: len(e.Items), Next: after}
 	size := 0
 	for i := max(after, 0); i < len(e.Results); i++ {
-		size += len(e.Results[i].Text) + resultOverhead
+		size += e.Results[i].Text.Len() + resultOverhead
 		if len(p.Results) > 0 && size > maxBytes {
 			break
 		}
@@ -260,17 +332,19 @@
 
 // Image is the stored form of a book.
 type Image struct {
-	Entries []*Entry `cbor:"1,keyasint"`
-	Next    uint64   `cbor:"2,keyasint"`
+	Entries  []*Entry            `cbor:"1,keyasint"`
+	Next     uint64              `cbor:"2,keyasint"`
+	Partials map[string]*Partial `cbor:"3,keyasint,omitempty"`
 }
 
 // Image returns the stored form. It shares memory with the book.
-func (b *Book) Image() Image { return Image{Entries: b.ordered, Next: b.next} }
+func (b *Book) Image() Image { return Image{Entries: b.ordered, Next: b.next, Partials: b.partials} }
 
 // Load returns the book of an image.
 func Load(im Image) *Book {
 	b := NewBook()
 	b.next = im.Next
+	maps.Copy(b.partials, im.Partials)
 	for _, e := range im.Entries {
 		e.listed = make(map[string]int, len(e.Results))
 		b.entries[e.ID] = e
