--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,10 @@
 	// firstPause is the time for which a target is avoided after a failure; it doubles with
 	// each failure in a row up to maxPause.
 	firstPause = 300 * time.Millisecond
-	maxPause   = 5 * time.Second
+	maxPause   = 2 * time.Second
+	// lostAfter is the number of failures in a row after which a paused target is not tried
+	// even when there is no other.
+	lostAfter = 2
 	// shedPause is the time for which a target that was full is avoided.
 	shedPause = 30 * time.Millisecond
 	// latencyShare is the weight of a new measurement in the average latency.
@@ -84,23 +87,31 @@
 }
 
 // Pick returns the candidate with the least expected latency. Targets that failed recently are
-// used only when there is no other. ok is false without candidates.
-func (b *Balancer) Pick(now time.Time, list []Candidate, tried []string) (c Candidate, ok bool) {
+// used only when there is no other, and those that failed several times in a row not before
+// their pause ends. Without a candidate ok is false, and wait tells when one can be tried again;
+// 0 if there is none.
+func (b *Balancer) Pick(now time.Time, list []Candidate, tried []string) (c Candidate, wait time.Duration, ok bool) {
 	best := -1
 	var bestScore float64
 	for i, cand := range list {
 		if slices.Contains(tried, cand.ID) {
 			continue
 		}
+		if s := b.of(cand.ID); s.failures >= lostAfter && now.Before(s.pausedUntil) {
+			if left := s.pausedUntil.Sub(now); wait == 0 || left < wait {
+				wait = left
+			}
+			continue
+		}
 		score := b.score(now, &cand)
 		if best < 0 || score < bestScore || score == bestScore && strings.Compare(cand.ID, list[best].ID) < 0 {
 			best, bestScore = i, score
 		}
 	}
 	if best < 0 {
-		return Candidate{}, false
+		return Candidate{}, wait, false
 	}
-	return list[best], true
+	return list[best], 0, true
 }
 
 // penalty puts paused targets behind all others.
@@ -135,9 +146,6 @@
 	return score
 }
 
-// Paused tells whether a target is avoided for now.
-func (b *Balancer) Paused(now time.Time, id string) bool { return now.Before(b.of(id).pausedUntil) }
-
 // Started counts a request at a target.
 func (b *Balancer) Started(id string) { b.of(id).inflight++ }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -100,9 +100,10 @@
 	start    time.Time
 	deadline time.Time
 	body     *heldBody
-	tried    []string // targets of this round
-	sent     int      // attempts that may have run
-	shed     bool     // a target of this round was full
+	tried    []string      // targets of this round
+	sent     int           // attempts that may have run
+	shed     bool          // a target of this round was full
+	wait     time.Duration // until a target that failed may be tried again
 	attempts int
 }
 
@@ -138,7 +139,8 @@
 	}
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
-	cand, ok := c.f.balancer.Pick(bootclock.Now(), list, c.tried)
+	cand, wait, ok := c.f.balancer.Pick(bootclock.Now(), list, c.tried)
+	c.wait = wait
 	if ok {
 		c.tried = append(c.tried, cand.ID)
 		c.f.balancer.Started(cand.ID)
@@ -228,6 +230,8 @@
 	switch {
 	case c.sent > 0:
 		c.fail(http.StatusBadGateway, "no usable answer of a target")
+	case c.wait > 0:
+		c.refuse(c.wait, "all targets have failed")
 	case c.attempts == 0:
 		c.refuse(retryAfterNoTarget, "no target serves "+c.service)
 	case c.shed:
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,7 +26,7 @@
 const (
 	// dialTimeout bounds a new connection inside a region, where a round trip takes a few
 	// milliseconds. A lost opening packet is sent again only after a second.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// defaultIdle is how long a connection is kept when the target does not say.
 	defaultIdle = 4 * time.Second
 	// idleMargin is subtracted from the target's own idle timeout.
@@ -255,6 +256,12 @@
 		return writeChunks(c.Conn, req.Body)
 	case req.Body != nil && req.Length > 0:
 		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", req.Length)
+		if _, held := req.Body.(*bytes.Reader); !held {
+			// The rest of the body may take long; the target can answer the head before.
+			if err := w.Flush(); err != nil {
+				return err
+			}
+		}
 		n, err := io.Copy(w, io.LimitReader(req.Body, req.Length))
 		if err == nil && n < req.Length {
 			err = io.ErrUnexpectedEOF
