schedule: a decision costs little when all slots are busy

A store process also passed its memory limit there (157 of 154 MB). Ruled out: syncs (5 ms) and the size of append messages (under 256 KiB). Change: engines are sorted when they change; items are only compared with engines that have a free slot; moves and orders are looked at every 50 ms; the garbage collector works harder from 0.55 of the process's memory.

--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -22,6 +22,9 @@
 const (
 	// gcPercent keeps the heap small: these hosts pay for memory, and their heaps are a few MB.
 	gcPercent = 40
+	// memoryShare is the share of the process's memory from which the garbage collector works
+	// harder. The rest is for what it does not count: stacks, and bytes that wait in sockets.
+	memoryShare = 0.55
 	// stopReserve is the part of the grace period that is left for the end of the process.
 	stopReserve = 500 * time.Millisecond
 	// engineIdle is how long a connection for orders to an engine is kept.
@@ -65,7 +68,6 @@
 
 // runRole runs a host until SIGTERM, SIGINT or a failure.
 func runRole(role, path string, open func(*settings.Role, *slog.Logger, *observe.Metrics) (roleHost, error)) error {
-	debug.SetGCPercent(gcPercent)
 	if path == "" {
 		path = platform.SettingsPath()
 	}
@@ -73,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(s)
 	out := observe.NewRingWriter(os.Stdout)
 	defer func() { _ = out.Close() }()
 	log := observe.NewLogger(out, s.Log.Level, s.Host).With("role", role)
@@ -101,6 +104,14 @@
 	return nil
 }
 
+// limitMemory sets up the garbage collector for a process that is killed at a limit.
+func limitMemory(s *settings.Role) {
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -31,6 +31,9 @@
 	// tickInterval bounds the delay of a decision that no event triggers, such as the end of a
 	// pause.
 	tickInterval = 25 * time.Millisecond
+	// reviewInterval is how often engines, moves and orders are looked at; they change more
+	// slowly than runs end.
+	reviewInterval = 50 * time.Millisecond
 	// eventRing holds the ends of runs and orders that wait for the duty.
 	eventRing = 4096
 	// maxIdleConns bounds the idle connections to one engine; one run needs one.
@@ -91,6 +94,7 @@
 	applied  uint64 // revision of the machine that was taken in
 	routes   uint64 // version of the configuration that was taken in
 	cleaned  time.Time
+	reviewed time.Time // when engines, moves and orders were last looked at
 	stored   time.Time // when texts of runs were last committed
 }
 
@@ -174,14 +178,20 @@
 		return
 	}
 	r.takeIn(now)
-	r.sched.SetEngines(r.engines())
+	review := now.Sub(r.reviewed) >= reviewInterval
+	if review {
+		r.reviewed = now
+		r.sched.SetEngines(r.engines())
+	}
 	for _, a := range r.sched.Next(now) {
 		r.start(now, a)
 	}
-	for _, m := range r.sched.Moves(now) {
-		r.stopRun(m.Key, "moved to a faster engine")
+	if review {
+		for _, m := range r.sched.Moves(now) {
+			r.stopRun(m.Key, "moved to a faster engine")
+		}
+		r.giveOrders(now)
 	}
-	r.giveOrders(now)
 	r.storeProgress(now)
 	r.clean(now)
 }
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -26,10 +26,12 @@
 	FirstStart bool   `json:"first_start"`
 	DataDir    string `json:"data_dir"`
 	// LostDisks is how many disks may be lost at the same time.
-	LostDisks int        `json:"lost_disks"`
-	Listen    RoleListen `json:"listen"`
-	Timing    RoleTiming `json:"timing"`
-	Log       Log        `json:"log"`
+	LostDisks int `json:"lost_disks"`
+	// MemoryBytes is the memory that the process may use; 0 when it is not limited.
+	MemoryBytes int64      `json:"memory_bytes"`
+	Listen      RoleListen `json:"listen"`
+	Timing      RoleTiming `json:"timing"`
+	Log         Log        `json:"log"`
 }
 
 // RoleListen has the addresses on which a host listens; an empty one is not served.
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -82,6 +82,11 @@
 	case e.failures > 0 && len(e.runs) > 0:
 		return false // one trial run after a failure
 	}
+	return e.fits(now, t)
+}
+
+// fits tells whether the weights of the engine allow the task now.
+func (e *engine) fits(now time.Time, t *Task) bool {
 	version := e.weights[t.Model]
 	if e.loading != nil && e.loading.model == t.Model {
 		if e.loading.trial != nil || now.Before(e.loading.nextTrial) {
@@ -151,6 +156,7 @@
 				e.model = old.model
 			}
 			s.engines[d.ID] = e
+			s.list = nil
 		}
 		e.Engine, e.draining = d, d.State != fleet.Ready
 		for model, v := range d.Weights {
@@ -164,6 +170,7 @@
 		e.draining = true
 		if len(e.runs) == 0 {
 			delete(s.engines, id)
+			s.list = nil
 		}
 	}
 	s.assign()
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -91,6 +91,7 @@
 	jobs    map[string]*job
 	order   []string // jobs by acceptance
 	engines map[string]*engine
+	list    []*engine                     // engines in the order of their ids; nil when it must be made again
 	demand  map[string]map[string]float64 // service, model: tokens of a typical job
 	loads   loadTimes
 }
@@ -203,14 +204,20 @@
 	return out
 }
 
-// Next starts tasks on free slots and returns what to run.
+// Next starts tasks on free slots and returns what to run. Its cost is the number of waiting
+// tasks times the number of engines with a free slot, so that it is small when all are busy.
 func (s *Scheduler) Next(now time.Time) []Assignment {
 	var out []Assignment
 	for _, id := range s.byDeadline() {
 		j := s.jobs[id]
+		free := s.freeFor(now, j)
 		var left []*Task
-		for _, t := range j.waiting {
-			e := s.place(now, t)
+		for i, t := range j.waiting {
+			if len(free) == 0 {
+				left = append(left, j.waiting[i:]...)
+				break
+			}
+			e := place(now, t, free)
 			if e == nil {
 				left = append(left, t)
 				continue
@@ -219,12 +226,31 @@
 			j.running[t.Item] = r
 			e.add(now, r)
 			out = append(out, Assignment{Task: *t, Engine: e.ID})
+			if e.free() <= 0 {
+				free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
+			}
 		}
 		j.waiting = left
 	}
 	return out
 }
 
+// freeFor lists the engines that could take a task of the job if it needed no memory.
+func (s *Scheduler) freeFor(now time.Time, j *job) []*engine {
+	if len(j.waiting) == 0 {
+		return nil
+	}
+	var list []*engine
+	probe := Task{Service: j.waiting[0].Service, Model: j.waiting[0].Model, MinVersion: j.waiting[0].MinVersion}
+	for _, e := range s.sorted() {
+		probe.Service = e.Service // tasks of a job may go to several services
+		if e.free() > 0 && !e.draining && !now.Before(e.pausedUntil) && e.fits(now, &probe) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // byDeadline orders the jobs so that the one that is due first is served first.
 func (s *Scheduler) byDeadline() []string {
 	ids := slices.Clone(s.order)
@@ -238,11 +264,12 @@
 	return ids
 }
 
-// place returns the engine on which the task ends soonest, or nil if none can take it.
-func (s *Scheduler) place(now time.Time, t *Task) *engine {
+// place returns the engine of the list on which the task ends soonest, or nil if none can take
+// it.
+func place(now time.Time, t *Task, list []*engine) *engine {
 	var best *engine
 	var bestScore float64
-	for _, e := range s.sorted() {
+	for _, e := range list {
 		if !e.usable(now, t) {
 			continue
 		}
@@ -254,13 +281,15 @@
 	return best
 }
 
+// sorted lists the engines in the order of their ids. The caller must not change the list.
 func (s *Scheduler) sorted() []*engine {
-	list := make([]*engine, 0, len(s.engines))
-	for _, e := range s.engines {
-		list = append(list, e)
+	if s.list == nil {
+		for _, e := range s.engines {
+			s.list = append(s.list, e)
+		}
+		slices.SortFunc(s.list, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
 	}
-	slices.SortFunc(list, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	return s.list
 }
 
 // Move tells to stop a run, which is then waiting again and starts on a faster engine with the
@@ -284,7 +313,7 @@
 			if r.moving || !r.engine.known() {
 				continue
 			}
-			to := s.place(now, r.task)
+			to := place(now, r.task, s.sorted())
 			if to == nil || to == r.engine || !to.known() || to.free()-taken[to.ID] <= 0 {
 				continue
 			}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -110,3 +110,21 @@
 		}
 	}
 }
+
+// Measures a decision at the sizes of the capacity page: all slots busy and four jobs waiting.
+func BenchmarkNextWhenBusy(b *testing.B) {
+	for _, n := range []int{9, 45, 1000} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			s := New()
+			s.SetEngines(engines(n, "a", "b", "c"))
+			for i, m := range []string{"a", "b", "c"} {
+				id := fmt.Sprintf("j%d", i)
+				s.AddJob(id, newTasks(id, m, 2*n, 800))
+			}
+			s.Next(start)
+			for b.Loop() {
+				s.Next(start)
+			}
+		})
+	}
+}
