--- a/cmd/fuchsiaflow/main.go
+++ b/cmd/fuchsiaflow/main.go
@@ -14,7 +14,7 @@
 // version is the release of the binary.
 const version = "0.1.0"
 
-// Exit codes. Scripts rely on them; docs/operations.md lists them.
+// Exit codes. Scripts rely on them; docs/OPERATIONS.md lists them.
 const (
 	exitFailed   = 1
 	exitUsage    = 2
@@ -29,6 +29,7 @@
 	Run     runCommand     `cmd:"" help:"Run a host until it is stopped or drained."`
 	Entry   entryCommand   `cmd:"" help:"Run an entry host of the platform, which serves callers."`
 	Store   storeCommand   `cmd:"" help:"Run a store host of the platform, which keeps the state and runs batch jobs."`
+	Follow  followCommand  `cmd:"" help:"Print what collected logs say about one request, batch job, item or target."`
 	Check   checkCommand   `cmd:"" help:"Check a configuration or settings file without a host."`
 	Apply   applyCommand   `cmd:"" help:"Apply a configuration file as one unit."`
 	Status  statusCommand  `cmd:"" help:"Show the state of a host."`
--- a/cmd/fuchsiaflow/operator.go
+++ b/cmd/fuchsiaflow/operator.go
@@ -20,6 +20,7 @@
 	"fuchsiaflow/internal/api"
 	"fuchsiaflow/internal/host"
 	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/platform"
 )
 
 // operatorTimeout bounds one request to a host.
@@ -64,11 +65,15 @@
 type checkCommand struct {
 	File     string `arg:"" type:"existingfile" help:"File to check."`
 	Settings bool   `help:"The file holds settings of a host instead of a configuration."`
+	Platform bool   `help:"The file is in the format of the users' platform."`
 }
 
 // Run checks a file offline.
 func (c *checkCommand) Run() error {
-	if c.Settings {
+	switch {
+	case c.Platform:
+		return c.checkPlatform()
+	case c.Settings:
 		s, err := settings.Load(c.File)
 		if err != nil {
 			return err
@@ -85,6 +90,31 @@
 	return nil
 }
 
+// checkPlatform checks a file that the users' platform provides.
+func (c *checkCommand) checkPlatform() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return &errs.NotFound{Kind: "file", ID: c.File}
+	}
+	if c.Settings {
+		s, err := platform.ParseSettings(data)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("valid settings: host %s in %s, %d voters, seeds %v\n", s.Host, s.FailureDomain, s.Voters(), s.Seeds)
+		return nil
+	}
+	cfg, err := platform.ParseConfig(data)
+	if err != nil {
+		return err
+	}
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	fmt.Printf("valid configuration: version %d, %d routes, %d services\n", cfg.Version, len(cfg.Routes), len(cfg.Services))
+	return nil
+}
+
 func readConfig(path string) (*confstate.Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/routes"
+)
+
+var headers = dialect.Headers{RequestID: "Id", Deadline: "Deadline-Ms", Expect: "Expect-Instance", Instance: "Instance", Stamp: "Stamp",
+	NotRun: "Not-Run", Load: "Load", Versions: "Versions", LastEventID: "Last-Event-Id", RetryAfter: "Retry-After"}
+
+// behavior answers a request at a target; run counts that it ran.
+type behavior func(w http.ResponseWriter, r *http.Request, run func())
+
+func answer(w http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Stamp", "s")
+	_, _ = io.WriteString(w, "answer")
+}
+
+func full(w http.ResponseWriter, r *http.Request, _ func()) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cut(_ http.ResponseWriter, _ *http.Request, run func()) {
+	run()
+	panic(http.ErrAbortHandler)
+}
+
+func foreign(w http.ResponseWriter, _ *http.Request, run func()) {
+	run()
+	w.Header().Set("Id", "another")
+	w.Header().Set("Stamp", "s")
+}
+
+func hang(_ http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	<-r.Context().Done()
+}
+
+// setup returns a forwarder in front of one target for each behavior, and the number of runs.
+func setup(t *testing.T, behaviors ...behavior) (*Forwarder, *atomic.Int64) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	view := mesh.NewView(log, nil)
+	runs := new(atomic.Int64)
+	for i, b := range behaviors {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			b(w, r, func() { runs.Add(1) })
+		}))
+		t.Cleanup(s.Close)
+		view.Hear(fleet.Target{ID: string(rune('a' + i)), Service: "s", Address: s.Listener.Addr().String(), Domain: "d", State: fleet.Ready, Slots: 6, Sequence: 1})
+	}
+	return New(headers, view, "d", log, observe.NewMetrics()), runs
+}
+
+func route(kind routes.Kind, attempts int) *routes.Route {
+	return &routes.Route{Name: "r", Kind: kind, Timeout: 2 * time.Second, Objective: 150 * time.Millisecond, MaxAttempts: attempts,
+		Destinations: []routes.Destination{{Service: "s", Weight: 1}}}
+}
+
+// send forwards one request through a real server, so that broken connections are seen.
+func send(t *testing.T, f *Forwarder, r *routes.Route) (status int, body, retryAfter string) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1) }))
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "q1")
+	req.Header.Set("Deadline-Ms", "700")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(b), resp.Header.Get("Retry-After")
+}
+
+// Guards against a retry of what may run once, a refusal of what ran, a failure that a retry
+// would have hidden, and an answer that belongs to another request.
+func TestAnswersAndRetries(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		kind      routes.Kind
+		behaviors []behavior
+		status    int
+		maxRuns   int64
+	}{
+		{"idempotent, first target cuts", routes.Idempotent, []behavior{cut, answer}, 200, 2},
+		{"idempotent, foreign answer", routes.Idempotent, []behavior{foreign, answer}, 200, 2},
+		{"idempotent, first target hangs", routes.Idempotent, []behavior{hang, answer}, 200, 2},
+		{"idempotent, all cut", routes.Idempotent, []behavior{cut, cut}, 502, 2},
+		{"idempotent, all full", routes.Idempotent, []behavior{full, full}, 503, 0},
+		{"unsafe, first target full", routes.Unsafe, []behavior{full, answer}, 200, 1},
+		{"unsafe, target cuts", routes.Unsafe, []behavior{cut, cut}, 502, 1},
+		{"unsafe, foreign answer", routes.Unsafe, []behavior{foreign, foreign}, 502, 1},
+		{"unsafe, target hangs", routes.Unsafe, []behavior{hang, hang}, 504, 1},
+		{"no target", routes.Unsafe, nil, 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, runs := setup(t, c.behaviors...)
+			status, body, after := send(t, f, route(c.kind, 2))
+			if status != c.status || runs.Load() > c.maxRuns {
+				t.Errorf("status %d with %d runs, want %d with at most %d", status, runs.Load(), c.status, c.maxRuns)
+			}
+			if status == 200 && body != "answer" {
+				t.Errorf("body %q", body)
+			}
+			if status == 503 && after == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+// Guards against a request to targets that cannot be reached that is held instead of refused.
+func TestUnreachableTargetsAreRefusedAtOnce(t *testing.T) {
+	f, _ := setup(t)
+	for _, id := range []string{"a", "b"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+		f.view.Hear(fleet.Target{ID: id, Service: "s", Address: l.Addr().String(), State: fleet.Ready, Sequence: 1})
+	}
+	for i := range 3 {
+		begin := time.Now()
+		if status, _, after := send(t, f, route(routes.Idempotent, 2)); status != 503 || after == "" {
+			t.Errorf("request %d: status %d, retry after %q", i, status, after)
+		}
+		if took := time.Since(begin); took > 300*time.Millisecond {
+			t.Errorf("request %d was held for %s", i, took)
+		}
+	}
+}
+
+// Guards against a stream with a missing, doubled or cut event when a target breaks off and
+// another goes on, and against one that looks complete although it is not.
+func TestStreamGoesOnAfterTheLastEvent(t *testing.T) {
+	first := func(w http.ResponseWriter, r *http.Request, run func()) {
+		run()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Stamp", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: one\n\nid: 2\nda")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	rest := func(w http.ResponseWriter, r *http.Request, run func()) {
+		run()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Stamp", "s")
+		if r.Header.Get("Last-Event-Id") == "1" {
+			_, _ = io.WriteString(w, "id: 2\ndata: two\n\n")
+		} else {
+			_, _ = io.WriteString(w, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
+		}
+	}
+	f, _ := setup(t, first, rest)
+	r := route(routes.Stream, 2)
+	r.Resumable = true
+	status, body, _ := send(t, f, r)
+	if status != 200 || body != "id: 1\ndata: one\n\nid: 2\ndata: two\n\n" {
+		t.Errorf("status %d, body %q", status, body)
+	}
+}
