--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -21,7 +21,7 @@
 
 const (
 	// gcPercent keeps the heap small: these hosts pay for memory, and their heaps are a few MB.
-	gcPercent = 40
+	gcPercent = 15
 	// memoryShare is the share of the process's memory from which the garbage collector works
 	// harder. The rest is for what it does not count: stacks, and bytes that wait in sockets.
 	memoryShare = 0.55
