store: a host is empty only without a replica in the committed membership

Cause: a store that was to be emptied led the group and handed the leadership over. The new leader had not heard of that store yet, found no replica of it and said that it was empty; the platform removed it while it was one of four voters. Change: the command that starts it stores the host's address; the host is empty when no replica at that address is in the committed membership. A leader that has just been elected does not answer that a host is unknown or too few remain. Also: a new leader gives engines to the models that they serve, from the demand of all jobs.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -277,6 +277,8 @@
 	Applied  uint64
 	Voters   []string
 	Learners []string
+	// Settled tells that the membership is committed, so that no other can be in force.
+	Settled bool
 	// Match has the highest entry that each member is known to store; only on a leader.
 	Match map[string]uint64
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -327,7 +327,7 @@
 func (n *Node) Status() Status {
 	c := n.log.conf().clone()
 	s := Status{ID: n.cfg.ID, Group: n.cfg.Group, Role: n.role, Term: n.term, Leader: n.leader, Last: n.log.last(),
-		Commit: n.log.commit, Applied: n.log.applied, Voters: c.Voters, Learners: c.Learners}
+		Commit: n.log.commit, Applied: n.log.applied, Voters: c.Voters, Learners: c.Learners, Settled: n.log.confIndex() <= n.log.commit}
 	if n.role == Leader {
 		s.Match = make(map[string]uint64, len(n.lead.progress))
 		for id, p := range n.lead.progress {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -93,6 +93,7 @@
 	named    map[string]uint64
 	applied  uint64 // revision of the machine that was taken in
 	routes   uint64 // version of the configuration that was taken in
+	noted    uint64 // order of the newest job whose demand was noted
 	cleaned  time.Time
 	reviewed time.Time // when engines, moves and orders were last looked at
 	stored   time.Time // when texts of runs were last committed
@@ -220,7 +221,7 @@
 	r.jobs, r.runs = make(map[string]*openJob), make(map[schedule.Key]*run)
 	r.partials, r.known = make(map[string]*partial), make(map[string]bool)
 	r.orders, r.named = make(map[string]*orderState), nil
-	r.applied, r.routes = 0, 0
+	r.applied, r.routes, r.noted = 0, 0, 0
 	r.o.Log.Info("runner starts", "term", term, "holder", r.o.Holder, "elected_ms_ago", now.Sub(r.since).Milliseconds())
 	return true
 }
@@ -278,6 +279,7 @@
 				if e.Open() {
 					open[e.ID] = true
 				}
+				r.noteDemand(e, table)
 				if e.Open() && r.jobs[e.ID] == nil {
 					fresh = append(fresh, r.openJob(now, e, table))
 					r.recallTexts(s.Book(), e)
@@ -302,6 +304,24 @@
 	}
 }
 
+// noteDemand tells the scheduler of each job once, also of those that have ended: a new leader
+// then gives the models the same shares of the engines as the one before.
+func (r *Runner) noteDemand(e *jobs.Entry, table *routes.Table) {
+	if e.Order <= r.noted || len(e.Items) == 0 {
+		return
+	}
+	r.noted = e.Order
+	route, ok := table.Match(e.Host, e.Items[0].Path)
+	if !ok {
+		return
+	}
+	tokens := 0
+	for _, it := range e.Items {
+		tokens += it.Prompt + it.Hint
+	}
+	r.sched.NoteDemand(route.Choose(xxhash.Sum64String(e.Items[0].ID)), e.Model, tokens)
+}
+
 // openJob copies what the runner needs of a job, so that later commands do not change it.
 func (r *Runner) openJob(now time.Time, e *jobs.Entry, table *routes.Table) *openJob {
 	job := e.Job
--- a/internal/statecall/statecall.go
+++ b/internal/statecall/statecall.go
@@ -168,7 +168,7 @@
 	case a.TooFew:
 		return &errs.Conflict{Kind: "store host", ID: host, Have: "too few others", Got: "a request to empty it"}
 	}
-	_, err = c.propose(ctx, &storestate.Command{Retire: &storestate.Retire{Host: host}})
+	_, err = c.propose(ctx, &storestate.Command{Retire: &storestate.Retire{Host: host, Address: a.Address}})
 	return err
 }
 
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -69,20 +69,20 @@
 	return list
 }
 
-// replicasOf lists the replicas that a host has had.
-func (p *presence) replicasOf(host string) []string {
+// host returns what a host last said of itself.
+func (p *presence) host(name string) (s mesh.Store, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var ids []string
-	for id, s := range p.seen {
-		if s.Host == host {
-			ids = append(ids, id)
+	var newest time.Time
+	for _, seen := range p.seen {
+		if seen.Host == name && !seen.heard.Before(newest) {
+			s, ok, newest = seen.Store, true, seen.heard
 		}
 	}
-	return ids
+	return s, ok
 }
 
-func (p *presence) candidates(now time.Time, retiring map[string]bool) []quorum.Candidate {
+func (p *presence) candidates(now time.Time, retiring map[string]string) []quorum.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []quorum.Candidate
@@ -91,7 +91,7 @@
 			delete(p.seen, id)
 			continue
 		}
-		list = append(list, quorum.Candidate{ID: id, Address: s.IP(), Domain: s.Domain, Silence: now.Sub(s.heard), Retiring: retiring[s.Host]})
+		list = append(list, quorum.Candidate{ID: id, Address: s.IP(), Domain: s.Domain, Silence: now.Sub(s.heard), Retiring: retiring[s.Host] != ""})
 	}
 	slices.SortFunc(list, func(a, b quorum.Candidate) int { return int(a.Silence - b.Silence) })
 	return list
@@ -108,13 +108,6 @@
 	return nil
 }
 
-func (st *Store) isMember(ids []string) bool {
-	status := st.group.Status()
-	return slices.ContainsFunc(ids, func(id string) bool {
-		return slices.Contains(status.Voters, id) || slices.Contains(status.Learners, id)
-	})
-}
-
 // keeper announces this host and, where the host leads, keeps the membership as package quorum
 // decides.
 type keeper struct {
@@ -183,7 +176,7 @@
 // candidates adds the members that have not announced themselves to this leader; they count as
 // silent since it began to lead.
 func (k *keeper) candidates(now time.Time, s consensus.Status) []quorum.Candidate {
-	var retiring map[string]bool
+	var retiring map[string]string
 	k.st.machine.View(func(state *storestate.State) { retiring = state.Retiring() })
 	list := k.st.present.candidates(now, retiring)
 	for _, id := range slices.Concat(s.Voters, s.Learners) {
--- a/internal/store/peerserver.go
+++ b/internal/store/peerserver.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
 
+	"fuchsiaflow/consensus"
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/mesh"
 	"fuchsiaflow/internal/rpc"
@@ -152,7 +155,9 @@
 		}
 	})
 	if q.Retire != nil {
-		st.answerRetire(&a, q.Retire.Host)
+		if err := st.answerRetire(&a, q.Retire.Host); err != nil {
+			return nil, err
+		}
 		out = storestate.Encode(a)
 	}
 	return out, nil
@@ -186,21 +191,38 @@
 	}
 }
 
-// answerRetire adds what the leader knows of a store host.
-func (st *Store) answerRetire(a *storestate.Answer, host string) {
-	ids := st.present.replicasOf(host)
-	a.Missing = len(ids) == 0 && !a.Retiring
+// answerRetire adds what the leader knows of a store host. Whether the host is empty follows from
+// the committed membership alone: a new leader has not heard of all hosts yet.
+func (st *Store) answerRetire(a *storestate.Answer, host string) error {
 	if a.Retiring {
-		a.Emptied = !st.isMember(ids)
-		return
+		a.Emptied = emptied(a.Address, st.group.Status())
+		return nil
+	}
+	since := st.leaderSince.Load()
+	if since == 0 || bootclock.Now().Sub(time.Unix(0, since)) < settleTime {
+		return &errs.Unavailable{Resource: "list of store hosts", Reason: "the leader is new", Result: errs.NotRun}
+	}
+	s, known := st.present.host(host)
+	if !known {
+		a.Missing = true
+		return nil
 	}
-	var retiring map[string]bool
+	a.Address = s.IP()
+	var retiring map[string]string
 	st.machine.View(func(s *storestate.State) { retiring = s.Retiring() })
 	others := 0
-	for _, s := range st.present.live() {
-		if s.Host != host && !retiring[s.Host] {
+	for _, o := range st.present.live() {
+		if o.Host != host && retiring[o.Host] == "" {
 			others++
 		}
 	}
 	a.TooFew = others < st.o.Settings.Voters()
+	return nil
+}
+
+// emptied tells whether no replica of the host at an address is a member of the group, and no
+// membership in which one is can be in force.
+func emptied(address string, s consensus.Status) bool {
+	member := func(id string) bool { return mesh.IPOf(id) == address }
+	return s.Settled && !slices.ContainsFunc(s.Voters, member) && !slices.ContainsFunc(s.Learners, member)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,7 +71,8 @@
 	grpc    *grpc.Server
 	control *http.Server
 	done    chan struct{} // closed when the host stops
-	refused chan error
+	// leaderSince is when this replica was first seen to lead in its term, on bootclock.
+	leaderSince atomic.Int64
 }
 
 // New opens the disk and returns the host; Start makes it take part.
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &Store{o: o, disk: d, kernel: kernel.New(o.Log), done: make(chan struct{}), refused: make(chan error, 1), present: newPresence()}
+	st := &Store{o: o, disk: d, kernel: kernel.New(o.Log), done: make(chan struct{}), present: newPresence()}
 	st.view = mesh.NewView(o.Log, s.Seeds)
 	st.machine = runner.NewMachine(func(c mesh.Config) { st.view.OfferConfig(c, "own replica") })
 	st.pool = rolehost.NewPool(s, d.ID, o.Log)
@@ -171,9 +173,14 @@
 		}
 		return err
 	})
+	led := uint64(0)
 	k.Every("group/leader", heartbeat, func(context.Context) {
 		id, term, _ := st.group.Leader()
 		st.view.SetLeader(id, term)
+		if id == st.disk.ID && term != led {
+			led = term
+			st.leaderSince.Store(bootclock.Now().UnixNano())
+		}
 	})
 	return nil
 }
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -76,6 +76,8 @@
 // Retire marks a store host as being emptied.
 type Retire struct {
 	Host string `cbor:"1,keyasint"`
+	// Address is that of the host, by which the replicas on it are known.
+	Address string `cbor:"2,keyasint"`
 }
 
 // Reply is the result of a command.
@@ -94,14 +96,14 @@
 type State struct {
 	config   PutConfig
 	versions map[string]uint64
-	retiring map[string]bool
+	retiring map[string]string // host to address
 	book     *jobs.Book
 	index    uint64
 }
 
 // New returns the state before the first command.
 func New() *State {
-	return &State{versions: make(map[string]uint64), retiring: make(map[string]bool), book: jobs.NewBook()}
+	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), book: jobs.NewBook()}
 }
 
 // Encode returns the encoding of a reply, query or answer. Commands have EncodeCommand.
@@ -159,9 +161,11 @@
 		s.book.Drop(c.Drop.Job)
 		return Reply{Changed: true}
 	case c.Retire != nil:
-		changed := !s.retiring[c.Retire.Host]
-		s.retiring[c.Retire.Host] = true
-		return Reply{Changed: changed}
+		if s.retiring[c.Retire.Host] != "" {
+			return Reply{}
+		}
+		s.retiring[c.Retire.Host] = c.Retire.Address
+		return Reply{Changed: true}
 	}
 	return Reply{Missing: true}
 }
@@ -180,8 +184,8 @@
 // Versions returns the newest named version of each model.
 func (s *State) Versions() map[string]uint64 { return maps.Clone(s.versions) }
 
-// Retiring returns the store hosts that are being emptied.
-func (s *State) Retiring() map[string]bool { return maps.Clone(s.retiring) }
+// Retiring returns the store hosts that are being emptied, with their addresses.
+func (s *State) Retiring() map[string]string { return maps.Clone(s.retiring) }
 
 // Book returns the batch jobs. The caller must not change them.
 func (s *State) Book() *jobs.Book { return s.book }
@@ -192,7 +196,7 @@
 type image struct {
 	Config   PutConfig         `cbor:"1,keyasint"`
 	Versions map[string]uint64 `cbor:"2,keyasint"`
-	Retiring map[string]bool   `cbor:"3,keyasint"`
+	Retiring map[string]string `cbor:"3,keyasint"`
 	Book     jobs.Image        `cbor:"4,keyasint"`
 	Index    uint64            `cbor:"5,keyasint"`
 }
@@ -253,6 +257,8 @@
 	Body    []byte    `cbor:"4,keyasint,omitempty"`
 	// Retiring tells that the host is being emptied.
 	Retiring bool `cbor:"5,keyasint,omitempty"`
+	// Address is that of the host.
+	Address string `cbor:"8,keyasint,omitempty"`
 	// Emptied tells that the host holds no state any more.
 	Emptied bool `cbor:"6,keyasint,omitempty"`
 	// TooFew tells that too few store hosts would remain without the host.
@@ -272,7 +278,8 @@
 		body, err := s.book.Body(q.Body.Job, q.Body.Item)
 		return Answer{Body: body, Missing: err != nil}
 	case q.Retire != nil:
-		return Answer{Retiring: s.retiring[q.Retire.Host]}
+		address := s.retiring[q.Retire.Host]
+		return Answer{Retiring: address != "", Address: address}
 	}
 	return Answer{Missing: true}
 }
--- a/quorum/quorum_test.go
+++ b/quorum/quorum_test.go
@@ -36,7 +36,9 @@
 			return done
 		}
 		done = append(done, a.Kind.String()+" "+a.ID)
-		drop := func(list []string) []string { return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == a.ID }) }
+		drop := func(list []string) []string {
+			return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == a.ID })
+		}
 		switch a.Kind {
 		case AddLearner:
 			w.group.Learners = append(slices.Clone(w.group.Learners), a.ID)
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -28,7 +28,7 @@
 	groups  map[string]int // runs of a prompt group
 	weights map[string]uint64
 
-	gap          float64 // average pause between events, seconds; 0 when not measured
+	gap          float64 // average pause between events, seconds; 0 while unknown
 	failures     int     // runs in a row that broke off
 	pausedUntil  time.Time
 	loading      *load
@@ -116,7 +116,7 @@
 	return score * typicalGap
 }
 
-// typicalGap stands for the pause between events of an engine that was not measured yet, in
+// typicalGap stands for the pause between events of an engine whose speed is unknown, in
 // seconds.
 const typicalGap = 0.045
 
@@ -176,24 +176,18 @@
 	s.assign()
 }
 
-// noteDemand averages the tokens of a job of each model.
-func (s *Scheduler) noteDemand(tasks []Task) {
+// NoteDemand takes in the tokens of a whole job of a model, whether or not it still needs work.
+// The average of each model decides about its share of the engines.
+func (s *Scheduler) NoteDemand(service, model string, tokens int) {
 	const share = 0.5 // weight of the newest job
-	sums := make(map[string]float64)
-	for i := range tasks {
-		sums[tasks[i].Model] += float64(tasks[i].tokens())
-	}
-	service := tasks[0].Service
 	if s.demand[service] == nil {
 		s.demand[service] = make(map[string]float64)
 	}
-	for model, sum := range sums {
-		if old := s.demand[service][model]; old > 0 {
-			sum = old + share*(sum-old)
-		}
-		s.demand[service][model] = sum
+	sum := float64(tokens)
+	if old := s.demand[service][model]; old > 0 {
+		sum = old + share*(sum-old)
 	}
-	s.assign()
+	s.demand[service][model] = sum
 }
 
 // assign gives each engine a model, in proportion to the demand. An engine changes its model
@@ -254,22 +248,35 @@
 	}
 }
 
-// fittest returns the model for an engine without one: the one that lacks most engines; of those
-// that lack alike the one with the fewest engines in the failure domain, so that the loss of a
-// domain takes a part of each model's engines, and then the one with the newest weights there.
+// fittest returns the model for an engine without one, among those that lack engines: the one
+// whose weights on the engine are the least behind, so that a new leader leaves engines to the
+// models that they serve; then the one with the fewest engines in the failure domain, so that
+// the loss of a domain takes a part of each model's engines; then the one that lacks most.
 func (s *Scheduler) fittest(e *engine, models []string, lack func(string) float64, engines []*engine) string {
-	near := make(map[string]int)
+	near, newest := make(map[string]int), make(map[string]uint64)
 	for _, o := range engines {
 		if o.Domain == e.Domain && o.model != "" {
 			near[o.model]++
 		}
+		for _, m := range models {
+			newest[m] = max(newest[m], o.weights[m])
+		}
 	}
+	needs := func(m string) int {
+		if lack(m) > needed {
+			return 1
+		}
+		return 0
+	}
+	behind := func(m string) int { return int(newest[m] - e.weights[m]) }
 	return slices.MaxFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(min(lack(a), 1), min(lack(b), 1)), near[b]-near[a], cmp.Compare(e.weights[a], e.weights[b]),
-			cmp.Compare(lack(a), lack(b)))
+		return cmp.Or(needs(a)-needs(b), behind(b)-behind(a), near[b]-near[a], cmp.Compare(lack(a), lack(b)))
 	})
 }
 
+// needed is the part of an engine that a model must lack to get another.
+const needed = 0.3
+
 // shares splits n engines over the models in proportion to their demand, with at least one for
 // each as long as there are enough.
 func shares(models []string, demand map[string]float64, n int) map[string]float64 {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -115,7 +115,6 @@
 	j.sort()
 	s.jobs[id] = j
 	s.order = append(s.order, id)
-	s.noteDemand(tasks)
 }
 
 func (j *job) sort() {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -51,7 +51,9 @@
 			sizes[m] = rapid.IntRange(1, 60).Draw(t, "groups of "+m)
 			total += sizes[m]
 			s.AddJob(fmt.Sprintf("j%d", i), newTasks(fmt.Sprintf("j%d", i), m, sizes[m], 800))
+			s.NoteDemand("s", m, sizes[m])
 		}
+		s.SetEngines(list)
 		lost := rapid.IntRange(0, n-1).Draw(t, "lost")
 		s.SetEngines(list[lost:])
 		have := make(map[string]int)
@@ -128,3 +130,23 @@
 		})
 	}
 }
+
+// Guards against a new leader that gives engines to other models than the one before, so that
+// each must load other weights.
+func TestNewLeaderKeepsTheModelsOfEngines(t *testing.T) {
+	list := engines(9, "a", "b", "c")
+	models := []string{"a", "a", "a", "a", "b", "b", "c", "c", "c"}
+	for i := range list {
+		list[i].Weights[models[i]] = 7
+	}
+	s := New()
+	for m, tokens := range map[string]int{"a": 80, "b": 44, "c": 72} {
+		s.NoteDemand("s", m, tokens)
+	}
+	s.SetEngines(list)
+	for i, e := range s.sorted() {
+		if e.model != models[i] {
+			t.Errorf("engine %s serves %s, before %s", e.ID, e.model, models[i])
+		}
+	}
+}
