mesh: hosts watch the leader and the voters, not only seeds and hosts they heard of

Ruled out: heartbeats that are lost (the other stores answered them) and the expiry of targets (it is 20 s). Change: the addresses of the leader and the voters are watched; the leader takes announcements of store hosts into its own view.

--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -269,18 +269,33 @@
 	return ages[len(ages)/2]
 }
 
-// StoreIPs lists the addresses of the seeds and the known store hosts, in a stable order.
+// StoreIPs lists the addresses of the seeds, the leader, the voters and the other known store
+// hosts, in a stable order. After a restart of all hosts the leader may be no seed, and only its
+// events name the store hosts that do not vote.
 func (v *View) StoreIPs() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	ips := slices.Clone(v.seeds)
 	for ip := range v.stores {
-		if !slices.Contains(ips, ip) {
-			ips = append(ips, ip)
-		}
+		ips = append(ips, ip)
+	}
+	for _, id := range v.voters {
+		ips = append(ips, IPOf(id))
+	}
+	if v.leader != "" {
+		ips = append(ips, IPOf(v.leader))
 	}
 	slices.Sort(ips)
-	return ips
+	return slices.Compact(ips)
+}
+
+// SeeStore takes in that a store host has announced itself to this host.
+func (v *View) SeeStore(s Store) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.seeStore(bootclock.Now(), s) {
+		v.notify()
+	}
 }
 
 // WaitConfig waits until a configuration is known or ctx ends.
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -102,6 +102,7 @@
 	if !st.group.IsLeader() {
 		return st.notLeader()
 	}
+	st.view.SeeStore(s)
 	if st.present.hear(s) {
 		st.o.Log.Info("store host announced itself", "store", s.Host, "replica", s.ID, "domain", s.Domain)
 	}
