--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -50,8 +50,6 @@
 	OrderWait time.Duration `json:"order_wait"`
 	// KeepResults is how long the results of a batch job stay readable after its submission.
 	KeepResults time.Duration `json:"keep_results"`
-	// Acknowledge is how long an operator waits for an answer.
-	Acknowledge time.Duration `json:"acknowledge"`
 }
 
 // Voters returns the number of voters that keep the state through the loss of LostDisks disks.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -82,7 +82,6 @@
 type run struct {
 	task   *Task
 	engine *engine
-	since  time.Time
 	moving bool
 }
 
@@ -221,7 +220,7 @@
 				left = append(left, t)
 				continue
 			}
-			r := &run{task: t, engine: e, since: now}
+			r := &run{task: t, engine: e}
 			j.running[t.Item] = r
 			e.add(now, r)
 			out = append(out, Assignment{Task: *t, Engine: e.ID})
