forward: requests at a host that has just started wait for configuration and targets

Cause: after the loss of all processes an entry host listens before it knows the configuration and any target; it refused requests that it could serve 0.2 to 1.2 s later, and the second attempt of a client came too early again. Ruled out: a later listening socket (clients then wait a second for a connection). Change: in the first 3 s after its start a host lets a request wait for the first target up to 0.6 of its time, and for the first configuration up to 0.4; after that it refuses at once as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,10 @@
 	// cutLoss is the time without news of most voters after which the host counts as cut off:
 	// two pings of a watch.
 	cutLoss = 1100 * time.Millisecond
+	// tableShare is the share of a caller's time that a request may wait for the first
+	// configuration; defaultDeadline stands for callers that do not state their time.
+	tableShare      = 0.4
+	defaultDeadline = time.Second
 	// noticeTime is how long a stopping host goes on accepting connections: the balancer asks
 	// every second and takes a host out after two misses.
 	noticeTime = 3200 * time.Millisecond
@@ -127,6 +131,20 @@
 // Table returns the routes in force, or nil.
 func (e *Entry) Table() *routes.Table { return e.view.Table() }
 
+// AwaitTable returns the routes in force. A host that has just started waits for them for a part
+// of the time that the caller waits; 0 when the caller does not say. It returns nil without any.
+func (e *Entry) AwaitTable(ctx context.Context, deadline time.Duration) *routes.Table {
+	if t := e.view.Table(); t != nil {
+		return t
+	}
+	if deadline <= 0 {
+		deadline = defaultDeadline
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(tableShare*float64(deadline)))
+	defer cancel()
+	return e.view.WaitConfig(ctx)
+}
+
 // Forward passes a request on to a target.
 func (e *Entry) Forward(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) {
 	e.forwarder.Serve(w, r, route, version)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -86,23 +86,27 @@
 	results := make(chan *result, c.route.Attempts()+1)
 	pending := 0
 	var fallback *result
-	start := func() bool {
-		cand, ok := c.pick()
-		if !ok {
-			return false
-		}
+	send := func(cand balance.Candidate) {
 		c.attempts++
 		c.sent++ // until the target says that it did not run it
 		pending++
 		attemptCtx, cancel := context.WithCancel(ctx)
 		go func() { results <- c.attempt(attemptCtx, cancel, cand) }()
-		return true
+	}
+	start := func() bool {
+		cand, ok := c.pick()
+		if ok {
+			send(cand)
+		}
+		return ok
 	}
 	defer func() { go discard(results, pending) }()
-	if !start() {
+	first, ok := c.pickFirst(ctx)
+	if !ok {
 		c.failUnserved()
 		return
 	}
+	send(first)
 	hedge := time.NewTimer(max(time.Duration(hedgeShare*float64(c.objective())), minHedge))
 	defer hedge.Stop()
 	for {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,12 @@
 	// retryAfterFull is when a caller may come back if all targets are full.
 	retryAfterFull = 50 * time.Millisecond
 	sweepInterval  = time.Second
+	// warmup is the time after the start of a host in which it does not know yet which targets
+	// there are: each announces itself about every second.
+	warmup = 3 * time.Second
+	// warmupShare is the share of a request's time that it may wait for a target during the
+	// warmup. The rest is left for a new attempt of the caller.
+	warmupShare = 0.6
 )
 
 // Forwarder forwards requests. It is safe for concurrent use.
@@ -61,6 +67,7 @@
 	pool    *httpconn.Pool
 	log     *slog.Logger
 	metrics *metrics
+	started time.Time
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -68,7 +75,8 @@
 
 // New returns a forwarder of a host in a failure domain.
 func New(h dialect.Headers, view *mesh.View, domain string, log *slog.Logger, m *observe.Metrics) *Forwarder {
-	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(domain)}
+	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(domain),
+		started: bootclock.Now()}
 	f.metrics = newMetrics(m, f.pool)
 	return f
 }
@@ -148,6 +156,29 @@
 	return cand, ok
 }
 
+// pickFirst chooses the first target. A host that has just started waits for one that serves the
+// request, because it cannot know yet that there is none.
+func (c *call) pickFirst(ctx context.Context) (balance.Candidate, bool) {
+	until := c.start.Add(time.Duration(warmupShare * float64(c.deadline.Sub(c.start))))
+	if end := c.f.started.Add(warmup); end.Before(until) {
+		until = end
+	}
+	for {
+		changed := c.f.view.Changed()
+		cand, ok := c.pick()
+		left := until.Sub(bootclock.Now())
+		if ok || c.wait > 0 || left <= 0 {
+			return cand, ok
+		}
+		select {
+		case <-ctx.Done():
+			return cand, false
+		case <-changed:
+		case <-time.After(left):
+		}
+	}
+}
+
 func (c *call) finished(target string, o balance.Outcome, took time.Duration) {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -189,3 +189,23 @@
 		t.Errorf("status %d, body %q", status, body)
 	}
 }
+
+// Guards against a request that is refused by a host that has just started and learns of the
+// target a moment later, and against one that waits although the host knows that there is none.
+func TestRequestsWaitForTargetsOnlyAfterAStart(t *testing.T) {
+	f, _ := setup(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answer(w, r, func() {}) }))
+	defer s.Close()
+	time.AfterFunc(100*time.Millisecond, func() {
+		f.view.Hear(fleet.Target{ID: "late", Service: "s", Address: s.Listener.Addr().String(), State: fleet.Ready, Sequence: 1})
+	})
+	if status, _, _ := send(t, f, route(routes.Unsafe, 1)); status != 200 {
+		t.Errorf("status %d from a host that learned of the target after 100 ms", status)
+	}
+	f, _ = setup(t)
+	f.started = f.started.Add(-warmup)
+	begin := time.Now()
+	if status, _, _ := send(t, f, route(routes.Unsafe, 1)); status != 503 || time.Since(begin) > 300*time.Millisecond {
+		t.Errorf("status %d after %s", status, time.Since(begin))
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,8 +29,10 @@
 	if id, err := strconv.ParseUint(c.r.Header.Get(c.f.headers.LastEventID), 10, 64); err == nil {
 		s.last = id
 	}
+	pick := func() (balance.Candidate, bool) { return c.pickFirst(ctx) }
 	for {
-		cand, ok := c.pick()
+		cand, ok := pick()
+		pick = c.pick
 		if !ok && c.sent == 0 && c.attempts > 0 && c.waitForRoom(ctx) {
 			cand, ok = c.pick()
 		}
