--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,6 +145,16 @@
 	return e.view.WaitConfig(ctx)
 }
 
+// Refused logs a request that is answered before a route is known for it.
+func (e *Entry) Refused(id, host, path string, err error) {
+	version := uint64(0)
+	if t := e.view.Table(); t != nil {
+		version = t.Config.Version
+	}
+	e.o.Log.Info("request refused", "request", id, "for_host", host, "path", path, "config", version,
+		"outcome", string(errs.OutcomeOf(err)), "error", err.Error(), "leader_age_ms", e.view.LeaderAge().Milliseconds())
+}
+
 // Forward passes a request on to a target.
 func (e *Entry) Forward(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) {
 	e.forwarder.Serve(w, r, route, version)
