httpconn: a kept connection is not closed because the sender has not reported yet

A request was written by a goroutine of its own; when the answer was read before that goroutine had run again, the request counted as not sent whole and the connection was closed. Ruled out: an idle time that was over (the fake target states none; 4 s) and leftover bytes (the pool counted a new connection, no failure). Change: short requests are written before the answer is read, without a goroutine; for longer ones a complete answer waits up to 10 ms for the report. A test of 50 longer requests.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -32,6 +32,11 @@
 	// idleMargin is subtracted from the target's own idle timeout.
 	idleMargin  = 600 * time.Millisecond
 	bufferBytes = 4096
+	// shortBody is the largest body that is sent before the answer is read, in bytes. It is less
+	// than the smallest send buffer of a socket.
+	shortBody = 8 << 10
+	// sendGrace is how long a complete answer waits for the report that the request was sent.
+	sendGrace = 10 * time.Millisecond
 )
 
 // Request is one request. Body may be nil.
@@ -228,7 +233,11 @@
 	// A deadline in the past ends blocked reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	x := &exchange{pool: p, conn: c, stop: stop, sent: make(chan error, 1)}
-	go func() { x.sent <- c.write(req) }()
+	if req.short() {
+		x.sent <- c.write(req)
+	} else {
+		go func() { x.sent <- c.write(req) }()
+	}
 	resp, err := x.head(req)
 	if err != nil {
 		x.abort()
@@ -241,6 +250,13 @@
 	return resp, nil
 }
 
+// short tells whether the request fits into the buffers of a connection, so that sending it does
+// not wait for the target.
+func (r *Request) short() bool {
+	_, held := r.Body.(*bytes.Reader)
+	return r.Body == nil || held && r.Length <= shortBody
+}
+
 func (c *conn) write(req *Request) error {
 	w := bufio.NewWriterSize(c.Conn, bufferBytes)
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
@@ -322,6 +338,21 @@
 	}
 }
 
+// awaitWrite is writeResult with a short wait: the goroutine that has sent the last byte may not
+// have run since.
+func (x *exchange) awaitWrite() (error, bool) {
+	if x.written != nil {
+		return *x.written, true
+	}
+	select {
+	case err := <-x.sent:
+		x.written = &err
+		return err, true
+	case <-time.After(sendGrace):
+		return nil, false
+	}
+}
+
 func (x *exchange) head(req *Request) (*Response, error) {
 	for {
 		r, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
@@ -360,7 +391,7 @@
 // follows the answer.
 func (x *exchange) release(idle time.Duration) {
 	x.once.Do(func() {
-		err, done := x.writeResult()
+		err, done := x.awaitWrite()
 		if !x.stop() || !done || err != nil || x.conn.r.Buffered() > 0 || idle <= 0 {
 			_ = x.conn.Close()
 			return
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -203,3 +204,23 @@
 		t.Error("the connection is kept although the body was not sent")
 	}
 }
+
+// Guards against a connection that is closed after a complete answer, because the goroutine that
+// sent a longer request had not reported its end yet.
+func TestConnectionIsUsedAgainAfterALongerRequest(t *testing.T) {
+	addr := target(t, func(_ int, _ *http.Request, c net.Conn) { _, _ = io.WriteString(c, plain) })
+	p := NewPool(2)
+	body := strings.Repeat("x", 4*shortBody)
+	for range 50 {
+		resp, err := p.Do(t.Context(), addr, &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: bytes.NewReader([]byte(body)), Length: int64(len(body))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p.Dialed() != 1 {
+		t.Errorf("%d connections for 50 requests", p.Dialed())
+	}
+}
