entry: the pause of a host without a configuration belongs to the product

Cause: platform/ held the time after which a refused client may come back, which is a decision; a comment in schedule read like a provisional one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,8 @@
 	// configuration; defaultDeadline stands for callers that do not state their time.
 	tableShare      = 0.4
 	defaultDeadline = time.Second
+	// noConfigPause is when a client may come back to a host that has no configuration yet.
+	noConfigPause = 500 * time.Millisecond
 	// noticeTime is how long a stopping host goes on accepting connections: the balancer asks
 	// every second and takes a host out after two misses.
 	noticeTime = 3200 * time.Millisecond
@@ -132,17 +134,21 @@
 func (e *Entry) Table() *routes.Table { return e.view.Table() }
 
 // AwaitTable returns the routes in force. A host that has just started waits for them for a part
-// of the time that the caller waits; 0 when the caller does not say. It returns nil without any.
-func (e *Entry) AwaitTable(ctx context.Context, deadline time.Duration) *routes.Table {
+// of the time that the caller waits; 0 when the caller does not say. Without any it returns
+// errs.Overloaded.
+func (e *Entry) AwaitTable(ctx context.Context, deadline time.Duration) (*routes.Table, error) {
 	if t := e.view.Table(); t != nil {
-		return t
+		return t, nil
 	}
 	if deadline <= 0 {
 		deadline = defaultDeadline
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(tableShare*float64(deadline)))
 	defer cancel()
-	return e.view.WaitConfig(ctx)
+	if t := e.view.WaitConfig(ctx); t != nil {
+		return t, nil
+	}
+	return nil, &errs.Overloaded{Resource: "host without a configuration", After: noConfigPause}
 }
 
 // Refused logs a request that is answered before a route is known for it.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -44,7 +44,7 @@
 	// OnlyVersion is set when the text so far was made by this version and must stay so.
 	OnlyVersion uint64
 	Group       string
-	// Carried items belong to groups that the client has waited for before and waits for now
+	// Carried items belong to groups of an earlier job that the client asks for again and waits for
 	// whatever else is complete.
 	Carried bool
 	// Size is the expected number of output tokens that are still to be made; 0 when unknown.
