forward: the test of unreachable targets keeps its ports bound

Cause: the test took two free ports, closed the listeners and used the addresses as targets that refuse connections. The test's own server then listened on a free port of the same range and could get one of the two. The host forwarded the request to itself until its deadline.

Change: fakes.Refusing binds a port without listening, so that connections are refused and nobody else can get the port. Two tests use it; their checks and bounds are the same.

--- /dev/null
+++ b/internal/fakes/refusing.go
@@ -0,0 +1,43 @@
+package fakes
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Refusing holds a TCP port of the loopback interface on which every connection is refused. The
+// port stays bound, so that no other listener of the machine can get it.
+type Refusing struct {
+	Address string // IP:port
+	fd      int
+}
+
+// NewRefusing binds a free port without listening on it.
+func NewRefusing() (*Refusing, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "open a socket")
+	}
+	r := &Refusing{fd: fd}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		_ = r.Close()
+		return nil, errors.Wrap(err, "bind a free port")
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		_ = r.Close()
+		return nil, errors.Wrap(err, "read the bound port")
+	}
+	bound, ok := name.(*unix.SockaddrInet4)
+	if !ok {
+		_ = r.Close()
+		return nil, errors.Errorf("bound socket has an address of type %T", name)
+	}
+	r.Address = fmt.Sprintf("127.0.0.1:%d", bound.Port)
+	return r, nil
+}
+
+// Close frees the port.
+func (r *Refusing) Close() error { return unix.Close(r.fd) }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/fakes"
 	"fuchsiaflow/internal/mesh"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/routes"
@@ -142,12 +142,12 @@
 func TestUnreachableTargetsAreRefusedAtOnce(t *testing.T) {
 	f, _ := setup(t)
 	for _, id := range []string{"a", "b"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		closed, err := fakes.NewRefusing()
 		if err != nil {
 			t.Fatal(err)
 		}
-		_ = l.Close()
-		f.view.Hear(fleet.Target{ID: id, Service: "s", Address: l.Addr().String(), State: fleet.Ready, Sequence: 1})
+		t.Cleanup(func() { _ = closed.Close() })
+		f.view.Hear(fleet.Target{ID: id, Service: "s", Address: closed.Address, State: fleet.Ready, Sequence: 1})
 	}
 	for i := range 3 {
 		begin := time.Now()
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/fakes"
 )
 
 // target accepts connections and answers each request with the next of its answers, which are
@@ -138,12 +139,12 @@
 	if _, err := get(t, NewPool(2), addr, "/"); errs.OutcomeOf(err) != errs.Unknown {
 		t.Errorf("an answer that breaks off: %v", err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := fakes.NewRefusing()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = l.Close()
-	if _, err := get(t, NewPool(2), l.Addr().String(), "/"); errs.OutcomeOf(err) != errs.NotRun {
+	t.Cleanup(func() { _ = closed.Close() })
+	if _, err := get(t, NewPool(2), closed.Address, "/"); errs.OutcomeOf(err) != errs.NotRun {
 		t.Errorf("a refused connection: %v", err)
 	}
 }
