--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -36,7 +36,8 @@
 }
 
 type storeCommand struct {
-	Settings string `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
+	Settings       string `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
+	PeerListenPort int    `help:"Port on which to listen for other hosts, if it is not the one that they call, because a proxy or an address translation stands between."`
 }
 
 // roleHost is a host of one role.
@@ -60,6 +61,7 @@
 		if s.DataDir == "" {
 			return nil, &errs.Invalid{Path: "$.data_dir", Want: "a folder", Got: "none"}
 		}
+		s.PeerListenPort = c.PeerListenPort
 		client := &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdle, MaxIdleConnsPerHost: 1}}
 		return store.New(store.Options{Settings: s, Headers: platform.Headers, Calls: platform.Engine{Client: client}, Control: platform.Control,
 			Log: log, Metrics: m, FS: storage.OS{}})
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -19,6 +19,9 @@
 	IP            string `json:"ip"`
 	// PeerPort is the port of the gRPC server of every store host.
 	PeerPort int `json:"peer_port"`
+	// PeerListenPort is the port on which a store host listens if it is not PeerPort, because a
+	// proxy or an address translation stands in front of the host; 0 when it is.
+	PeerListenPort int `json:"peer_listen_port"`
 	// Seeds are the addresses of some store hosts.
 	Seeds []string `json:"seeds"`
 	// FirstStart is set when the whole system starts for the first time, with empty disks. The
@@ -55,6 +58,14 @@
 // Voters returns the number of voters that keep the state through the loss of LostDisks disks.
 func (r *Role) Voters() int { return 2*r.LostDisks + 1 }
 
+// PeerListen returns the port on which a store host listens for other hosts.
+func (r *Role) PeerListen() int {
+	if r.PeerListenPort > 0 {
+		return r.PeerListenPort
+	}
+	return r.PeerPort
+}
+
 // IsSeed tells whether this host is one of the seeds.
 func (r *Role) IsSeed() bool { return slices.Contains(r.Seeds, r.IP) }
 
@@ -75,6 +86,9 @@
 	if r.PeerPort <= 0 || r.PeerPort > 65535 {
 		return bad("$.peer_port", "a port", strconv.Itoa(r.PeerPort))
 	}
+	if r.PeerListenPort < 0 || r.PeerListenPort > 65535 {
+		return bad("$.peer_listen_port", "a port or 0", strconv.Itoa(r.PeerListenPort))
+	}
 	if len(r.Seeds) == 0 {
 		return bad("$.seeds", "at least one address", "[]")
 	}
--- a/internal/store/peerserver.go
+++ b/internal/store/peerserver.go
@@ -30,7 +30,7 @@
 // Start implements kernel.Service.
 func (p peerServer) Start(_ context.Context, k *kernel.Kernel) error {
 	s := p.st.o.Settings
-	listener, err := net.Listen("tcp", mesh.Address(s.IP, s.PeerPort))
+	listener, err := net.Listen("tcp", mesh.Address(s.IP, s.PeerListen()))
 	if err != nil {
 		return &errs.Unavailable{Resource: "peer address", Reason: err.Error()}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -78,24 +78,23 @@
 // New opens the disk and returns the host; Start makes it take part.
 func New(o Options) (*Store, error) {
 	s := o.Settings
-	d, err := openDisk(o.FS, s)
-	if err != nil {
-		return nil, err
-	}
-	st := &Store{o: o, disk: d, kernel: kernel.New(o.Log), done: make(chan struct{}), present: newPresence()}
+	st := &Store{o: o, kernel: kernel.New(o.Log), done: make(chan struct{}), present: newPresence()}
 	st.view = mesh.NewView(o.Log, s.Seeds)
-	st.machine = runner.NewMachine(func(c mesh.Config) { st.view.OfferConfig(c, "own replica") })
-	st.pool = rolehost.NewPool(s, d.ID, o.Log)
 	link := transport.New(st.peer, o.Log)
-	st.group, err = group.Open(group.Options{Group: storestate.Group, ID: d.ID, Voters: d.Voters, Start: d.start(), FS: o.FS, Dir: s.DataDir,
-		StateMachine: st.machine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Logger: o.Log, HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery, SegmentBytes: segmentBytes})
+	var err error
+	st.disk, st.group, err = openReplica(o.FS, s, o.Log, func(d *disk) (*group.Group, error) {
+		st.machine = runner.NewMachine(func(c mesh.Config) { st.view.OfferConfig(c, "own replica") })
+		return group.Open(group.Options{Group: storestate.Group, ID: d.ID, Voters: d.Voters, Start: d.start(), FS: o.FS, Dir: s.DataDir,
+			StateMachine: st.machine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Logger: o.Log, HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery, SegmentBytes: segmentBytes})
+	})
 	if err != nil {
 		return nil, err
 	}
+	st.pool = rolehost.NewPool(s, st.disk.ID, o.Log)
 	st.calls = statecall.New(st.view, s.IP, st, st.peer)
 	st.grpc = rolehost.NewServer(o.Log)
-	run := runner.New(runner.Options{Group: st.group, Machine: st.machine, View: st.view, Calls: o.Calls, Headers: o.Headers, Holder: d.ID,
+	run := runner.New(runner.Options{Group: st.group, Machine: st.machine, View: st.view, Calls: o.Calls, Headers: o.Headers, Holder: st.disk.ID,
 		OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics})
 	services := []struct {
 		name    string
