balance: a second attempt prefers the own failure domain, and a silent target is remembered

A target that lost against the second attempt was not counted at all, so that the next request went to it again.

Ruled out: readiness (the hosts of the cut domain say within 1.1 s that they are not ready; connections that are open stay with them).

Change: after an attempt in another domain the own one comes first; a cancelled attempt counts as a latency of at least its time.

Test: TestCutOffDomainServesItsCallers plays the cut; it fails on the old code at the first request.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,9 @@
 	// new connection, both as a share of the latency.
 	otherDomain    = 0.05
 	coldConnection = 0.15
+	// silentDomain is the cost of leaving the own failure domain for a request that has waited in
+	// vain for a target of another one: the own domain may be cut off from all others.
+	silentDomain = 1.0
 )
 
 // Load is what a target reported about itself.
@@ -48,7 +51,7 @@
 	Shed
 	// Failed requests got a failure, a broken answer or none.
 	Failed
-	// Cancelled requests were given up by the caller.
+	// Cancelled requests were given up before the target answered.
 	Cancelled
 )
 
@@ -93,6 +96,7 @@
 func (b *Balancer) Pick(now time.Time, list []Candidate, tried []string) (c Candidate, wait time.Duration, ok bool) {
 	best := -1
 	var bestScore float64
+	leave := b.costToLeave(list, tried)
 	for i, cand := range list {
 		if slices.Contains(tried, cand.ID) {
 			continue
@@ -103,7 +107,7 @@
 			}
 			continue
 		}
-		score := b.score(now, &cand)
+		score := b.score(now, &cand, leave)
 		if best < 0 || score < bestScore || score == bestScore && strings.Compare(cand.ID, list[best].ID) < 0 {
 			best, bestScore = i, score
 		}
@@ -114,10 +118,21 @@
 	return list[best], 0, true
 }
 
+// costToLeave returns the cost of a target in another failure domain for a request that was sent to
+// the tried targets before.
+func (b *Balancer) costToLeave(list []Candidate, tried []string) float64 {
+	for _, c := range list {
+		if c.Domain != b.Domain && slices.Contains(tried, c.ID) {
+			return silentDomain
+		}
+	}
+	return otherDomain
+}
+
 // penalty puts paused targets behind all others.
 const penalty = 1e6
 
-func (b *Balancer) score(now time.Time, c *Candidate) float64 {
+func (b *Balancer) score(now time.Time, c *Candidate, leave float64) float64 {
 	s := b.of(c.ID)
 	latency := s.latency
 	if latency == 0 {
@@ -125,7 +140,7 @@
 	}
 	factor := 1.0
 	if c.Domain != b.Domain {
-		factor += otherDomain
+		factor += leave
 	}
 	if !c.Warm {
 		factor += coldConnection
@@ -163,10 +178,10 @@
 	case OK:
 		s.failures = 0
 		s.pausedUntil = time.Time{}
-		if s.latency == 0 {
-			s.latency = priorLatency
-		}
-		s.latency += time.Duration(latencyShare * float64(latency-s.latency))
+		s.learn(latency)
+	case Cancelled:
+		// The target had not answered by then, so its latency is at least this.
+		s.learn(max(latency, s.latency))
 	case Shed:
 		s.pausedUntil = now.Add(shedPause)
 	case Failed:
@@ -175,6 +190,13 @@
 	}
 }
 
+func (s *stats) learn(latency time.Duration) {
+	if s.latency == 0 {
+		s.latency = priorLatency
+	}
+	s.latency += time.Duration(latencyShare * float64(latency-s.latency))
+}
+
 // Keep forgets all targets but the given ones.
 func (b *Balancer) Keep(ids []string) {
 	for id, s := range b.stats {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -83,3 +83,42 @@
 		t.Errorf("picked %q", c.ID)
 	}
 }
+
+// Guards against requests that are lost while the own failure domain is cut off from the others,
+// although a target in it serves them: the targets elsewhere are silent, so that a request learns
+// nothing until its second attempt, the last that its route allows.
+func TestCutOffDomainServesItsCallers(t *testing.T) {
+	const hedge, own, other = 67 * time.Millisecond, 40 * time.Millisecond, 25 * time.Millisecond
+	b := New("d0")
+	list := candidates(3)
+	for i := range list {
+		list[i].Warm = true
+	}
+	for range 20 { // before the cut the other domains answer sooner
+		for id, latency := range map[string]time.Duration{"t0": own, "t1": other, "t2": other} {
+			b.Started(id)
+			b.Finished(t0, id, OK, latency)
+		}
+	}
+	late := 0
+	for k := range 20 {
+		now := t0.Add(time.Duration(k) * time.Second)
+		first, _, _ := b.Pick(now, list, nil)
+		b.Started(first.ID)
+		if first.ID == "t0" {
+			b.Finished(now, "t0", OK, own)
+			continue
+		}
+		late++
+		second, _, _ := b.Pick(now.Add(hedge), list, []string{first.ID})
+		if second.ID != "t0" {
+			t.Fatalf("request %d goes to %s and then to %s", k, first.ID, second.ID)
+		}
+		b.Started("t0")
+		b.Finished(now, "t0", OK, own)
+		b.Finished(now, first.ID, Cancelled, hedge+own)
+	}
+	if late > 6 {
+		t.Errorf("%d of 20 requests went to a silent target first", late)
+	}
+}
