fleet: a store repeats the news of other stores only when it is urgent

Cause: each store passed each heartbeat that changed weights, and each target's age every 5 s, on to all hosts, whether it heard the target itself or learned of it from another store that all hosts watch anyway. The traffic grew with the square of the number of stores.

Ruled out: the log of the state group and the texts of results, which do not depend on the number of entry hosts.

Change: state, address, birth and service are repeated by every store at once; weights and age only by the store that hears the target, and by others every 15 s, which is enough for a host that is cut off from that store.

Test: TestRelaysRepeatOnlyWhatIsUrgent; on the old registry a relay repeats new weights at once.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -64,9 +65,10 @@
 	// Expiry is the silence after which a target is dropped. A target that is cut off from
 	// this system's control still serves, so this is long.
 	Expiry time.Duration
-	// Refresh is how often the age of a record is passed on to other hosts while nothing else
-	// about it changes.
-	Refresh time.Duration
+	// Refresh is how often the host that hears a target passes its age and weights on while
+	// nothing else changes. Other hosts pass them on only every RelayRefresh: all hosts watch
+	// that host themselves, so a relay matters only to those that are cut off from it.
+	Refresh, RelayRefresh time.Duration
 
 	records   map[string]*record
 	byAddress map[string]string // address to id of the target that uses it now
@@ -74,12 +76,19 @@
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry(expiry, refresh time.Duration) *Registry {
-	return &Registry{Expiry: expiry, Refresh: refresh, records: make(map[string]*record), byAddress: make(map[string]string)}
+func NewRegistry(expiry, refresh, relayRefresh time.Duration) *Registry {
+	return &Registry{Expiry: expiry, Refresh: refresh, RelayRefresh: relayRefresh, records: make(map[string]*record), byAddress: make(map[string]string)}
 }
 
-// Merge takes in a statement. It reports whether it was newer than what was known.
-func (r *Registry) Merge(now time.Time, t Target) bool {
+// Hear takes in a statement that a target made to this host. It reports whether it was newer than
+// what was known.
+func (r *Registry) Hear(now time.Time, t Target) bool { return r.merge(now, t, r.Refresh, true) }
+
+// Merge takes in a statement that another host passed on. It reports whether it was newer than
+// what was known.
+func (r *Registry) Merge(now time.Time, t Target) bool { return r.merge(now, t, r.RelayRefresh, false) }
+
+func (r *Registry) merge(now time.Time, t Target, refresh time.Duration, heardHere bool) bool {
 	heard := now.Add(-t.Silence)
 	old := r.records[t.ID]
 	if old != nil {
@@ -98,7 +107,7 @@
 		rec.told, rec.rev = old.told, old.rev
 	}
 	r.records[t.ID] = rec
-	if old == nil || material(&old.Target, &t) || now.Sub(rec.told) >= r.Refresh {
+	if old == nil || material(&old.Target, &t) || heardHere && weightsDiffer(&old.Target, &t) || now.Sub(rec.told) >= refresh {
 		r.touch(now, rec)
 	}
 	return true
@@ -127,19 +136,13 @@
 	rec.rev, rec.told = r.rev, now
 }
 
-// material reports whether other hosts must learn of the change at once.
+// material reports whether other hosts must learn of the change at once, whoever tells them.
 func material(a, b *Target) bool {
-	if a.State != b.State || a.Address != b.Address || a.Born != b.Born || a.Service != b.Service || len(a.Weights) != len(b.Weights) {
-		return true
-	}
-	for model, v := range b.Weights {
-		if a.Weights[model] != v {
-			return true
-		}
-	}
-	return false
+	return a.State != b.State || a.Address != b.Address || a.Born != b.Born || a.Service != b.Service
 }
 
+func weightsDiffer(a, b *Target) bool { return !maps.Equal(a.Weights, b.Weights) }
+
 // Leave records that a target has ended or is about to. It reports whether the target is known.
 func (r *Registry) Leave(now time.Time, id string) bool {
 	rec := r.records[id]
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,7 +30,7 @@
 				all = append(all, statement(string(rune('a'+i)), "addr", int64(i+1), uint64(seq+1), state))
 			}
 		}
-		one, two := NewRegistry(time.Hour, time.Hour), NewRegistry(time.Hour, time.Hour)
+		one, two := NewRegistry(time.Hour, time.Hour, time.Hour), NewRegistry(time.Hour, time.Hour, time.Hour)
 		for _, s := range all {
 			one.Merge(t0, s)
 		}
@@ -46,7 +46,7 @@
 // Guards against a late heartbeat of a target that has ended, which brings it back or takes its
 // address from the target that uses it now.
 func TestLateHeartbeatsOfEndedTargets(t *testing.T) {
-	r := NewRegistry(time.Hour, time.Hour)
+	r := NewRegistry(time.Hour, time.Hour, time.Hour)
 	r.Merge(t0, statement("old", "addr", 1, 1, Ready))
 	r.Merge(t0, statement("new", "addr", 2, 1, Ready))
 	r.Merge(t0, statement("old", "addr", 1, 7, Ready))
@@ -66,22 +66,62 @@
 // Guards against news of a drain that is not passed on to other hosts at once, and against
 // heartbeats without news that are.
 func TestOnlyNewsIsPassedOn(t *testing.T) {
-	r := NewRegistry(time.Hour, 5*time.Second)
-	r.Merge(t0, statement("a", "addr", 1, 1, Ready))
+	r := NewRegistry(time.Hour, 5*time.Second, 15*time.Second)
+	r.Hear(t0, statement("a", "addr", 1, 1, Ready))
 	_, rev := r.Since(t0, 0)
-	r.Merge(t0.Add(time.Second), statement("a", "addr", 1, 2, Ready))
+	r.Hear(t0.Add(time.Second), statement("a", "addr", 1, 2, Ready))
 	if list, _ := r.Since(t0, rev); len(list) != 0 {
 		t.Errorf("a heartbeat without news is passed on: %+v", list)
 	}
-	r.Merge(t0.Add(2*time.Second), statement("a", "addr", 1, 3, Draining))
+	r.Hear(t0.Add(2*time.Second), statement("a", "addr", 1, 3, Draining))
 	if list, _ := r.Since(t0, rev); len(list) != 1 || list[0].State != Draining {
 		t.Errorf("the drain is not passed on: %+v", list)
 	}
 }
 
+// Guards against each store host repeating to all hosts what they hear from the first one anyway:
+// the traffic then grows with the square of the number of store hosts.
+func TestRelaysRepeatOnlyWhatIsUrgent(t *testing.T) {
+	loaded := func(version, seq uint64) Target {
+		s := statement("a", "addr", 1, seq, Ready)
+		s.Weights = map[string]uint64{"m": version}
+		return s
+	}
+	for _, c := range []struct {
+		name          string
+		after         time.Duration
+		next          Target
+		heard, merged bool // passed on by the host that hears the target, and by another
+	}{
+		{"nothing new", time.Second, loaded(1, 2), false, false},
+		{"new weights", time.Second, loaded(2, 2), true, false},
+		{"age after the refresh", 6 * time.Second, loaded(1, 2), true, false},
+		{"age after the refresh of relays", 16 * time.Second, loaded(1, 2), true, true},
+		{"drain", time.Second, statement("a", "addr", 1, 2, Draining), true, true},
+	} {
+		for _, direct := range []bool{true, false} {
+			r := NewRegistry(time.Hour, 5*time.Second, 15*time.Second)
+			take, want := r.Merge, c.merged
+			if direct {
+				take, want = r.Hear, c.heard
+			}
+			take(t0, loaded(1, 1))
+			_, rev := r.Since(t0, 0)
+			take(t0.Add(c.after), c.next)
+			list, _ := r.Since(t0, rev)
+			if got := len(list) == 1; got != want {
+				t.Errorf("%s, heard here %t: passed on %t, want %t", c.name, direct, got, want)
+			}
+			if known, _ := r.Get("a"); known.Sequence != 2 {
+				t.Errorf("%s: statement %d is known, want 2", c.name, known.Sequence)
+			}
+		}
+	}
+}
+
 // Guards against a target that is dropped while other hosts hear it, and one that stays for ever.
 func TestExpiry(t *testing.T) {
-	r := NewRegistry(10*time.Second, 5*time.Second)
+	r := NewRegistry(10*time.Second, 5*time.Second, 8*time.Second)
 	r.Merge(t0, statement("a", "addr", 1, 1, Ready))
 	if got := r.Expire(t0.Add(9 * time.Second)); len(got) != 0 {
 		t.Errorf("dropped %v too early", got)
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -23,6 +23,9 @@
 	targetExpiry = 20 * time.Second
 	// targetRefresh bounds how old the age of a silent target is at other hosts.
 	targetRefresh = 5 * time.Second
+	// relayRefresh is the same for what another store host has passed on. It leaves a host that
+	// hears of a target only by relays some time before the target expires.
+	relayRefresh = 15 * time.Second
 	// storeExpiry is how long a store host that is no seed is watched without a sign of it.
 	storeExpiry = 30 * time.Second
 )
@@ -52,7 +55,7 @@
 
 // NewView returns a view that knows only the addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
-	return &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh),
+	return &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
 		stores: make(map[string]storeSeen), said: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
@@ -121,7 +124,7 @@
 		v.leader, v.term, changed = e.Leader, e.Term, true
 	}
 	for _, t := range e.Targets {
-		changed = v.mergeTarget(now, t, e.From.ID) || changed
+		changed = v.mergeTarget(now, t, e.From.ID, v.registry.Merge) || changed
 	}
 	if changed {
 		v.notify()
@@ -138,10 +141,10 @@
 }
 
 // mergeTarget logs what other decisions depend on; the caller holds the lock.
-func (v *View) mergeTarget(now time.Time, t fleet.Target, from string) bool {
+func (v *View) mergeTarget(now time.Time, t fleet.Target, from string, merge func(time.Time, fleet.Target) bool) bool {
 	old, known := v.registry.Get(t.ID)
 	before := v.registry.Revision()
-	if !v.registry.Merge(now, t) {
+	if !merge(now, t) {
 		return false
 	}
 	current, _ := v.registry.Get(t.ID)
@@ -156,7 +159,7 @@
 func (v *View) Hear(t fleet.Target) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.mergeTarget(bootclock.Now(), t, "itself") {
+	if v.mergeTarget(bootclock.Now(), t, "itself", v.registry.Hear) {
 		v.notify()
 	}
 }
