--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -140,9 +140,6 @@
 	if e.version > 0 {
 		r.sched.Loaded(now, rn.engine, x.job.Model, e.version)
 	}
-	if e.gap > 0 {
-		r.sched.Event(rn.engine, e.gap)
-	}
 	if rn.reason != "" && !e.whole {
 		e.outcome = schedule.Stopped
 	}
@@ -273,6 +270,9 @@
 	got      int // events of this run
 	lastGot  time.Time
 	firstGot time.Time
+	// sampled and sampledAt are got and lastGot at the last measurement of the speed.
+	sampled   int
+	sampledAt time.Time
 }
 
 func (x *itemRun) request() *httpconn.Request {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -97,6 +97,7 @@
 	cleaned  time.Time
 	reviewed time.Time // when engines, moves and orders were last looked at
 	stored   time.Time // when texts of runs were last committed
+	measured time.Time // when the speed of the engines was last measured
 }
 
 // openJob is what the runner needs of a job.
@@ -187,6 +188,7 @@
 	for _, a := range r.sched.Next(now) {
 		r.start(now, a)
 	}
+	r.measure(now)
 	if review {
 		for _, m := range r.sched.Moves(now) {
 			r.stopRun(m.Key, "moved to a faster engine")
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -8,9 +8,6 @@
 	"fuchsiaflow/fleet"
 )
 
-// speedShare is the weight of a new measurement in the average pause between events.
-const speedShare = 0.08
-
 // Engine describes a target that generates text.
 type Engine struct {
 	fleet.Target
@@ -28,8 +25,8 @@
 	groups  map[string]int // runs of a prompt group
 	weights map[string]uint64
 
-	gap          float64 // average pause between events, seconds; 0 while unknown
-	failures     int     // runs in a row that broke off
+	speed        speed
+	failures     int // runs in a row that broke off
 	pausedUntil  time.Time
 	loading      *load
 	draining     bool
@@ -45,9 +42,6 @@
 // lost tells whether the engine cannot be reached or does not work, as far as its runs show.
 func (e *engine) lost() bool { return e.failures >= lostAfter }
 
-// known tells whether the engine's speed has been measured.
-func (e *engine) known() bool { return e.gap > 0 }
-
 func (e *engine) add(now time.Time, r *run) {
 	e.runs[r.task.Key()] = r
 	e.tokens += r.task.footprint()
@@ -101,33 +95,20 @@
 }
 
 // expected scores how long the task would take; lower is better.
-func (e *engine) expected(t *Task) float64 {
-	occupancy := float64(len(e.runs)+1) / float64(max(e.Slots, 1))
-	score := 1 + spreadGain*occupancy
+func (e *engine) expected(now time.Time, t *Task, typical float64) float64 {
+	score := 1 + spreadGain*e.occupancy(1)
 	if e.groups[t.Group] > 0 {
 		score -= groupGain
 	}
 	if e.model != t.Model {
 		score += spreadGain // leave it to its own model
 	}
-	if e.known() {
-		return score * e.gap
-	}
-	return score * typicalGap
+	return score * e.speed.gap(now, typical)
 }
 
-// typicalGap stands for the pause between events of an engine whose speed is unknown, in
-// seconds.
-const typicalGap = 0.045
-
-func (e *engine) observe(gap time.Duration) {
-	// Events of a full engine come more slowly; the average is that of an empty one.
-	g := gap.Seconds() / (1 + spreadGain*float64(len(e.runs))/float64(max(e.Slots, 1)))
-	if e.gap == 0 {
-		e.gap = g
-		return
-	}
-	e.gap += speedShare * (g - e.gap)
+// occupancy is the share of slots in use with some runs more.
+func (e *engine) occupancy(more int) float64 {
+	return float64(len(e.runs)+more) / float64(max(e.Slots, 1))
 }
 
 func (e *engine) took(now time.Time, o Outcome) {
@@ -315,7 +296,7 @@
 	for _, e := range s.sorted() {
 		out = append(out, EngineState{ID: e.ID, Model: e.model, Running: len(e.runs), Slots: e.Slots, Tokens: e.tokens, Limit: e.Engine.Tokens,
 			Failures: e.failures, Paused: now.Before(e.pausedUntil), Loading: e.loading != nil, Version: e.weights[e.model],
-			GapMs: e.gap * 1000})
+			GapMs: e.speed.average * 1000})
 	}
 	return out
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -93,11 +93,13 @@
 	list    []*engine                     // engines in the order of their ids; nil when it must be made again
 	demand  map[string]map[string]float64 // service, model: tokens of a typical job
 	loads   loadTimes
+	typical float64 // median pause between events of the engines, in seconds
 }
 
 // New returns a scheduler without tasks and engines.
 func New() *Scheduler {
-	return &Scheduler{jobs: make(map[string]*job), engines: make(map[string]*engine), demand: make(map[string]map[string]float64)}
+	return &Scheduler{jobs: make(map[string]*job), engines: make(map[string]*engine), demand: make(map[string]map[string]float64),
+		typical: typicalGap}
 }
 
 // AddJob adds the open tasks of a job. Carried items start first, then those that are expected
@@ -215,7 +217,7 @@
 				left = append(left, j.waiting[i:]...)
 				break
 			}
-			e := place(now, t, free)
+			e := s.place(now, t, free)
 			if e == nil {
 				left = append(left, t)
 				continue
@@ -264,14 +266,14 @@
 
 // place returns the engine of the list on which the task ends soonest, or nil if none can take
 // it.
-func place(now time.Time, t *Task, list []*engine) *engine {
+func (s *Scheduler) place(now time.Time, t *Task, list []*engine) *engine {
 	var best *engine
 	var bestScore float64
 	for _, e := range list {
 		if !e.usable(now, t) {
 			continue
 		}
-		score := e.expected(t)
+		score := e.expected(now, t, s.typical)
 		if best == nil || score < bestScore {
 			best, bestScore = e, score
 		}
@@ -308,14 +310,14 @@
 			continue
 		}
 		for _, r := range sortedRuns(j.running) {
-			if r.moving || !r.engine.known() {
+			if r.moving || !r.engine.speed.known(now) {
 				continue
 			}
-			to := place(now, r.task, s.sorted())
-			if to == nil || to == r.engine || !to.known() || to.free()-taken[to.ID] <= 0 {
+			to := s.place(now, r.task, s.sorted())
+			if to == nil || to == r.engine || to.free()-taken[to.ID] <= 0 {
 				continue
 			}
-			if r.engine.gap < slowFactor*to.gap {
+			if r.engine.speed.average < slowFactor*to.speed.gap(now, s.typical) {
 				continue
 			}
 			r.moving = true
@@ -402,13 +404,6 @@
 	}
 }
 
-// Event takes in the pause between two events of a run, for the engine's speed.
-func (s *Scheduler) Event(engine string, gap time.Duration) {
-	if e := s.engines[engine]; e != nil {
-		e.observe(gap)
-	}
-}
-
 // Retarget asks for the service of each waiting task again, after the routes have changed. Tasks
 // without a service are removed and returned.
 func (s *Scheduler) Retarget(service func(*Task) string) []Key {
