--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -197,6 +197,17 @@
 	return list
 }
 
+// Count returns the number of targets in a state.
+func (r *Registry) Count(state State) int {
+	n := 0
+	for _, rec := range r.records {
+		if rec.State == state {
+			n++
+		}
+	}
+	return n
+}
+
 // Since lists the targets that changed after a revision, with their age, and the revision to
 // ask for next.
 func (r *Registry) Since(now time.Time, rev uint64) ([]Target, uint64) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -82,6 +82,7 @@
 	peer := func(host string) (rpc.PeerClient, error) { return e.pool.Peer(mesh.IPOf(host)) }
 	e.calls = statecall.New(e.view, s.IP, nil, peer)
 	e.forwarder = forward.New(o.Headers, e.view, s.FailureDomain, o.Log, o.Metrics)
+	rolehost.ViewMetrics(o.Metrics, e.view)
 	services := []struct {
 		name    string
 		service any
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -195,6 +195,13 @@
 	return v.registry.Serving(service)
 }
 
+// CountTargets returns the number of targets in a state.
+func (v *View) CountTargets(state fleet.State) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Count(state)
+}
+
 // Target returns what is known of a target.
 func (v *View) Target(id string) (fleet.Target, bool) {
 	v.mu.Lock()
--- a/internal/rolehost/rolehost.go
+++ b/internal/rolehost/rolehost.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/mesh"
 	"fuchsiaflow/internal/observe"
@@ -87,6 +88,21 @@
 	return nil
 }
 
+// ViewMetrics adds what a host believes about the others to its metrics.
+func ViewMetrics(m *observe.Metrics, v *mesh.View) {
+	for _, state := range []fleet.State{fleet.Ready, fleet.Draining, fleet.Gone} {
+		m.GaugeFunc("targets_"+string(state), "Known targets in the state "+string(state)+".", func() float64 { return float64(v.CountTargets(state)) })
+	}
+	m.GaugeFunc("leader_age_seconds", "Time since a store host last said that it knows the leader of the state group.",
+		func() float64 { return v.LeaderAge().Seconds() })
+	m.GaugeFunc("config_version", "Version of the configuration in force.", func() float64 {
+		if t := v.Table(); t != nil {
+			return float64(t.Config.Version)
+		}
+		return 0
+	})
+}
+
 // metricsService serves metrics.
 type metricsService struct {
 	address string
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -11,6 +11,9 @@
 	orders  *observe.Counter
 	waiting *observe.Gauge
 	running *observe.Gauge
+	wait    *observe.Histogram
+	commit  *observe.Histogram
+	job     *observe.Histogram
 }
 
 func newMetrics(m *observe.Metrics, pool *httpconn.Pool) *metrics {
@@ -22,6 +25,9 @@
 			observe.Label{Name: "answer", Values: []string{"accepted", "held", "changed", "fenced", "elsewhere", "unclear"}}),
 		waiting: m.Gauge("runner_items_waiting", "Items that wait for an engine."),
 		running: m.Gauge("runner_items_running", "Items that run on an engine."),
+		wait:    m.Histogram("runner_item_wait_seconds", "Time that an item waits for a slot of an engine.", observe.SecondsBuckets),
+		commit:  m.Histogram("runner_commit_seconds", "Time from the proposal of a command to its result.", observe.SecondsBuckets),
+		job:     m.Histogram("runner_job_seconds", "Time from the submission of a batch job to its end.", observe.SecondsBuckets),
 	}
 }
 
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -109,6 +109,7 @@
 		p = &partial{}
 	}
 	delete(r.partials, key.Item)
+	r.metrics.wait.Observe(now.Sub(j.items[key.Item].since).Seconds())
 	ctx, cancel := context.WithCancel(r.ctx)
 	x := &itemRun{headers: r.o.Headers, pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, text: p,
 		deadline: max(j.deadline.Sub(now), minDeadline)}
@@ -175,6 +176,7 @@
 		}
 	}
 	r.partials[key.Item] = x.text
+	it.since = now
 	size, only := 0, uint64(0)
 	if p := r.usablePartial(j, key.Item); p != nil {
 		size, only = p.remaining(it.Hint), p.only(j)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -111,7 +111,8 @@
 
 type openItem struct {
 	jobs.Item
-	failures int // answers of an engine that the item failed
+	failures int       // answers of an engine that the item failed
+	since    time.Time // when it began to wait for an engine
 }
 
 // New returns a runner.
@@ -385,7 +386,8 @@
 		}
 		tasks = append(tasks, t)
 	}
-	for id := range j.items {
+	for id, it := range j.items {
+		it.since = now
 		r.known[id] = true
 	}
 	r.o.Log.Info("batch job opened", "job", j.ID, "model", j.Model, "step", j.Step, "min_version", j.MinVersion, "wanted", j.Wanted,
@@ -416,6 +418,7 @@
 		r.stopRun(key, "job ended")
 	}
 	delete(r.jobs, id)
+	r.metrics.job.Observe(now.Sub(r.first[id]).Seconds())
 	r.o.Log.Info("batch job closed", "job", id, "model", j.Model, "step", j.Step, "age_ms", now.Sub(r.first[id]).Milliseconds(),
 		"unlisted", len(j.items), "waiting", waiting, "running", running)
 }
@@ -486,9 +489,11 @@
 func (r *Runner) propose(c *storestate.Command, done func(now time.Time, reply storestate.Reply)) {
 	data, ctx, term := storestate.EncodeCommand(c), r.ctx, r.term
 	r.kern.Go("runner/propose", func(context.Context) error {
+		begin := bootclock.Now()
 		for {
 			out, err := r.o.Group.Propose(ctx, data)
 			if err == nil {
+				r.metrics.commit.Observe(bootclock.Now().Sub(begin).Seconds())
 				var reply storestate.Reply
 				if reply, err = storestate.DecodeReply(out); err == nil {
 					r.post(term, func(now time.Time) { done(now, reply) })
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -81,10 +81,11 @@
 	st := &Store{o: o, kernel: kernel.New(o.Log), done: make(chan struct{}), present: newPresence()}
 	st.view = mesh.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
+	fs := measuredFS{FS: o.FS, syncs: o.Metrics.Histogram("storage_sync_seconds", "Time of a sync of a file of the state group.", observe.SecondsBuckets)}
 	var err error
-	st.disk, st.group, err = openReplica(o.FS, s, o.Log, func(d *disk) (*group.Group, error) {
+	st.disk, st.group, err = openReplica(fs, s, o.Log, func(d *disk) (*group.Group, error) {
 		st.machine = runner.NewMachine(func(c mesh.Config) { st.view.OfferConfig(c, "own replica") })
-		return group.Open(group.Options{Group: storestate.Group, ID: d.ID, Voters: d.Voters, Start: d.start(), FS: o.FS, Dir: s.DataDir,
+		return group.Open(group.Options{Group: storestate.Group, ID: d.ID, Voters: d.Voters, Start: d.start(), FS: fs, Dir: s.DataDir,
 			StateMachine: st.machine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			Logger: o.Log, HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery, SegmentBytes: segmentBytes})
 	})
@@ -116,6 +117,7 @@
 		}
 	}
 	st.registerMetrics()
+	rolehost.ViewMetrics(o.Metrics, st.view)
 	return st, nil
 }
 
