--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -27,6 +27,8 @@
 	memoryShare = 0.55
 	// stopReserve is the part of the grace period that is left for the end of the process.
 	stopReserve = 500 * time.Millisecond
+	// settingsInterval is how often the settings file is looked at: it may change without a signal.
+	settingsInterval = time.Second
 	// engineIdle is how long a connection for orders to an engine is kept.
 	engineIdle = 3 * time.Second
 )
@@ -125,6 +127,9 @@
 func waitRole(host roleHost, log *slog.Logger, path string) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	look := time.NewTicker(settingsInterval)
+	defer look.Stop()
+	file := watchFile(path)
 	for {
 		select {
 		case sig := <-signals:
@@ -132,16 +137,49 @@
 				log.Info("host stops", "signal", sig.String())
 				return nil
 			}
-			s, err := platform.LoadSettings(path)
-			if err != nil {
-				log.Error("settings not reloaded", "error", err)
-				continue
+			file.changed()
+			reload(host, log, path, "signal")
+		case <-look.C:
+			if file.changed() {
+				reload(host, log, path, "change of the file")
 			}
-			host.Reload(s)
-			log.Info("settings reloaded", "seeds", s.Seeds)
 		case err := <-host.Failed():
 			log.Error("host stops", "error", err)
 			return err
 		}
 	}
 }
+
+func reload(host roleHost, log *slog.Logger, path, reason string) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Error("settings not reloaded", "reason", reason, "error", err)
+		return
+	}
+	host.Reload(s)
+	log.Info("settings reloaded", "reason", reason, "seeds", s.Seeds)
+}
+
+// fileWatch tells whether a file has changed since the last look.
+type fileWatch struct {
+	path string
+	seen os.FileInfo // nil while the file cannot be read
+}
+
+func watchFile(path string) *fileWatch {
+	w := &fileWatch{path: path}
+	w.changed()
+	return w
+}
+
+// changed compares time, size and identity, so that a file that replaces another counts too. A file
+// that is missing for a moment while it is replaced is not a change.
+func (w *fileWatch) changed() bool {
+	info, err := os.Stat(w.path)
+	if err != nil {
+		return false
+	}
+	old := w.seen
+	w.seen = info
+	return old != nil && (!os.SameFile(old, info) || !old.ModTime().Equal(info.ModTime()) || old.Size() != info.Size())
+}
