--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fuchsiaflow/consensus"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/kernel"
@@ -67,12 +69,14 @@
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration // ten heartbeat intervals
 	MaxClockDrift     time.Duration // a tenth of ElectionTimeout
-	SnapshotEvery     uint64        // applied entries between snapshots
-	MaxBatch          int           // proposals that share one sync
-	RequestRing       int           // waiting proposals and barriers; a full ring refuses
-	MessageRing       int           // received messages; a full ring drops the oldest
-	SegmentBytes      int64
-	NewNodeID         func() string
+	// SnapshotEvery is the least number of applied entries between two snapshots. Each replica
+	// adds up to half of it, so that not all of them are busy with theirs at the same time.
+	SnapshotEvery uint64
+	MaxBatch      int // proposals that share one sync
+	RequestRing   int // waiting proposals and barriers; a full ring refuses
+	MessageRing   int // received messages; a full ring drops the oldest
+	SegmentBytes  int64
+	NewNodeID     func() string
 }
 
 const (
@@ -121,6 +125,11 @@
 	return nil
 }
 
+// snapshotInterval returns the number of applied entries between two snapshots of a replica.
+func snapshotInterval(every uint64, id string) uint64 {
+	return every + xxhash.Sum64String(id)%max(every/2, 1)
+}
+
 type systemClock struct{}
 
 func (systemClock) Now() time.Time { return time.Now() }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -435,3 +435,19 @@
 		}
 	})
 }
+
+// Guards against replicas that all encode and store their snapshots at the same entry, which
+// leaves a group without a majority that answers for that time.
+func TestReplicasTakeSnapshotsAtDifferentTimes(t *testing.T) {
+	seen := make(map[uint64]string)
+	for _, id := range []string{"10.1.0.33~first", "10.2.0.63~first", "10.3.0.43~first", "10.4.0.34~de97465add8b", "10.1.0.34~ba2fbd333fa3"} {
+		n := snapshotInterval(10_000, id)
+		if n < 10_000 || n >= 15_000 {
+			t.Errorf("replica %s takes one every %d entries", id, n)
+		}
+		if other, ok := seen[n/100]; ok {
+			t.Errorf("replicas %s and %s take theirs within 100 entries", id, other)
+		}
+		seen[n/100] = id
+	}
+}
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -81,7 +81,7 @@
 		return errors.WithMessage(err, "open group "+o.Group)
 	}
 	g.log, g.id, g.peer = log, rec.Node, rec.Peers
-	g.applied, g.nextSnapshot = in.Applied, in.Applied+o.SnapshotEvery
+	g.applied, g.nextSnapshot = in.Applied, in.Applied+snapshotInterval(o.SnapshotEvery, o.ID)
 	g.proposals, g.reads = make(map[uint64]*request), make(map[uint64][]*request)
 	return nil
 }
@@ -323,7 +323,7 @@
 		if err := g.opt.StateMachine.Restore(s.Data); err != nil {
 			return errors.WithMessage(err, "restore snapshot of group "+g.opt.Group)
 		}
-		g.applied, g.nextSnapshot = s.Index, s.Index+g.opt.SnapshotEvery
+		g.applied, g.nextSnapshot = s.Index, s.Index+snapshotInterval(g.opt.SnapshotEvery, g.opt.ID)
 	}
 	for _, e := range rd.Committed {
 		if e.Index != g.applied+1 {
@@ -353,13 +353,13 @@
 	r.finish(nil, &errs.Unavailable{Resource: "group " + g.opt.Group, Reason: "another leader's entry took the place of the command"})
 }
 
-// maybeSnapshot stores a snapshot every SnapshotEvery applied entries. A disk that refuses
+// maybeSnapshot stores a snapshot when enough entries have been applied since the last. A disk that refuses
 // it is tried again later; the log only stays longer meanwhile.
 func (g *Group) maybeSnapshot() error {
 	if g.applied < g.nextSnapshot {
 		return nil
 	}
-	g.nextSnapshot = g.applied + g.opt.SnapshotEvery
+	g.nextSnapshot = g.applied + snapshotInterval(g.opt.SnapshotEvery, g.opt.ID)
 	s, ok := g.node.SnapshotAt(g.applied)
 	if !ok {
 		return nil
