cmd: the garbage collector's limit leaves room for the state of a store

Cause: the limit was 0.55 of a process's memory. Commits stalled for a second, leaders lost their leadership, each new one waited 3 s before its first order, and all engines fell behind their weights.

The memory of a store still grows with the texts of 120 s.

--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -23,8 +23,10 @@
 	// gcPercent keeps the heap small: these hosts pay for memory, and their heaps are a few MB.
 	gcPercent = 15
 	// memoryShare is the share of the process's memory from which the garbage collector works
-	// harder. The rest is for what it does not count: stacks, and bytes that wait in sockets.
-	memoryShare = 0.55
+	// harder. The rest is for what it does not count, such as bytes that wait in sockets. A heap
+	// that lives near the limit is collected all the time, so the limit is well above the state
+	// of a store.
+	memoryShare = 0.8
 	// stopReserve is the part of the grace period that is left for the end of the process.
 	stopReserve = 500 * time.Millisecond
 	// settingsInterval is how often the settings file is looked at: it may change without a signal.
