host: calls to a peer that is back do not fail in the backoff of earlier dials

The log of akaki-3 shows /fuchsiaflow.Peer/Generate to kolfe-1 refused at 39.239, with the error of a dial from before 38.470, when kolfe-1 had started again and was ready. grpc-go answers calls at once with the last dial error until its backoff (up to 2 s) is over. Gossip had announced the new process, so the entry host chose it. Eight such requests used up the retry budget of the host (3 in 10 s without traffic), and all retries chose the same host again.

Ruled out: the graceful stop itself (all drain phases of kolfe-1 were in time, no request of it was cut off); load of the machine (kolfe-2 met the same dial error 0.75 s after the start).

Change: a host that membership reports as a new process is dialled at once (Pool.Redial; Pool.Forget, which nothing called, is removed). Attempts that reached nobody are not taken from the retry budget, and the next attempt prefers another host (routing.Request.Avoid).

Tests: TestRedialEndsTheBackoff fails without the redial (10 s of refused calls). TestAttemptsThatReachedNobodyAreNotCounted and the Avoid cases of TestPickHost are new.

--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -178,11 +178,15 @@
 			return emit(c)
 		}
 	}
+	var unreached []string
 	for call.Attempt = 1; ; call.Attempt++ {
-		reply, err := d.attempt(ctx, t, pool, r, call.Attempt, counted)
+		host, reply, err := d.attempt(ctx, t, pool, r, call.Attempt, unreached, counted)
 		if err == nil {
 			return reply, nil
 		}
+		if errs.CodeOf(err) == errs.CodeUnavailable {
+			unreached = append(unreached, host)
+		}
 		decision := d.decide(call, err)
 		// A second run could produce another text than the part that the caller has.
 		if !decision.Retry || emitted || !pause(ctx, decision.After) {
@@ -208,20 +212,23 @@
 	return &errs.Remote{Code: errs.CodeOf(err), Outcome: outcome, Message: err.Error(), After: errs.RetryAfterOf(err)}
 }
 
-func (d *deskService) attempt(ctx context.Context, t *confstate.Tenancy, pool *confstate.Pool, r api.DeskRequest, number int, emit func(api.DeskChunk) error) (*api.DeskReply, error) {
+// attempt runs a request on a host, which it returns, that is not in avoid if there is another.
+func (d *deskService) attempt(ctx context.Context, t *confstate.Tenancy, pool *confstate.Pool, r api.DeskRequest, number int, avoid []string, emit func(api.DeskChunk) error) (string, *api.DeskReply, error) {
 	// Each attempt has its own id, so that late parts of an earlier one are recognized.
 	id := r.RequestID
 	if number > 1 {
 		id += "." + strconv.Itoa(number)
 	}
-	host, err := d.pickHost(ctx, r, id, t.Name)
+	host, err := d.pickHost(ctx, r, id, t.Name, avoid)
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
+	run := d.generate
 	if pool.Kind == confstate.Service {
-		return d.call(ctx, host, t, r, id, emit)
+		run = d.call
 	}
-	return d.generate(ctx, host, t, r, id, emit)
+	reply, err := run(ctx, host, t, r, id, emit)
+	return host, reply, err
 }
 
 // targetWait bounds how long a request waits for a first target of its pool, as after the
@@ -231,9 +238,9 @@
 	targetPause = 25 * time.Millisecond
 )
 
-func (d *deskService) pickHost(ctx context.Context, r api.DeskRequest, id, tenancy string) (string, error) {
+func (d *deskService) pickHost(ctx context.Context, r api.DeskRequest, id, tenancy string, avoid []string) (string, error) {
 	request := routing.Request{
-		ID: id, Kind: routing.Desk, Tenancy: tenancy, Pool: r.Pool, Model: r.Model, Domain: d.domain,
+		ID: id, Kind: routing.Desk, Tenancy: tenancy, Pool: r.Pool, Model: r.Model, Domain: d.domain, Avoid: avoid,
 	}
 	if r.Prompt != "" {
 		request.PrefixKeys = prefixKeys(r.Prompt)
--- a/internal/host/gossip.go
+++ b/internal/host/gossip.go
@@ -51,6 +51,8 @@
 	token  []byte
 	events *kernel.Ring[hostEvent]
 	log    *slog.Logger
+	// started is called with each host that runs as a new process, or nil. It must not block.
+	started func(host string)
 
 	conn *net.UDPConn
 
@@ -175,6 +177,9 @@
 		switch {
 		case member.Host.Incarnation > old.Host.Incarnation:
 			delete(m.left, id)
+			if m.started != nil {
+				m.started(id)
+			}
 			m.report(hostEvent{host: id, upto: member.Host.Incarnation - 1})
 		case old.State.Live() && member.State == membership.Left:
 			m.left[id] = now.Add(m.drain)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -122,6 +122,7 @@
 		ProbeInterval: s.Timing.Probe,
 		Rand:          random(seed, 1),
 	}, s.ClusterToken.Reveal(), s.Timing.DrainTimeout, h.log, h.started)
+	h.members.started = h.pool.Redial
 	h.composeRequests(seed)
 	if err := h.openGroups(seed); err != nil {
 		return err
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -45,7 +45,8 @@
 	// The fields below replace the constants when positive.
 	MaxMessageBytes                  int
 	SilenceBeforeProbe, ProbeTimeout time.Duration
-	DialTimeout, MaxDialBackoff      time.Duration
+	DialTimeout                      time.Duration
+	FirstDialBackoff, MaxDialBackoff time.Duration
 }
 
 // Pool holds one connection for each peer. It implements kernel.Service; without Start,
@@ -121,7 +122,7 @@
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			MinConnectTimeout: orDuration(p.o.DialTimeout, dialTimeout),
-			Backoff: backoff.Config{BaseDelay: firstDialBackoff, Multiplier: dialBackoffFactor,
+			Backoff: backoff.Config{BaseDelay: orDuration(p.o.FirstDialBackoff, firstDialBackoff), Multiplier: dialBackoffFactor,
 				Jitter: dialBackoffJitter, MaxDelay: orDuration(p.o.MaxDialBackoff, maxDialBackoff)},
 		}),
 		// Retries are the caller's decision, because only it knows what is safe to repeat.
@@ -182,14 +183,14 @@
 	_ = c.cc.Close()
 }
 
-// Forget closes the connection to a host that has left.
-func (p *Pool) Forget(host string) {
+// Redial dials a host at once if its last dials failed. Without it, calls to a host that has
+// come back fail until the backoff of the earlier dials is over.
+func (p *Pool) Redial(host string) {
 	p.mu.Lock()
 	c := p.conns[host]
-	delete(p.conns, host)
 	p.mu.Unlock()
 	if c != nil {
-		_ = c.cc.Close()
+		c.cc.ResetConnectBackoff()
 	}
 }
 
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -170,6 +170,55 @@
 	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
 }
 
+// Guards against calls that fail although the peer is back, because the dials that failed
+// while it was away have a long backoff.
+func TestRedialEndsTheBackoff(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := &gatedListener{Listener: l}
+	s := NewServer(ServerOptions{Token: token, Log: quiet()})
+	RegisterPeerServer(s, &peerServer{senders: make(chan Sender, 16)})
+	var done sync.WaitGroup
+	done.Go(func() { _ = s.Serve(gate) })
+	t.Cleanup(func() { s.Stop(); done.Wait() })
+	p, c := pool(t, l.Addr().String(), Options{FirstDialBackoff: time.Hour, MaxDialBackoff: time.Hour})
+	_, err = c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun)
+	gate.open.Store(true)
+	_, err = c.Propose(t.Context(), &ProposeRequest{})
+	wantFailure(t, err, errs.CodeUnavailable, errs.NotRun) // the backoff is in force
+	p.Redial("e2")
+	p.Redial("unknown host")
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		if _, err = c.Propose(t.Context(), &ProposeRequest{}); err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the peer is back but its calls fail: %v", err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// gatedListener closes each connection at once until it is open.
+type gatedListener struct {
+	net.Listener
+	open atomic.Bool
+}
+
+func (g *gatedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := g.Listener.Accept()
+		if err != nil || g.open.Load() {
+			return c, err
+		}
+		_ = c.Close()
+	}
+}
+
 // Guards against a dial that gets no answer holding a call until its deadline, and against
 // calling it unknown: the listener's kernel accepts the connection but nobody speaks.
 func TestSilentDialIsNotRun(t *testing.T) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -89,7 +89,7 @@
 }
 
 // Decide decides on a failed call, or, without a failure, on hedging a running call. A granted
-// retry or hedge is taken from the budget.
+// retry or hedge is taken from the budget, unless the failed attempt reached nobody.
 func Decide(now time.Time, c Call, failure error) Decision {
 	if failure == nil {
 		return Decision{Hedge: c.hedge(now)}
@@ -100,12 +100,18 @@
 		return refuse
 	}
 	after := max(Backoff(c.Rand, c.Attempt), errs.RetryAfterOf(failure))
-	if !c.fits(now.Add(after)) || !c.Budget.Allow(now) {
+	if !c.fits(now.Add(after)) || !reachedNobody(failure) && !c.Budget.Allow(now) {
 		return refuse
 	}
 	return Decision{Retry: true, After: after}
 }
 
+// reachedNobody reports whether an attempt ended before it could load a pool. The budget keeps
+// retries from loading a slow pool further, so it does not count such attempts.
+func reachedNobody(failure error) bool {
+	return errs.CodeOf(failure) == errs.CodeUnavailable && errs.OutcomeOf(failure) == NotRun
+}
+
 func (c Call) repeatable(outcome Outcome) bool {
 	if c.Rand == nil || c.Budget == nil {
 		return false
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -96,6 +96,24 @@
 	}
 }
 
+// Guards against refusals by a host while others could serve: attempts that reached nobody load
+// no pool, and a burst of them must not use up the budget.
+func TestAttemptsThatReachedNobodyAreNotCounted(t *testing.T) {
+	b := NewBudget(0)
+	c := Call{Safe: true, Attempt: 1, Budget: b, Rand: rng()}
+	for i := range 10 * budgetFloor {
+		if !Decide(epoch, c, &errs.Unavailable{Resource: "peer e2", Reason: "connection refused"}).Retry {
+			t.Fatalf("attempt %d is not repeated", i)
+		}
+	}
+	full := &errs.Overloaded{Resource: "pool sorting"}
+	for i := range budgetFloor + 1 {
+		if got := Decide(epoch, c, full).Retry; got != (i < budgetFloor) {
+			t.Errorf("retry %d of a full pool: %v", i, got)
+		}
+	}
+}
+
 // Guards against delays outside their range.
 func TestBackoff(t *testing.T) {
 	r := rng()
--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -152,7 +152,8 @@
 }
 
 // Guards against an entry host that ignores the prompt's prefix, overloads a host for its
-// sake, stays in a full domain, or fails on empty and stale summaries.
+// sake, stays in a full domain, returns to a host that it did not reach, or fails on empty and
+// stale summaries.
 func TestPickHost(t *testing.T) {
 	summary := func(host, domain string, load int, age time.Duration) HostSummary {
 		return HostSummary{Host: host, Domain: domain, At: start.Add(-age),
@@ -188,6 +189,13 @@
 			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
 		}
 	}
+	r.Avoid = []string{home}
+	if got := pick(summary(home, "d1", 0, 0), summary("c", "d2", 9, 0)); got != "c" {
+		t.Errorf("picked %q after an attempt that did not reach %s", got, home)
+	}
+	if got := pick(summary(home, "d1", 0, 0)); got != home {
+		t.Errorf("picked %q, but only %s is known", got, home)
+	}
 	r.MinVersion = 3
 	if got := pick(summary("a", "d1", 0, 0)); got != "" {
 		t.Errorf("%s does not have the version", got)
--- a/routing/pickhost.go
+++ b/routing/pickhost.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,9 +47,20 @@
 // the prompt's prefix decides, among the hosts whose load is within a bound of the mean. When
 // all of these are full, the request spills to the less loaded of two random hosts of other
 // domains with room. Where only stale summaries name a suitable host, one of them is chosen
-// by prefix alone. It returns false when no summary names a suitable host; the caller then
-// serves the request itself or refuses it.
+// by prefix alone. A host in r.Avoid is chosen only if no other one is suitable. It returns
+// false when no summary names a suitable host; the caller then serves the request itself or
+// refuses it.
 func PickHost(now time.Time, r Request, hosts []HostSummary, random *rand.Rand) (string, bool) {
+	if len(r.Avoid) > 0 {
+		others := slices.DeleteFunc(slices.Clone(hosts), func(h HostSummary) bool { return slices.Contains(r.Avoid, h.Host) })
+		if host, ok := pickHost(now, r, others, random); ok {
+			return host, true
+		}
+	}
+	return pickHost(now, r, hosts, random)
+}
+
+func pickHost(now time.Time, r Request, hosts []HostSummary, random *rand.Rand) (string, bool) {
 	key := affinityKey(&r)
 	if i := pickOwnDomain(now, &r, hosts, key); i >= 0 {
 		return hosts[i].Host, true
--- a/routing/request.go
+++ b/routing/request.go
@@ -33,6 +33,8 @@
 	StepDeadline time.Time
 	Group        string // requests of a group share a prompt
 	Domain       string // failure domain of the entry host, used by PickHost
+	// Avoid names hosts that earlier attempts did not reach, used by PickHost.
+	Avoid []string
 }
 
 // Assignment states that a request is to be sent to a target now. A probe tests a target
