consensus: the fuzz test suspends leaders, whose first work afterwards is a read

A suspended leader must not answer a read or hold a lease after the others have elected a new one, which rests on a clock that counts the suspension.

Change: action 20 suspends a leader for 0.2 to 4 s; messages to it wait, and a read and a write are the first that it handles, before any tick.

--- a/consensus/fuzz_test.go
+++ b/consensus/fuzz_test.go
@@ -48,7 +48,6 @@
 
 // act performs one random action. The weights keep the cluster working most of the time.
 func (s *sim) act(action int) {
-	up := func(r *replica) bool { return r.node != nil }
 	switch action {
 	case 0, 1, 2:
 		s.run(time.Duration(20+s.rand.IntN(400)) * time.Millisecond)
@@ -63,14 +62,14 @@
 			s.put(r, s.rand.IntN(3))
 		}
 	case 7, 8:
-		for _, r := range s.pick(up) {
+		for _, r := range s.pick(s.runs) {
 			s.get(r, s.rand.IntN(3))
 		}
 		for _, r := range s.leading() {
 			s.get(r, s.rand.IntN(3))
 		}
 	case 9:
-		for _, r := range s.pick(up) {
+		for _, r := range s.pick(s.runs) {
 			s.stop(r)
 		}
 	case 10, 11:
@@ -97,10 +96,36 @@
 		s.loseDisk()
 	case 18, 19:
 		s.repair()
+	case 20:
+		for _, r := range s.leading() {
+			s.suspend(r)
+		}
 	}
 }
 
-const actions = 20
+const actions = 21
+
+// suspend lets a replica stand still for longer than a lease. The clients' requests that waited
+// for it are the first that it handles, before any tick. The clock of the replica counts the
+// suspension unless the fault is that it does not.
+func (s *sim) suspend(r *replica) {
+	length := time.Duration(200+s.rand.IntN(3800)) * time.Millisecond
+	r.resumes = s.now.Add(length)
+	if s.fault == "clock-stops-in-suspension" {
+		r.missed += length
+	}
+	for s.now.Add(simStep).Before(r.resumes) && s.violated == nil {
+		s.run(simStep)
+	}
+	for _, next := range s.leading() {
+		s.put(next, 0)
+	}
+	s.now = r.resumes
+	if s.runs(r) {
+		s.get(r, 0)
+		s.put(r, 1)
+	}
+}
 
 // isolate cuts a leader off in one of three ways: at once, by a link that gets slower, or
 // while it accepts writes and the others change their leader twice.
@@ -138,7 +163,7 @@
 
 func (s *sim) leading() (out []*replica) {
 	for _, r := range s.replicas {
-		if r.node != nil && r.node.Status().Role == consensus.Leader {
+		if s.runs(r) && r.node.Status().Role == consensus.Leader {
 			out = append(out, r)
 		}
 	}
@@ -225,7 +250,7 @@
 	s.loss = 0
 	for _, r := range s.replicas {
 		r.fs.FailSyncs(0)
-		r.dieNext = false
+		r.dieNext, r.resumes = false, s.now
 		if r.node == nil && !r.lost {
 			s.start(r, storage.Existing)
 		}
@@ -256,7 +281,7 @@
 }
 
 // Guards the safety of the log, leadership and leases against crashes, partitions, lost
-// disks and an unreliable network, and progress once they end.
+// disks, suspended processes and an unreliable network, and progress once they end.
 func TestClusterUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 7).Draw(t, "voters"), "")
@@ -277,7 +302,7 @@
 // Guards the checks themselves: with a safety rule disabled they must report a violation.
 func TestChecksDetectFaults(t *testing.T) {
 	const seeds, length = 400, 80
-	faults := []string{"ignore-syncs", "vote-after-loss", "partial-snapshot"}
+	faults := []string{"ignore-syncs", "vote-after-loss", "partial-snapshot", "clock-stops-in-suspension"}
 	for name := range consensus.Faults {
 		faults = append(faults, name)
 	}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -42,6 +42,10 @@
 	rate    float64
 	lost    bool // the disk was lost
 	dieNext bool // crash after the next write, before its messages are sent
+	// resumes is the end of a suspension, in which the process does nothing and what is sent to it
+	// waits. missed is the time that its clock did not count.
+	resumes time.Time
+	missed  time.Duration
 	state   map[int]int
 	sum     uint64   // of state
 	voters  []string // as last known to the node
@@ -123,9 +127,12 @@
 
 // at is the time on a replica's own clock.
 func (s *sim) at(r *replica) time.Time {
-	return s.started.Add(time.Duration(float64(s.now.Sub(s.started)) * r.rate))
+	return s.started.Add(time.Duration(float64(s.now.Sub(s.started))*r.rate) - r.missed)
 }
 
+// runs tells whether the process of a replica can do anything.
+func (s *sim) runs(r *replica) bool { return r.node != nil && !s.now.Before(r.resumes) }
+
 func (s *sim) start(r *replica, start storage.StartMode) {
 	opt := storage.Options{Group: "g", Voter: r.id, Start: start, SegmentBytes: 2048}
 	opt.NewNodeID = func() string { return fmt.Sprint(r.id, s.rand.Uint64()) }
@@ -148,7 +155,7 @@
 		s.fail("start of %s: %v", r.id, err)
 		return
 	}
-	r.log, r.node, r.dieNext = log, node, false
+	r.log, r.node, r.dieNext, r.resumes = log, node, false, s.now
 	r.writes, r.reads, r.waiting = map[uint64]write{}, map[uint64]int{}, map[int]uint64{}
 	r.voters = node.Status().Voters
 	s.restore(r, in.Snapshot)
@@ -205,7 +212,7 @@
 		s.now = s.now.Add(simStep)
 		s.deliver()
 		for _, r := range s.replicas {
-			if r.node != nil {
+			if s.runs(r) {
 				r.node.Tick(s.at(r))
 				s.work(r)
 			}
@@ -231,6 +238,10 @@
 		if r == nil || r.node == nil || s.cut[f.msg.From] != s.cut[f.msg.To] {
 			continue
 		}
+		if !s.runs(r) {
+			s.network = append(s.network, flight{r.resumes, f.msg})
+			continue
+		}
 		if err := r.node.Step(s.at(r), f.msg); err != nil {
 			s.fail("%s refused a message of %s: %v", r.id, f.msg.From, err)
 			return
@@ -354,7 +365,7 @@
 // observe checks the invariants that hold at any moment.
 func (s *sim) observe() {
 	for _, r := range s.replicas {
-		if r.node == nil {
+		if !s.runs(r) {
 			continue
 		}
 		if st := r.node.Status(); st.Role == consensus.Leader {
