mesh: a store host that watches another one becomes known to it

Two voters lost their disks (10.2.0.50, 10.3.0.49), all machines lost power. The other three voters elected a leader within a second (huehuetenango-1, term 3). Of the three seeds, two were the empty ones and the third (10.1.0.50) had been removed from the group 30 s before. The members watched the seeds, but a watch told only the watcher: no seed ever learned of the leader, and entry hosts know only seeds. They served the configuration of the removed replica (version 10 in place of 53) to the end.

Ruled out: a lost quorum (leader and runner worked on), lost state (version 53 on all voters), the dials (all store hosts were connected to all seeds within 0.4 s).

Change: who serves a watch takes in the watcher if it is a store host, watches it in turn and so learns the leader, which its own watchers learn from it.

--- a/internal/store/peerserver.go
+++ b/internal/store/peerserver.go
@@ -87,8 +87,8 @@
 }
 
 // Watch implements rpc.PeerServer.
-func (p peerServer) Watch(_ *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
-	return mesh.Serve(p.st.view, stream, p.st)
+func (p peerServer) Watch(r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
+	return mesh.Serve(p.st.view, r, stream, p.st)
 }
 
 // Describe implements mesh.Source. Only the leader knows which store hosts live.
