roles: a trace span for each hop

The request at an entry host, each attempt at a target, the calls between hosts and each run of an item get a span. Without an exporter a tracer that does nothing is used, so that the hosts pay no processor time or memory for it; targets get no trace context, because headers go through unchanged.

--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -35,13 +35,20 @@
 	engineIdle = 3 * time.Second
 )
 
+// roleFlags are the flags of every role.
+type roleFlags struct {
+	Settings      string            `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
+	TraceExporter settings.Exporter `enum:"none,stdout,otlp" default:"none" help:"Where spans go: ${enum}. With stdout they are written to standard error, because standard output has the log."`
+	TraceEndpoint string            `help:"IP:port of the OTLP gRPC collector."`
+}
+
 type entryCommand struct {
-	Settings string `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
+	roleFlags
 }
 
 type storeCommand struct {
-	Settings       string `type:"existingfile" help:"Settings file of the platform; by default the one that the environment names."`
-	PeerListenPort int    `help:"Port on which to listen for other hosts, if it is not the one that they call, because a proxy or an address translation stands between."`
+	roleFlags
+	PeerListenPort int `help:"Port on which to listen for other hosts, if it is not the one that they call, because a proxy or an address translation stands between."`
 }
 
 // roleHost is a host of one role.
@@ -54,26 +61,28 @@
 
 // Run serves callers until the process is told to stop.
 func (c *entryCommand) Run() error {
-	return runRole("entry", c.Settings, func(s *settings.Role, log *slog.Logger, m *observe.Metrics) (roleHost, error) {
-		return entry.New(entry.Options{Settings: s, Headers: platform.Headers, Front: platform.Front, Ready: platform.Ready, Log: log, Metrics: m})
+	return runRole("entry", c.roleFlags, func(s *settings.Role, log *slog.Logger, m *observe.Metrics, t *observe.Tracing) (roleHost, error) {
+		return entry.New(entry.Options{Settings: s, Headers: platform.Headers, Front: platform.Front, Ready: platform.Ready, Log: log, Metrics: m,
+			Tracing: t})
 	})
 }
 
 // Run keeps the state until the process is told to stop.
 func (c *storeCommand) Run() error {
-	return runRole("store", c.Settings, func(s *settings.Role, log *slog.Logger, m *observe.Metrics) (roleHost, error) {
+	return runRole("store", c.roleFlags, func(s *settings.Role, log *slog.Logger, m *observe.Metrics, t *observe.Tracing) (roleHost, error) {
 		if s.DataDir == "" {
 			return nil, &errs.Invalid{Path: "$.data_dir", Want: "a folder", Got: "none"}
 		}
 		s.PeerListenPort = c.PeerListenPort
 		client := &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdle, MaxIdleConnsPerHost: 1}}
 		return store.New(store.Options{Settings: s, Headers: platform.Headers, Calls: platform.Engine{Client: client}, Control: platform.Control,
-			Log: log, Metrics: m, FS: storage.OS{}})
+			Log: log, Metrics: m, Tracing: t, FS: storage.OS{}})
 	})
 }
 
 // runRole runs a host until SIGTERM, SIGINT or a failure.
-func runRole(role, path string, open func(*settings.Role, *slog.Logger, *observe.Metrics) (roleHost, error)) error {
+func runRole(role string, flags roleFlags, open func(*settings.Role, *slog.Logger, *observe.Metrics, *observe.Tracing) (roleHost, error)) error {
+	path := flags.Settings
 	if path == "" {
 		path = platform.SettingsPath()
 	}
@@ -87,7 +96,11 @@
 	log := observe.NewLogger(out, s.Log.Level, s.Host).With("role", role)
 	metrics := observe.NewMetrics()
 	metrics.GaugeFunc("log_lines_dropped", "Log lines that were dropped since the start.", func() float64 { return float64(out.Dropped()) })
-	host, err := open(s, log, metrics)
+	tracing, err := roleTracing(flags, s, log)
+	if err != nil {
+		return err
+	}
+	host, err := open(s, log, metrics, tracing)
 	if err != nil {
 		log.Error("host cannot start", "error", err)
 		return err
@@ -110,6 +123,17 @@
 	return nil
 }
 
+// roleTracing makes no spans unless they have somewhere to go: these hosts pay for processor time
+// and memory.
+func roleTracing(flags roleFlags, s *settings.Role, log *slog.Logger) (*observe.Tracing, error) {
+	if flags.TraceExporter == settings.ExporterNone {
+		return observe.NoTracing(), nil
+	}
+	observe.LogExportErrors(log)
+	return observe.NewTracing(context.Background(), settings.Trace{Exporter: flags.TraceExporter, Endpoint: flags.TraceEndpoint},
+		s.Host, s.FailureDomain, os.Stderr)
+}
+
 // limitMemory sets up the garbage collector for a process that is killed at a limit.
 func limitMemory(s *settings.Role) {
 	debug.SetGCPercent(gcPercent)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	Ready   func(*Entry) http.Handler
 	Log     *slog.Logger
 	Metrics *observe.Metrics
+	Tracing *observe.Tracing
 }
 
 // Entry is one entry host.
@@ -78,10 +79,10 @@
 func New(o Options) (*Entry, error) {
 	s := o.Settings
 	e := &Entry{o: o, kernel: kernel.New(o.Log), view: mesh.NewView(o.Log, s.Seeds)}
-	e.pool = rolehost.NewPool(s, s.IP, o.Log)
+	e.pool = rolehost.NewPool(s, s.IP, o.Log, o.Tracing)
 	peer := func(host string) (rpc.PeerClient, error) { return e.pool.Peer(mesh.IPOf(host)) }
 	e.calls = statecall.New(e.view, s.IP, nil, peer)
-	e.forwarder = forward.New(o.Headers, e.view, s.FailureDomain, o.Log, o.Metrics)
+	e.forwarder = forward.New(o.Headers, e.view, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	rolehost.ViewMetrics(o.Metrics, e.view)
 	services := []struct {
 		name    string
@@ -89,6 +90,7 @@
 	}{
 		{"peers", e.pool},
 		{"watch", &mesh.Watcher{View: e.view, Self: s.IP, Peer: peer, Log: o.Log}},
+		{"trace", o.Tracing},
 		{"metrics", rolehost.Metrics(s.Listen.Metrics, o.Metrics)},
 		{"http", httpService{e}},
 	}
@@ -232,7 +234,7 @@
 // Start implements kernel.Service.
 func (h httpService) Start(_ context.Context, k *kernel.Kernel) error {
 	e := h.e
-	e.front, e.ready = rolehost.HTTPServer(e.o.Front(e)), rolehost.HTTPServer(e.o.Ready(e))
+	e.front, e.ready = rolehost.HTTPServer(e.o.Tracing.Middleware(e.o.Front(e))), rolehost.HTTPServer(e.o.Ready(e))
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -16,6 +16,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/observe"
 )
 
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
@@ -90,8 +91,13 @@
 		c.attempts++
 		c.sent++ // until the target says that it did not run it
 		pending++
-		attemptCtx, cancel := context.WithCancel(ctx)
-		go func() { results <- c.attempt(attemptCtx, cancel, cand) }()
+		attemptCtx, span := c.span(ctx, cand.ID)
+		attemptCtx, cancel := context.WithCancel(attemptCtx)
+		go func() {
+			res := c.attempt(attemptCtx, cancel, cand)
+			observe.End(span, res.err)
+			results <- res
+		}()
 	}
 	start := func() bool {
 		cand, ok := c.pick()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,9 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"fuchsiaflow/balance"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/dialect"
@@ -67,6 +70,7 @@
 	pool    *httpconn.Pool
 	log     *slog.Logger
 	metrics *metrics
+	tracing *observe.Tracing
 	started time.Time
 
 	mu       sync.Mutex
@@ -74,9 +78,9 @@
 }
 
 // New returns a forwarder of a host in a failure domain.
-func New(h dialect.Headers, view *mesh.View, domain string, log *slog.Logger, m *observe.Metrics) *Forwarder {
+func New(h dialect.Headers, view *mesh.View, domain string, log *slog.Logger, m *observe.Metrics, tracing *observe.Tracing) *Forwarder {
 	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(domain),
-		started: bootclock.Now()}
+		tracing: tracing, started: bootclock.Now()}
 	f.metrics = newMetrics(m, f.pool)
 	return f
 }
@@ -201,6 +205,12 @@
 	return defaultObjective
 }
 
+// span starts the span of an attempt.
+func (c *call) span(ctx context.Context, target string) (context.Context, trace.Span) {
+	return c.f.tracing.ClientSpan(ctx, "forward request", attribute.String("request", c.id), attribute.String("route", c.route.Name),
+		attribute.String("target", target), attribute.Int("attempt", c.attempts))
+}
+
 // request builds the request for a target.
 func (c *call) request(target string) *httpconn.Request {
 	h := passOn(c.r.Header)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -68,7 +68,7 @@
 		t.Cleanup(s.Close)
 		view.Hear(fleet.Target{ID: string(rune('a' + i)), Service: "s", Address: s.Listener.Addr().String(), Domain: "d", State: fleet.Ready, Slots: 6, Sequence: 1})
 	}
-	return New(headers, view, "d", log, observe.NewMetrics()), runs
+	return New(headers, view, "d", log, observe.NewMetrics(), observe.NoTracing()), runs
 }
 
 func route(kind routes.Kind, attempts int) *routes.Route {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,10 +7,13 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"fuchsiaflow/balance"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/sse"
 )
 
@@ -20,6 +23,7 @@
 	last    uint64 // id of the last event passed on
 	started bool   // the head is out
 	target  string
+	hop     trace.Span // of the attempt that goes on
 }
 
 // stream forwards a series of events as they arrive. Where the route is resumable, a stream that
@@ -67,6 +71,7 @@
 // attempt runs the stream at one target. It returns true when the request is finished.
 func (s *eventStream) attempt(ctx context.Context, cand balance.Candidate) bool {
 	begin := bootclock.Now()
+	ctx, s.hop = s.span(ctx, cand.ID)
 	req := s.request(cand.ID)
 	if s.last > 0 {
 		req.Header.Set(s.f.headers.LastEventID, strconv.FormatUint(s.last, 10))
@@ -174,6 +179,7 @@
 
 // over reports the end of an attempt.
 func (s *eventStream) over(cand balance.Candidate, o balance.Outcome, begin time.Time, err error) {
+	observe.End(s.hop, err)
 	took := bootclock.Now().Sub(begin)
 	s.finished(cand.ID, o, took)
 	if o != balance.OK {
--- a/internal/observe/trace.go
+++ b/internal/observe/trace.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/grpc/metadata"
 
 	"fuchsiaflow/errs"
@@ -37,7 +38,13 @@
 var propagator = propagation.TraceContext{}
 
 // Tracing is the tracer provider of one host. It implements kernel.Service.
-type Tracing struct{ provider *sdktrace.TracerProvider }
+type Tracing struct {
+	provider trace.TracerProvider
+	shutdown func(context.Context) error // nil without spans
+}
+
+// NoTracing makes no spans and passes no trace context on, at no cost.
+func NoTracing() *Tracing { return &Tracing{provider: noop.NewTracerProvider()} }
 
 // NewTracing returns a tracer provider. Spans go to w with the exporter stdout. With the
 // exporter none, spans are not exported, but the trace context is still passed on.
@@ -56,7 +63,8 @@
 	} else {
 		opts = append(opts, sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.NeverSample())))
 	}
-	return &Tracing{sdktrace.NewTracerProvider(opts...)}, nil
+	provider := sdktrace.NewTracerProvider(opts...)
+	return &Tracing{provider: provider, shutdown: provider.Shutdown}, nil
 }
 
 func newExporter(ctx context.Context, o settings.Trace, w io.Writer) (sdktrace.SpanExporter, error) {
@@ -87,9 +95,12 @@
 // Stop implements kernel.Service. It exports the spans that are queued; a collector that
 // cannot be reached does not make the stop of a host fail.
 func (t *Tracing) Stop(ctx context.Context) error {
+	if t.shutdown == nil {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	_ = t.provider.Shutdown(ctx)
+	_ = t.shutdown(ctx)
 	return nil
 }
 
@@ -115,6 +126,9 @@
 // Middleware continues the trace of each HTTP request with a span. The span is named after
 // the pattern that matched and not after the path, which contains ids.
 func (t *Tracing) Middleware(next http.Handler) http.Handler {
+	if t.shutdown == nil {
+		return next
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := t.provider.Tracer(tracerName).Start(ctx, "HTTP "+r.Method, trace.WithSpanKind(trace.SpanKindServer))
--- a/internal/rolehost/rolehost.go
+++ b/internal/rolehost/rolehost.go
@@ -46,20 +46,20 @@
 )
 
 // NewPool returns the client pool of a host.
-func NewPool(s *settings.Role, self string, log *slog.Logger) *rpc.Pool {
+func NewPool(s *settings.Role, self string, log *slog.Logger, tracing *observe.Tracing) *rpc.Pool {
 	incarnation := rand.Uint64()
 	return rpc.NewPool(rpc.Options{
 		Self:    func() rpc.Sender { return rpc.Sender{Host: self, Incarnation: incarnation} },
 		Token:   peerToken,
 		Address: func(host string) (string, bool) { return mesh.Address(host, s.PeerPort), true },
 		Log:     log, MaxMessageBytes: maxMessageBytes, SilenceBeforeProbe: silenceBeforeProbe, ProbeTimeout: probeTimeout,
-		DialTimeout: dialTimeout, MaxDialBackoff: maxDialBackoff,
+		DialTimeout: dialTimeout, MaxDialBackoff: maxDialBackoff, TracerProvider: tracing.Provider(),
 	})
 }
 
 // NewServer returns the gRPC server of a host.
-func NewServer(log *slog.Logger) *grpc.Server {
-	return rpc.NewServer(rpc.ServerOptions{Token: peerToken, Log: log, MaxMessageBytes: maxMessageBytes})
+func NewServer(log *slog.Logger, tracing *observe.Tracing) *grpc.Server {
+	return rpc.NewServer(rpc.ServerOptions{Token: peerToken, Log: log, MaxMessageBytes: maxMessageBytes, TracerProvider: tracing.Provider()})
 }
 
 // HTTPServer returns a server for a handler.
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -11,10 +11,13 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/sse"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
@@ -117,7 +120,10 @@
 	r.runs[key] = rn
 	term, from := r.term, p.events
 	r.kern.Go("runner/run", func(context.Context) error {
+		ctx, span := r.o.Tracing.ClientSpan(ctx, "run item", attribute.String("job", key.Job), attribute.String("item", key.Item),
+			attribute.String("target", t.ID))
 		e := x.run(ctx)
+		observe.End(span, e.err)
 		cancel()
 		r.post(term, func(now time.Time) { r.over(now, rn, x, e, from) })
 		return nil
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,6 +60,7 @@
 	KeepResults time.Duration
 	Log         *slog.Logger
 	Metrics     *observe.Metrics
+	Tracing     *observe.Tracing
 }
 
 // Runner is the duty. It implements kernel.Service.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -54,6 +54,7 @@
 	Control func(*Control) http.Handler
 	Log     *slog.Logger
 	Metrics *observe.Metrics
+	Tracing *observe.Tracing
 	FS      storage.FS
 }
 
@@ -92,11 +93,11 @@
 	if err != nil {
 		return nil, err
 	}
-	st.pool = rolehost.NewPool(s, st.disk.ID, o.Log)
+	st.pool = rolehost.NewPool(s, st.disk.ID, o.Log, o.Tracing)
 	st.calls = statecall.New(st.view, s.IP, st, st.peer)
-	st.grpc = rolehost.NewServer(o.Log)
+	st.grpc = rolehost.NewServer(o.Log, o.Tracing)
 	run := runner.New(runner.Options{Group: st.group, Machine: st.machine, View: st.view, Calls: o.Calls, Headers: o.Headers, Holder: st.disk.ID,
-		OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics})
+		OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
 		name    string
 		service any
@@ -109,6 +110,7 @@
 		{"keeper", &keeper{st: st}},
 		{"runner", run},
 		{"control", controlService{st}},
+		{"trace", o.Tracing},
 		{"metrics", rolehost.Metrics(s.Listen.Metrics, o.Metrics)},
 	}
 	for _, v := range services {
