entry: a route is denied only by a host that has heard of a leader

After the last fault the entry hosts had the configuration of a replica that had left the group (version 10 of 53) and no leader, and answered 404 for routes that exist.

Change: without news of a leader since the start of the host, a request without a route gets 503 and a time to come back, which is true: it has not run, and the host cannot know.

Test: TestRoutesAreDeniedOnlyOnceALeaderIsKnown; without the change it got 404.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,6 +154,16 @@
 	return nil, &errs.Overloaded{Resource: "host without a configuration", After: noConfigPause}
 }
 
+// NoRoute returns the failure of a request that no route matches. A host that has not heard of a
+// leader since its start cannot know whether its configuration is the newest: it came from a store
+// host that may have left the group long ago.
+func (e *Entry) NoRoute(host, path string) error {
+	if !e.view.HeardLeader() {
+		return &errs.Overloaded{Resource: "host without a confirmed configuration", After: noConfigPause}
+	}
+	return &errs.NotFound{Kind: "route for", ID: host + path}
+}
+
 // Refused logs a request that is answered before a route is known for it.
 func (e *Entry) Refused(id, host, path string, err error) {
 	version := uint64(0)
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"log/slog"
+	"net/http"
+	"testing"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/routes"
+)
+
+// Guards against a 404 for a route that exists: after the loss of all power, entry hosts got an old
+// configuration from a store host that had left the group, and knew no leader.
+func TestRoutesAreDeniedOnlyOnceALeaderIsKnown(t *testing.T) {
+	handler := func(*Entry) http.Handler { return http.NotFoundHandler() }
+	e, err := New(Options{Settings: &settings.Role{Host: "e1", FailureDomain: "d", IP: "10.0.0.9", Seeds: []string{"10.0.0.1"}},
+		Headers: dialect.Headers{}, Front: handler, Ready: handler, Log: slog.New(slog.DiscardHandler), Metrics: observe.NewMetrics(),
+		Tracing: observe.NoTracing()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := mesh.Store{ID: "10.0.0.1~first"}
+	e.view.Merge(&mesh.Event{From: old, Config: &mesh.Config{Version: 10, Body: mesh.Encode(routes.Config{Version: 10})}})
+	if err := e.NoRoute("h", "/x/"); errs.CodeOf(err) != errs.CodeOverloaded || errs.RetryAfterOf(err) <= 0 || errs.OutcomeOf(err) != errs.NotRun {
+		t.Errorf("without a leader: %v", err)
+	}
+	e.view.Merge(&mesh.Event{From: old, Leader: "10.0.0.2~x", Term: 3})
+	if err := e.NoRoute("h", "/x/"); errs.CodeOf(err) != errs.CodeNotFound {
+		t.Errorf("with a leader: %v", err)
+	}
+}
--- a/internal/mesh/view.go
+++ b/internal/mesh/view.go
@@ -257,6 +257,14 @@
 	return bootclock.Now().Sub(v.led)
 }
 
+// HeardLeader tells whether a store host has said since the start of this host that it knows a
+// leader.
+func (v *View) HeardLeader() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.led.IsZero()
+}
+
 // MajorityAge returns the time since more than half of the voters of the state group were last
 // heard. A host that hears fewer is cut off from the others, while one that hears most of them
 // may see the next leader soon.
