--- a/internal/rolehost/rolehost_test.go
+++ b/internal/rolehost/rolehost_test.go
@@ -13,6 +13,7 @@
 
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/mesh"
+	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/settings"
 	"fuchsiaflow/routes"
@@ -39,8 +40,8 @@
 	view *mesh.View
 }
 
-func (w watchServer) Watch(_ *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
-	return mesh.Serve(w.view, stream, w)
+func (w watchServer) Watch(r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
+	return mesh.Serve(w.view, r, stream, w)
 }
 
 func (watchServer) Describe(*mesh.Event)  {}
@@ -56,14 +57,14 @@
 	}
 	source := mesh.NewView(log, nil)
 	source.OfferConfig(mesh.Config{Version: 1, Body: mesh.Encode(routes.Config{Version: 1})}, "test")
-	server := NewServer(log)
+	server := NewServer(log, observe.NoTracing())
 	rpc.RegisterPeerServer(server, watchServer{view: source})
 	go func() { _ = server.Serve(&firstSilent{Listener: l}) }()
 	t.Cleanup(server.Stop)
 
 	port := l.Addr().(*net.TCPAddr).Port
 	s := &settings.Role{Host: "h", IP: "127.0.0.2", PeerPort: port}
-	pool := NewPool(s, s.IP, log)
+	pool := NewPool(s, s.IP, log, observe.NoTracing())
 	view := mesh.NewView(log, []string{"127.0.0.1"})
 	k := kernel.New(log)
 	for name, service := range map[string]any{"peers": pool, "watch": &mesh.Watcher{View: view, Self: s.IP, Peer: pool.Peer, Log: log}} {
