mesh: events of a watch leave out what is the same as before

The aim is 5 KB a second a host for control.

Change: an event that differs in none of these says only so; the watcher completes it from the event before.

Ruled out as the rest of the bytes: pings. Texts to followers and readers are the larger part.

Test: TestEventsLeaveOutWhatIsTheSame (a ping had over 1,000 bytes in it).

--- a/internal/mesh/event.go
+++ b/internal/mesh/event.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -53,11 +54,35 @@
 	Voters []string `cbor:"7,keyasint,omitempty"`
 	// Stores are the live store hosts; only the leader knows them all.
 	Stores []Store `cbor:"4,keyasint,omitempty"`
+	// Same tells that From, Leader, Term, Voters and Stores are those of the event before in the
+	// stream, and left out: most events only show that the sender lives.
+	Same bool `cbor:"8,keyasint,omitempty"`
 	// Config is set when it is newer than what the sender sent before.
 	Config  *Config        `cbor:"5,keyasint,omitempty"`
 	Targets []fleet.Target `cbor:"6,keyasint,omitempty"`
 }
 
+// shorten leaves out what is the same as in the event before.
+func (e *Event) shorten(before *Event) Event {
+	if e.From != before.From || e.Leader != before.Leader || e.Term != before.Term || !slices.Equal(e.Voters, before.Voters) ||
+		!slices.Equal(e.Stores, before.Stores) {
+		return *e
+	}
+	return Event{Same: true, Config: e.Config, Targets: e.Targets}
+}
+
+// standing returns the part of the event that later events may leave out.
+func (e *Event) standing() Event {
+	return Event{From: e.From, Leader: e.Leader, Term: e.Term, Voters: e.Voters, Stores: e.Stores}
+}
+
+// complete fills in what shorten has left out.
+func (e *Event) complete(before *Event) {
+	if e.Same {
+		e.Same, e.From, e.Leader, e.Term, e.Voters, e.Stores = false, before.From, before.Leader, before.Term, before.Voters, before.Stores
+	}
+}
+
 // Config is a routing configuration that is committed.
 type Config struct {
 	Version uint64 `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/mesh/event_test.go
@@ -0,0 +1,43 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"fuchsiaflow/fleet"
+)
+
+// Guards against pings that repeat who votes and who lives to every host twice a second, and against
+// a receiver that loses what was left out.
+func TestEventsLeaveOutWhatIsTheSame(t *testing.T) {
+	const maxPing = 16 // bytes
+	first := Event{Leader: "10.0.0.1~first", Term: 4}
+	for i := range 11 {
+		s := Store{ID: ReplicaID(fmt.Sprintf("10.0.0.%d", i), "0123456789ab"), Host: fmt.Sprint("storage-", i), Domain: "d"}
+		first.From, first.Stores = s, append(first.Stores, s)
+		first.Voters = append(first.Voters, s.ID)
+	}
+	ping, news, elected := first, first, first
+	news.Targets = []fleet.Target{{ID: "t"}}
+	news.Config = &Config{Version: 3}
+	elected.Term++
+	var sent, received Event
+	for i, e := range []Event{first, ping, news, elected, ping} {
+		data := Encode(e.shorten(&sent))
+		sent = e.standing()
+		if i == 1 && len(data) > maxPing {
+			t.Errorf("a ping has %d bytes", len(data))
+		}
+		got, err := Decode[Event]("event", data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got.complete(&received)
+		received = got.standing()
+		if diff := cmp.Diff(e, got); diff != "" {
+			t.Errorf("event %d: %s", i, diff)
+		}
+	}
+}
--- a/internal/mesh/watch.go
+++ b/internal/mesh/watch.go
@@ -107,6 +107,7 @@
 	if err != nil {
 		return 0, err
 	}
+	var before Event
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -117,6 +118,8 @@
 		if err != nil {
 			return events, err
 		}
+		e.complete(&before)
+		before = e.standing()
 		events++
 		onEvent()
 		w.View.Merge(&e)
@@ -139,6 +142,7 @@
 		v.SeeStore(Store{ID: sender.Host})
 	}
 	var revision, version uint64
+	var before Event
 	for {
 		changed := v.Changed()
 		e := Event{Config: v.ConfigAfter(version)}
@@ -148,9 +152,10 @@
 		if e.Config != nil {
 			version = e.Config.Version
 		}
-		if err := stream.Send(&rpc.WatchEvent{Event: Encode(e)}); err != nil {
+		if err := stream.Send(&rpc.WatchEvent{Event: Encode(e.shorten(&before))}); err != nil {
 			return err
 		}
+		before = e.standing()
 		select {
 		case <-stream.Context().Done():
 			return nil
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,7 +56,7 @@
 	return !known
 }
 
-// live lists the hosts that were heard of recently.
+// live lists the hosts that were heard of recently, in a stable order.
 func (p *presence) live() []mesh.Store {
 	now := bootclock.Now()
 	p.mu.Lock()
@@ -66,6 +67,7 @@
 			list = append(list, s.Store)
 		}
 	}
+	slices.SortFunc(list, func(a, b mesh.Store) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
