schedule: a text whose version is gone is begun anew, and runs move only to their version

Moves did not look at the version of the run, because a running task carries none.

Ruled out: lack of slots (waiting 1, running 0 to 15 of 108), the move itself (the target was chosen while its weights fitted MinVersion).

Change: a run with one version moves only to an engine with the version of its own. A waiting text whose version no usable engine has or loads is given up; its item starts from the beginning.

Tests: TestTextOfAVersionThatIsGoneIsGivenUp and TestRunsMoveOnlyToTheirVersion fail without the change; TestRunStartsAnewWhenItsVersionIsGone.

--- a/internal/runner/intake.go
+++ b/internal/runner/intake.go
@@ -143,7 +143,7 @@
 			lost = append(lost, key)
 			continue
 		}
-		t := schedule.Task{Job: j.ID, Item: id, Service: service, Model: j.Model, MinVersion: j.MinVersion, Group: it.Group,
+		t := schedule.Task{Job: j.ID, Item: id, Service: service, Model: j.Model, MinVersion: j.MinVersion, SingleVersion: j.SingleVersion, Group: it.Group,
 			Carried: r.known[id], Size: it.Hint, Prompt: it.Prompt, Deadline: j.deadline}
 		if t.Carried {
 			carried++
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -78,6 +78,15 @@
 	return p
 }
 
+// textFor returns the text that a run goes on from; an empty one when it starts from the beginning.
+func (r *Runner) textFor(j *openJob, t *schedule.Task) *partial {
+	p := r.usablePartial(j, t.Item)
+	if p == nil || p.only(j) != t.OnlyVersion {
+		return &partial{}
+	}
+	return p
+}
+
 // run is one item at one engine.
 type run struct {
 	key     schedule.Key
@@ -107,10 +116,7 @@
 		r.sched.Abandon(key)
 		return
 	}
-	p := r.usablePartial(j, key.Item)
-	if p == nil {
-		p = &partial{}
-	}
+	p := r.textFor(j, &a.Task)
 	delete(r.partials, key.Item)
 	r.metrics.wait.Observe(now.Sub(j.items[key.Item].since).Seconds())
 	ctx, cancel := context.WithCancel(r.ctx)
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("%+v after %s", e, time.Since(begin))
 	}
 }
+
+// Guards against a text of two versions where one must make it all: an assignment without a version
+// starts from the beginning, though there is a stored text.
+func TestRunStartsAnewWhenItsVersionIsGone(t *testing.T) {
+	stored := &partial{text: []byte("e1"), last: 1, events: 1, versions: []uint64{4}}
+	r := &Runner{partials: map[string]*partial{"item": stored}}
+	for _, c := range []struct {
+		single bool
+		only   uint64
+		resume bool
+	}{{true, 4, true}, {true, 0, false}, {false, 0, true}} {
+		j := &openJob{Job: &jobs.Job{ID: "j", SingleVersion: c.single}}
+		got := r.textFor(j, &schedule.Task{Job: "j", Item: "item", SingleVersion: c.single, OnlyVersion: c.only})
+		if resumed := got == stored; resumed != c.resume || !resumed && got.events > 0 {
+			t.Errorf("%+v: goes on from %d events", c, got.events)
+		}
+	}
+}
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -81,19 +81,24 @@
 
 // fits tells whether the weights of the engine allow the task now.
 func (e *engine) fits(now time.Time, t *Task) bool {
-	version := e.weights[t.Model]
-	if e.loading != nil && e.loading.model == t.Model {
-		if e.loading.trial != nil || now.Before(e.loading.nextTrial) {
-			return false
-		}
-		version = e.loading.version
+	if e.loading != nil && e.loading.model == t.Model && (e.loading.trial != nil || now.Before(e.loading.nextTrial)) {
+		return false
 	}
+	version := e.version(t.Model)
 	if t.OnlyVersion > 0 && version != t.OnlyVersion {
 		return false
 	}
 	return t.Model == "" || version >= t.MinVersion
 }
 
+// version returns the version of a model that the engine has or loads.
+func (e *engine) version(model string) uint64 {
+	if e.loading != nil && e.loading.model == model {
+		return e.loading.version
+	}
+	return e.weights[model]
+}
+
 // expected scores how long the task would take; lower is better.
 func (e *engine) expected(now time.Time, t *Task, typical float64) float64 {
 	score := 1 + spreadGain*e.occupancy(1)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -41,7 +41,10 @@
 	Model     string
 	// MinVersion is the oldest weight version that may run the item.
 	MinVersion uint64
-	// OnlyVersion is set when the text so far was made by this version and must stay so.
+	// SingleVersion is set when one version must make the whole text.
+	SingleVersion bool
+	// OnlyVersion is the version that made the text so far of a task with SingleVersion. An
+	// assignment without it asks for a run from the beginning.
 	OnlyVersion uint64
 	Group       string
 	// Carried items belong to groups of an earlier job that the client asks for again and waits for
@@ -218,6 +221,10 @@
 				break
 			}
 			e := s.place(now, t, free)
+			if e == nil && t.OnlyVersion > 0 && !s.serves(t) {
+				t.OnlyVersion = 0 // the text so far can never be finished
+				e = s.place(now, t, free)
+			}
 			if e == nil {
 				left = append(left, t)
 				continue
@@ -281,6 +288,14 @@
 	return best
 }
 
+// serves tells whether an engine has the version that made the text so far of the task, though it
+// may be full for now.
+func (s *Scheduler) serves(t *Task) bool {
+	return slices.ContainsFunc(s.sorted(), func(e *engine) bool {
+		return e.Service == t.Service && !e.draining && !e.lost() && e.version(t.Model) == t.OnlyVersion
+	})
+}
+
 // sorted lists the engines in the order of their ids. The caller must not change the list.
 func (s *Scheduler) sorted() []*engine {
 	if s.list == nil {
@@ -313,7 +328,11 @@
 			if r.moving || !r.engine.speed.known(now) {
 				continue
 			}
-			to := s.place(now, r.task, s.sorted())
+			task := *r.task
+			if task.SingleVersion {
+				task.OnlyVersion = r.engine.weights[task.Model] // made the text that moves along
+			}
+			to := s.place(now, &task, s.sorted())
 			if to == nil || to == r.engine || to.free()-taken[to.ID] <= 0 {
 				continue
 			}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -86,6 +86,75 @@
 	}
 }
 
+// Guards against an item that waits for ever: its text was begun under a version that must also
+// end it, and every engine has loaded a newer one since. It starts from the beginning then, but
+// not while an engine with the version is only full.
+func TestTextOfAVersionThatIsGoneIsGivenUp(t *testing.T) {
+	s := New()
+	list := engines(2, "a")
+	s.SetEngines(list)
+	tasks := newTasks("j", "a", 1, 500)[:1]
+	tasks[0].SingleVersion = true
+	s.AddJob("j", tasks)
+	s.AddJob("full", newTasks("full", "a", 6, 500))
+	key := tasks[0].Key()
+	first := s.Next(start)[0]
+	if first.Task.Key() != key {
+		t.Fatalf("%v starts first", first.Task.Key())
+	}
+	s.Done(start, key, Stopped, 300, 1)
+	s.Loaded(start, other(first.Engine, list), "a", 2)
+	if got := next(s, start, key); got == nil || got.Engine != first.Engine || got.Task.OnlyVersion != 1 {
+		t.Fatalf("with an engine of version 1: %+v", got)
+	}
+	s.Done(start, key, Stopped, 300, 1)
+	s.Loaded(start, first.Engine, "a", 2)
+	if got := next(s, start, key); got == nil || got.Task.OnlyVersion != 0 {
+		t.Errorf("without an engine of version 1: %+v", got)
+	}
+}
+
+// Guards against a run that is moved to an engine that cannot end its text.
+func TestRunsMoveOnlyToTheirVersion(t *testing.T) {
+	s := New()
+	list := engines(2, "a")
+	s.SetEngines(list)
+	tasks := newTasks("j", "a", 1, 500)[:1]
+	tasks[0].SingleVersion = true
+	s.AddJob("j", tasks)
+	run := s.Next(start)[0]
+	target := other(run.Engine, list)
+	s.Loaded(start, target, "a", 2)
+	for range 5 {
+		s.Measure(start, []Speed{{Engine: run.Engine, Gap: 200 * time.Millisecond}, {Engine: target, Gap: 20 * time.Millisecond}})
+	}
+	if moves := s.Moves(start); len(moves) > 0 {
+		t.Errorf("moved from version 1 to version 2: %v", moves)
+	}
+	s.Loaded(start, run.Engine, "a", 2) // both have the same version again
+	if moves := s.Moves(start); len(moves) != 1 {
+		t.Errorf("moves between engines of one version: %v, want one", moves)
+	}
+}
+
+// other returns the engine of two that is not named.
+func other(engine string, list []Engine) string {
+	if list[0].ID == engine {
+		return list[1].ID
+	}
+	return list[0].ID
+}
+
+// next returns the assignment of a task, if it starts now.
+func next(s *Scheduler, now time.Time, key Key) *Assignment {
+	for _, a := range s.Next(now) {
+		if a.Task.Key() == key {
+			return &a
+		}
+	}
+	return nil
+}
+
 // Guards against a model that stops because the engines meant for it cannot be reached, while
 // other engines work.
 func TestLostEnginesAreReplaced(t *testing.T) {
