schedule: engines that waiting items cannot use load first

Two engines of a model that nothing waited for were idle and loaded first; 60 items of another model waited from 24.1 to 28.0 s with 24 free slots of engines whose version their step does not allow.

Change: among the engines that are behind, those whose version the waiting items of their model do not allow come first, then the idle ones as before.

Test: TestEnginesThatItemsWaitForLoadFirst fails without the change.

--- a/schedule/loads.go
+++ b/schedule/loads.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -52,9 +53,10 @@
 	Version uint64
 }
 
-// Loads picks the engines that load a newer version now: those that are behind the named
-// version of the model they are meant for, the idle ones first, a few at a time. The caller
-// reports each order with Ordered.
+// Loads picks the engines that load a newer version now, a few at a time: those that are behind
+// the named version of the model they are meant for. Engines that waiting items of their model
+// cannot use come first, since every other load holds these items up; then the idle ones. The
+// caller reports each order with Ordered.
 func (s *Scheduler) Loads(now time.Time, named map[string]uint64) []Load {
 	s.expireLoads(now)
 	loading := make(map[string]int)
@@ -68,7 +70,14 @@
 			behind = append(behind, e)
 		}
 	}
-	slices.SortStableFunc(behind, func(a, b *engine) int { return len(a.runs) - len(b.runs) })
+	wanted := s.wanted()
+	blocked := func(e *engine) int {
+		if wanted[e.model] > e.weights[e.model] {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(behind, func(a, b *engine) int { return cmp.Or(blocked(b)-blocked(a), len(a.runs)-len(b.runs)) })
 	var out []Load
 	for _, e := range behind {
 		if loading[e.Service] >= s.concurrent(e.Service) {
@@ -82,6 +91,17 @@
 	return out
 }
 
+// wanted returns the oldest version of each model that may run all its waiting items.
+func (s *Scheduler) wanted() map[string]uint64 {
+	wanted := make(map[string]uint64)
+	for _, j := range s.jobs {
+		for _, t := range j.waiting {
+			wanted[t.Model] = max(wanted[t.Model], t.MinVersion)
+		}
+	}
+	return wanted
+}
+
 func (s *Scheduler) concurrent(service string) int {
 	n := 0
 	for _, e := range s.engines {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -137,6 +137,32 @@
 	}
 }
 
+// Guards against items that wait while the engines of other models, which nothing waits for, load
+// their weights first. It happened when a new leader could give no orders for some seconds and all
+// models were behind.
+func TestEnginesThatItemsWaitForLoadFirst(t *testing.T) {
+	s := New()
+	s.SetEngines(engines(9, "a", "b", "c"))
+	blocked := ""
+	for _, e := range s.sorted() {
+		blocked = e.model // the last one in the order of the ids
+	}
+	tasks := newTasks("j", blocked, 6, 500)
+	for i := range tasks {
+		tasks[i].MinVersion = 2
+	}
+	s.AddJob("j", tasks)
+	loads := s.Loads(start, map[string]uint64{"a": 3, "b": 3, "c": 3})
+	if len(loads) == 0 {
+		t.Fatal("nothing is loaded")
+	}
+	for _, l := range loads {
+		if l.Model != blocked {
+			t.Errorf("%s loads %s while items of %s wait", l.Engine, l.Model, blocked)
+		}
+	}
+}
+
 // other returns the engine of two that is not named.
 func other(engine string, list []Engine) string {
 	if list[0].ID == engine {
