schedule: loads do not wait for engines that cannot be reached

Ruled out: a leader without a lease (orders went out the moment the loads timed out), the wait of a new leader (no change of leader there).

Change: a load counts only while the engine answers.

Test: TestLoadsDoNotWaitForLostEngines fails without the change.

--- a/schedule/loads.go
+++ b/schedule/loads.go
@@ -63,7 +63,10 @@
 	var behind []*engine
 	for _, e := range s.sorted() {
 		if e.loading != nil {
-			loading[e.Service]++
+			// An engine that cannot be reached may hold its load for seconds; the others need not wait.
+			if e.failures == 0 {
+				loading[e.Service]++
+			}
 			continue
 		}
 		if !e.draining && e.failures == 0 && !now.Before(e.orderBackoff) && named[e.model] > e.weights[e.model] {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// Guards against loads that wait for engines that cannot be reached: two of them had accepted an
+// order before their failure domain was cut off, and no other engine got one for six seconds.
+func TestLoadsDoNotWaitForLostEngines(t *testing.T) {
+	s := New()
+	s.SetEngines(engines(9, "a"))
+	named := map[string]uint64{"a": 2}
+	first := s.Loads(start, named)
+	for _, l := range first {
+		s.Ordered(start, l, true)
+	}
+	if again := s.Loads(start, named); len(first) != 2 || len(again) != 0 {
+		t.Fatalf("%d and %d engines load at once, want 2 and no more", len(first), len(again))
+	}
+	for _, l := range first {
+		s.engines[l.Engine].took(start, Broken)
+	}
+	if got := s.Loads(start.Add(time.Second), named); len(got) != 2 {
+		t.Errorf("%d engines load while those before cannot be reached, want 2", len(got))
+	}
+}
+
 // other returns the engine of two that is not named.
 func other(engine string, list []Engine) string {
 	if list[0].ID == engine {
