--- a/internal/mesh/watch.go
+++ b/internal/mesh/watch.go
@@ -136,7 +136,7 @@
 
 // Serve answers a watch from a view until the stream ends or the source stops. The view takes in
 // a store host that watches: after a restart of all hosts it may be the only one that knows the
-// members of the state group, and nobody would look for it otherwise.
+// members of the state group, and nobody looks for it otherwise.
 func Serve(v *View, r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent], source Source) error {
 	if sender, ok := rpc.SenderFrom(stream.Context()); ok && r.Store {
 		v.SeeStore(Store{ID: sender.Host})
--- a/schedule/loads.go
+++ b/schedule/loads.go
@@ -54,9 +54,9 @@
 }
 
 // Loads picks the engines that load a newer version now, a few at a time: those that are behind
-// the named version of the model they are meant for. Engines that waiting items of their model
-// cannot use come first, since every other load holds these items up; then the idle ones. The
-// caller reports each order with Ordered.
+// the named version of the model they are meant for. Engines whose weights the waiting items of
+// their model do not allow come first, since every other load holds these items up; then the idle
+// ones. The caller reports each order with Ordered.
 func (s *Scheduler) Loads(now time.Time, named map[string]uint64) []Load {
 	s.expireLoads(now)
 	loading := make(map[string]int)
