rpc: a returned host is dialled anew without ResetConnectBackoff

Change: Redial gives up a connection in the state TRANSIENT_FAILURE, and the next call opens a new one. No call is in progress on such a connection; a working one is kept.

--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
@@ -183,14 +184,19 @@
 	_ = c.cc.Close()
 }
 
-// Redial dials a host at once if its last dials failed. Without it, calls to a host that has
-// come back fail until the backoff of the earlier dials is over.
+// Redial gives up the connection to a host if its last dials failed, so that the next call dials
+// anew. Without it, calls to a host that has come back fail until the backoff of the earlier dials
+// is over. (*grpc.ClientConn).ResetConnectBackoff cannot be used: it races with new connections.
 func (p *Pool) Redial(host string) {
 	p.mu.Lock()
 	c := p.conns[host]
+	failing := c != nil && c.cc.GetState() == connectivity.TransientFailure
+	if failing {
+		delete(p.conns, host)
+	}
 	p.mu.Unlock()
-	if c != nil {
-		c.cc.ResetConnectBackoff()
+	if failing {
+		_ = c.cc.Close()
 	}
 }
 
