--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -288,8 +288,8 @@
 	return best
 }
 
-// serves tells whether an engine has the version that made the text so far of the task, though it
-// may be full for now.
+// serves tells whether an engine has the version that made the text so far of the task. The engine
+// may be full: its slots become free, while a version that is gone does not come back.
 func (s *Scheduler) serves(t *Task) bool {
 	return slices.ContainsFunc(s.sorted(), func(e *engine) bool {
 		return e.Service == t.Service && !e.draining && !e.lost() && e.version(t.Model) == t.OnlyVersion
