--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -90,14 +90,8 @@
 // end it, and every engine has loaded a newer one since. It starts from the beginning then, but
 // not while an engine with the version is only full.
 func TestTextOfAVersionThatIsGoneIsGivenUp(t *testing.T) {
-	s := New()
-	list := engines(2, "a")
-	s.SetEngines(list)
-	tasks := newTasks("j", "a", 1, 500)[:1]
-	tasks[0].SingleVersion = true
-	s.AddJob("j", tasks)
+	s, list, key := oneVersionTask()
 	s.AddJob("full", newTasks("full", "a", 6, 500))
-	key := tasks[0].Key()
 	first := s.Next(start)[0]
 	if first.Task.Key() != key {
 		t.Fatalf("%v starts first", first.Task.Key())
@@ -116,12 +110,7 @@
 
 // Guards against a run that is moved to an engine that cannot end its text.
 func TestRunsMoveOnlyToTheirVersion(t *testing.T) {
-	s := New()
-	list := engines(2, "a")
-	s.SetEngines(list)
-	tasks := newTasks("j", "a", 1, 500)[:1]
-	tasks[0].SingleVersion = true
-	s.AddJob("j", tasks)
+	s, list, _ := oneVersionTask()
 	run := s.Next(start)[0]
 	target := other(run.Engine, list)
 	s.Loaded(start, target, "a", 2)
@@ -184,6 +173,17 @@
 	}
 }
 
+// oneVersionTask returns a scheduler with two engines and one task whose text one version must make.
+func oneVersionTask() (*Scheduler, []Engine, Key) {
+	s := New()
+	list := engines(2, "a")
+	s.SetEngines(list)
+	tasks := newTasks("j", "a", 1, 500)[:1]
+	tasks[0].SingleVersion = true
+	s.AddJob("j", tasks)
+	return s, list, tasks[0].Key()
+}
+
 // other returns the engine of two that is not named.
 func other(engine string, list []Engine) string {
 	if list[0].ID == engine {
