jobs: texts are packed once, where they are made

Ruled out: texts compressed by each replica for itself (its state would depend on the library's version, and the log and the messages would stay long).

Lengths that continuations are matched by are those of the unpacked text. A text that cannot be unpacked breaks the answer off and is logged.

The texts of TestSnapshotNeedsTheMemoryOfItsResult are random bytes now, since repeated letters pack to nothing and would have made the state of the test small; its bounds are as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -204,6 +204,12 @@
 	return page, err
 }
 
+// ResultsUnreadable logs an answer that is broken off because a text in it is damaged.
+func (e *Entry) ResultsUnreadable(job string, after int, err error) {
+	leader, term := e.view.Leader()
+	e.o.Log.Error("results unreadable", "job", job, "after", after, "leader", leader, "term", term, "error", err)
+}
+
 // Body returns the body of an item that has no result yet.
 func (e *Entry) Body(ctx context.Context, job, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/runner/intake.go
+++ b/internal/runner/intake.go
@@ -124,7 +124,12 @@
 		if r.partials[it.ID] != nil {
 			continue
 		}
-		if p, ok := storedPartial(b, it.ID); ok {
+		p, err := storedPartial(b, it.ID)
+		if err != nil {
+			r.o.Log.Error("stored text cannot be read; the item begins anew", "job", e.ID, "item", it.ID, "error", err)
+			continue
+		}
+		if p != nil {
 			p.at = bootclock.Now()
 			r.partials[it.ID] = p
 		}
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -57,7 +57,7 @@
 	}
 	t.storedEvents = t.events // not tried again if it is refused
 	return storestate.ItemProgress{Job: x.job.ID, Item: x.item.ID, From: t.stored, Text: jobs.Partial{
-		Text: jobs.Text{t.text[t.stored:len(t.text):len(t.text)]}, Last: t.last, Events: t.events, Versions: t.versions}}, true
+		Text: jobs.NewText(t.text[t.stored:]), Last: t.last, Events: t.events, Versions: t.versions}}, true
 }
 
 func (x *itemRun) setStored(n int) {
@@ -66,12 +66,15 @@
 	x.text.stored = n
 }
 
-// storedPartial returns the committed text of an item.
-func storedPartial(b *jobs.Book, item string) (*partial, bool) {
+// storedPartial returns the committed text of an item, or nil if there is none.
+func storedPartial(b *jobs.Book, item string) (*partial, error) {
 	p, ok := b.Partial(item)
 	if !ok {
-		return nil, false
+		return nil, nil
 	}
-	text := []byte(p.Text.String())
-	return &partial{text: text, last: p.Last, events: p.Events, versions: p.Versions, stored: len(text), storedEvents: p.Events}, true
+	text, err := p.Text.Bytes()
+	if err != nil {
+		return nil, err
+	}
+	return &partial{text: text, last: p.Last, events: p.Events, versions: p.Versions, stored: len(text), storedEvents: p.Events}, nil
 }
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -210,7 +210,7 @@
 // listText commits the text of an item as a result, from the part on that is not committed yet.
 // A replica whose stored part is another refuses it; the result is then committed whole.
 func (r *Runner) listText(j *openJob, item string, p *partial, from int) {
-	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.Text{p.text[from:]}, Versions: p.versions}
+	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[from:]), Versions: p.versions}
 	r.propose(&storestate.Command{Finish: &storestate.Finish{Job: j.ID, Result: result, From: from}},
 		func(now time.Time, reply storestate.Reply) {
 			if !reply.Changed && from > 0 {
--- a/internal/storestate/command.go
+++ b/internal/storestate/command.go
@@ -16,8 +16,8 @@
 // envelope is the head of a command.
 type envelope struct {
 	Command `cbor:"1,keyasint"`
-	// Lengths has the length of each text in the order of texts.
-	Lengths []int `cbor:"2,keyasint,omitempty"`
+	// Lengths has the lengths of the pieces of each text in the order of texts.
+	Lengths [][]int `cbor:"2,keyasint,omitempty"`
 }
 
 // texts lists the texts of a command.
@@ -38,29 +38,35 @@
 // EncodeCommand returns the encoding of a command. It does not keep the command.
 func EncodeCommand(c *Command) []byte {
 	e := envelope{Command: *c}
-	var pieces []jobs.Text
+	var texts []jobs.Text
+	size := 0
 	for _, t := range c.texts() {
-		pieces = append(pieces, *t)
-		e.Lengths = append(e.Lengths, t.Len())
+		texts = append(texts, *t)
+		e.Lengths = append(e.Lengths, pieceLengths(*t))
+		size += t.Stored()
 		*t = nil
 	}
 	head := Encode(e)
-	size := 0
-	for _, n := range e.Lengths {
-		size += n
-	}
 	out := make([]byte, 0, binary.MaxVarintLen32+len(head)+size)
 	out = binary.AppendUvarint(out, uint64(len(head)))
 	out = append(out, head...)
 	for i, t := range c.texts() {
-		*t = pieces[i]
-		for _, piece := range pieces[i] {
+		*t = texts[i]
+		for _, piece := range texts[i] {
 			out = append(out, piece...)
 		}
 	}
 	return out
 }
 
+func pieceLengths(t jobs.Text) []int {
+	var lengths []int
+	for _, piece := range t {
+		lengths = append(lengths, len(piece))
+	}
+	return lengths
+}
+
 // decodeCommand decodes a command whose texts refer to data.
 func decodeCommand(data []byte) (Command, error) {
 	n, used := binary.Uvarint(data)
@@ -76,14 +82,14 @@
 	if len(texts) != len(e.Lengths) {
 		return Command{}, &errs.Corrupt{What: "command", Detail: "texts without a length"}
 	}
-	for i, n := range e.Lengths {
-		if n < 0 || n > len(rest) {
-			return Command{}, &errs.Corrupt{What: "command", Detail: "the texts are incomplete"}
-		}
-		if n > 0 {
-			*texts[i] = jobs.Text{rest[:n:n]}
+	for i, lengths := range e.Lengths {
+		for _, n := range lengths {
+			if n < 0 || n > len(rest) {
+				return Command{}, &errs.Corrupt{What: "command", Detail: "the texts are incomplete"}
+			}
+			*texts[i] = append(*texts[i], jobs.Piece(rest[:n:n]))
+			rest = rest[n:]
 		}
-		rest = rest[n:]
 	}
 	return e.Command, nil
 }
--- a/internal/storestate/snapshot_test.go
+++ b/internal/storestate/snapshot_test.go
@@ -3,12 +3,23 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 
 	"fuchsiaflow/jobs"
 )
 
+// incompressible returns bytes that are stored as they are.
+func incompressible(n int, seed uint64) []byte {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	out := make([]byte, n)
+	for i := range out {
+		out[i] = byte(rng.Uint32())
+	}
+	return out
+}
+
 // filled returns a state with ended jobs, an open one and the text of an item so far.
 func filled(t testing.TB, items, textBytes int) *State {
 	t.Helper()
@@ -27,7 +38,7 @@
 		list := job.Items
 		apply(&Command{Submit: &job})
 		for i, it := range list[:len(list)-1] {
-			text := jobs.Text{bytes.Repeat([]byte{byte('a' + i%26)}, textBytes)}
+			text := jobs.NewText(incompressible(textBytes, uint64(i)))
 			apply(&Command{Finish: &Finish{Job: job.ID, Result: jobs.Result{ID: it.ID, State: jobs.Completed, Text: text, Versions: []uint64{1, 2}}}})
 		}
 		if j < 2 {
@@ -35,7 +46,7 @@
 			continue
 		}
 		apply(&Command{Progress: &Progress{Items: []ItemProgress{{Job: job.ID, Item: list[len(list)-1].ID,
-			Text: jobs.Partial{Text: jobs.Text{[]byte("so far")}, Last: 1, Events: 1, Versions: []uint64{1}}}}}})
+			Text: jobs.Partial{Text: jobs.NewText([]byte("so far")), Last: 1, Events: 1, Versions: []uint64{1}}}}}})
 	}
 	return s
 }
--- a/internal/storestate/storestate_test.go
+++ b/internal/storestate/storestate_test.go
@@ -43,20 +43,20 @@
 	apply(t, s, &Command{Submit: &jobs.Job{ID: "j", Items: []jobs.Item{{ID: "a"}, {ID: "b"}, {ID: "c"}}}})
 	want := map[string]string{"a": "first\nsecond", "b": "", "c": "third"}
 	apply(t, s, &Command{Progress: &Progress{Items: []ItemProgress{
-		{Job: "j", Item: "a", Text: jobs.Partial{Text: jobs.Text{[]byte("fir")}, Last: 1, Events: 1, Versions: []uint64{2}}},
-		{Job: "j", Item: "c", Text: jobs.Partial{Text: jobs.Text{[]byte("th")}, Last: 1, Events: 1, Versions: []uint64{3}}},
+		{Job: "j", Item: "a", Text: jobs.Partial{Text: jobs.NewText([]byte("fir")), Last: 1, Events: 1, Versions: []uint64{2}}},
+		{Job: "j", Item: "c", Text: jobs.Partial{Text: jobs.NewText([]byte("th")), Last: 1, Events: 1, Versions: []uint64{3}}},
 	}}})
 	r := apply(t, s, &Command{Progress: &Progress{Items: []ItemProgress{
-		{Job: "j", Item: "a", From: 3, Text: jobs.Partial{Text: jobs.Text{[]byte("st\n")}, Last: 2, Events: 2, Versions: []uint64{2}}},
-		{Job: "j", Item: "c", From: 1, Text: jobs.Partial{Text: jobs.Text{[]byte("x")}, Last: 2, Events: 2, Versions: []uint64{3}}},
+		{Job: "j", Item: "a", From: 3, Text: jobs.Partial{Text: jobs.NewText([]byte("st\n")), Last: 2, Events: 2, Versions: []uint64{2}}},
+		{Job: "j", Item: "c", From: 1, Text: jobs.Partial{Text: jobs.NewText([]byte("x")), Last: 2, Events: 2, Versions: []uint64{3}}},
 	}}})
 	if d := cmp.Diff([]bool{true, false}, r.Taken); d != "" {
 		t.Error(d)
 	}
 	for _, f := range []Finish{
-		{Job: "j", From: 6, Result: jobs.Result{ID: "a", State: jobs.Completed, Text: jobs.Text{[]byte("second")}, Versions: []uint64{2, 3}}},
+		{Job: "j", From: 6, Result: jobs.Result{ID: "a", State: jobs.Completed, Text: jobs.NewText([]byte("second")), Versions: []uint64{2, 3}}},
 		{Job: "j", Result: jobs.Result{ID: "b", State: jobs.Terminated}},
-		{Job: "j", Result: jobs.Result{ID: "c", State: jobs.Completed, Text: jobs.Text{[]byte("third")}, Versions: []uint64{3}}},
+		{Job: "j", Result: jobs.Result{ID: "c", State: jobs.Completed, Text: jobs.NewText([]byte("third")), Versions: []uint64{3}}},
 	} {
 		if r := apply(t, s, &Command{Finish: &f}); !r.Changed {
 			t.Errorf("result of %s is not taken", f.Result.ID)
@@ -74,7 +74,11 @@
 		a := state.Answer(&Query{Results: &ReadPage{Job: "j", MaxBytes: 1000}})
 		got := make(map[string]string)
 		for _, r := range a.Page.Results {
-			got[r.ID] = r.Text.String()
+			text, err := r.Text.Bytes()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got[r.ID] = string(text)
 		}
 		if d := cmp.Diff(want, got); d != "" {
 			t.Errorf("%s: %s", name, d)
@@ -85,7 +89,7 @@
 // Guards against a damaged command that stops the replicas or changes their state.
 func FuzzDamagedCommandChangesNothing(f *testing.F) {
 	f.Add(EncodeCommand(&Command{PutVersion: &PutVersion{Model: "m", Version: 2}}), 3)
-	f.Add(EncodeCommand(&Command{Finish: &Finish{Job: "j", Result: jobs.Result{ID: "a", Text: jobs.Text{[]byte("text")}}}}), 9)
+	f.Add(EncodeCommand(&Command{Finish: &Finish{Job: "j", Result: jobs.Result{ID: "a", Text: jobs.NewText([]byte("text"))}}}), 9)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
 		s := New()
 		s.Apply(1, data[:max(0, min(cut, len(data)))])
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -10,7 +10,6 @@
 package jobs
 
 import (
-	"bytes"
 	"maps"
 	"slices"
 
@@ -83,21 +82,6 @@
 	Terminated State = "terminated"
 )
 
-// Text is a text in pieces, which stay where they were received.
-type Text [][]byte
-
-// Len returns the length of the text in bytes.
-func (t Text) Len() int {
-	n := 0
-	for _, piece := range t {
-		n += len(piece)
-	}
-	return n
-}
-
-// String returns the whole text.
-func (t Text) String() string { return string(bytes.Join(t, nil)) }
-
 // Result is a listed item.
 type Result struct {
 	ID    string `cbor:"1,keyasint"`
@@ -353,7 +337,7 @@
 		}
 	}
 	for _, r := range e.Results {
-		n += overhead + len(r.ID) + r.Text.Len() + headerOverhead*(len(r.Text)+len(r.Versions))
+		n += overhead + len(r.ID) + r.Text.Stored() + headerOverhead*(len(r.Text)+len(r.Versions))
 	}
 	return n
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -37,7 +37,7 @@
 					seen[id] = &listed{}
 				}
 			case 1, 2:
-				r := Result{ID: rapid.SampledFrom(items).Draw(t, "item"), State: Completed, Text: Text{[]byte(fmt.Sprint(step))},
+				r := Result{ID: rapid.SampledFrom(items).Draw(t, "item"), State: Completed, Text: NewText([]byte(fmt.Sprint(step))),
 					Versions: []uint64{rapid.Uint64Range(0, 5).Draw(t, "version")}}
 				b.Finish(id, 0, r)
 			case 3:
@@ -77,7 +77,7 @@
 func TestCarriedItemsAreListedAtOnce(t *testing.T) {
 	b := NewBook()
 	b.Submit(newJob("j1", 3, "a", "b"))
-	b.Finish("j1", 0, Result{ID: "a", State: Completed, Text: Text{[]byte("x")}, Versions: []uint64{3}})
+	b.Finish("j1", 0, Result{ID: "a", State: Completed, Text: NewText([]byte("x")), Versions: []uint64{3}})
 	b.End("j1")
 	b.Submit(newJob("j2", 3, "a", "b"))
 	b.Submit(newJob("j3", 4, "a", "b"))
@@ -94,7 +94,7 @@
 	b := NewBook()
 	b.Submit(newJob("j", 0, "a", "b", "c"))
 	for _, it := range []string{"a", "b", "c"} {
-		b.Finish("j", 0, Result{ID: it, State: Completed, Text: Text{make([]byte, 1000)}})
+		b.Finish("j", 0, Result{ID: it, State: Completed, Text: NewText(make([]byte, 1000))})
 	}
 	if p, _ := b.Read("j", 0, 10); len(p.Results) != 1 || p.Next != 1 {
 		t.Errorf("page of %d results, next %d", len(p.Results), p.Next)
@@ -109,26 +109,26 @@
 func TestStoredTextsContinueExactly(t *testing.T) {
 	b := NewBook()
 	b.Submit(newJob("j1", 0, "a", "b"))
-	part := func(s string) Partial { return Partial{Text: Text{[]byte(s)}, Versions: []uint64{1}} }
+	part := func(s string) Partial { return Partial{Text: NewText([]byte(s)), Versions: []uint64{1}} }
 	if !b.Progress("j1", "a", 0, part("one ")) || !b.Progress("j1", "a", 4, part("two ")) {
 		t.Fatal("text is not taken")
 	}
 	if b.Progress("j1", "a", 4, part("two ")) {
 		t.Error("a part was taken twice")
 	}
-	if b.Finish("j1", 4, Result{ID: "a", State: Completed, Text: Text{[]byte("end")}}) {
+	if b.Finish("j1", 4, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
 		t.Error("a result was taken that does not continue the stored text")
 	}
 	b.End("j1")
 	b.Submit(newJob("j2", 0, "a"))
-	if p, ok := b.Partial("a"); !ok || p.Text.String() != "one two " {
-		t.Errorf("the text of a carried item: %q", p.Text)
+	if p, ok := b.Partial("a"); !ok || unpacked(t, p.Text) != "one two " {
+		t.Errorf("the text of a carried item: %q", unpacked(t, p.Text))
 	}
-	if !b.Finish("j2", 8, Result{ID: "a", State: Completed, Text: Text{[]byte("end")}}) {
+	if !b.Finish("j2", 8, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
 		t.Fatal("a result that continues the stored text is not taken")
 	}
-	if p, _ := b.Read("j2", 0, 100); p.Results[0].Text.String() != "one two end" {
-		t.Errorf("text %q", p.Results[0].Text)
+	if p, _ := b.Read("j2", 0, 100); unpacked(t, p.Results[0].Text) != "one two end" {
+		t.Errorf("text %q", unpacked(t, p.Results[0].Text))
 	}
 	if _, ok := b.Partial("a"); ok {
 		t.Error("the text of a listed item is kept twice")
