--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -70,6 +70,9 @@
 	// TrailingEntries is the number of entries that Compact keeps in memory behind the
 	// snapshot, so that a slightly slow replica needs no snapshot; 256 when zero.
 	TrailingEntries int
+	// DetachedSnapshots means that the caller keeps the data of snapshots: the node forgets it once
+	// it is stored, so that it is not in memory twice, and the caller adds it to each MsgSnapshot.
+	DetachedSnapshots bool
 
 	faults faults
 }
@@ -196,6 +199,9 @@
 	MsgHeartbeatResp
 	MsgSnapshot
 	MsgTimeoutNow
+	// MsgSnapshotPart acknowledges a part of a snapshot. Callers that send snapshots in parts
+	// exchange it; the node never gets it.
+	MsgSnapshotPart
 )
 
 // Message is what nodes of one group send each other. A message may be lost, repeated,
@@ -227,6 +233,16 @@
 	// receiver. The node itself does not use them; the caller fills and checks them.
 	Node   string `cbor:"15,keyasint,omitempty"`
 	ToNode string `cbor:"16,keyasint,omitempty"`
+	// Part is set on a MsgSnapshot that has a part of the data, which callers join before the node
+	// gets the message.
+	Part *Part `cbor:"17,keyasint,omitempty"`
+}
+
+// Part names a part of the data of a snapshot.
+type Part struct {
+	// Offset is where the part starts and Size the length of the whole data, in bytes.
+	Offset uint64 `cbor:"1,keyasint,omitempty"`
+	Size   uint64 `cbor:"2,keyasint"`
 }
 
 // ReadState answers a ReadIndex. The read may be served once the state machine has applied
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -43,6 +43,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, epoch: now, now: now, log: log}
+	n.detach()
 	n.term, n.vote = in.HardState.Term, in.HardState.Vote
 	n.saved = in.HardState
 	if n.term < log.lastTerm() {
@@ -286,6 +287,7 @@
 	}
 	if r.Snapshot != nil {
 		l.pending = nil
+		n.detach()
 		l.applied = max(l.applied, r.Snapshot.Index)
 	}
 	if k := len(r.Entries); k > 0 {
@@ -311,6 +313,13 @@
 	return Snapshot{Index: index, Term: term, Conf: n.log.confAt(index).clone()}, true
 }
 
+// detach forgets the data of the snapshot if the caller keeps it.
+func (n *Node) detach() {
+	if n.cfg.DetachedSnapshots {
+		n.log.snapshot.Data = nil
+	}
+}
+
 // Compact tells the node that the caller has stored a snapshot of its own state machine.
 // Entries behind it are dropped, except for TrailingEntries.
 func (n *Node) Compact(s Snapshot) {
@@ -318,6 +327,7 @@
 		return
 	}
 	n.log.snapshot = s
+	n.detach()
 	if keep := uint64(n.cfg.TrailingEntries); s.Index > keep {
 		n.log.compact(s.Index - keep)
 	}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -80,6 +80,8 @@
 	choked map[string]time.Time
 	fault  string
 	loss   float64
+	// detached nodes leave the data of snapshots to their caller.
+	detached bool
 
 	ops      []porcupine.Operation
 	open     map[int]bool // operations without an answer
@@ -99,7 +101,7 @@
 func newSim(seed uint64, voters int, fault string) *sim {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	s := &sim{rand: rand.New(rand.NewPCG(seed, 7)), now: start, started: start, cut: map[string]int{}, choked: map[string]time.Time{}, fault: fault, loss: 0.02,
-		open: map[int]bool{}, removed: map[string]bool{}, leaders: map[uint64]string{}, committed: map[uint64]consensus.Entry{},
+		detached: seed%2 == 1, open: map[int]bool{}, removed: map[string]bool{}, leaders: map[uint64]string{}, committed: map[uint64]consensus.Entry{},
 		states: map[uint64]uint64{}, leases: map[string]time.Time{}}
 	for range voters {
 		s.nextID++
@@ -146,7 +148,8 @@
 	}
 	in := decode(rec)
 	cfg := consensus.Config{ID: r.id, Group: "g", ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeat,
-		MaxClockDrift: clockDrift, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)), TrailingEntries: 5, MaxBatchBytes: 200}
+		MaxClockDrift: clockDrift, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)), TrailingEntries: 5, MaxBatchBytes: 200,
+		DetachedSnapshots: s.detached}
 	if set, ok := consensus.Faults[s.fault]; ok {
 		set(&cfg)
 	}
@@ -280,6 +283,21 @@
 	}
 }
 
+// attach adds the stored data to a snapshot that is to be sent.
+func (s *sim) attach(r *replica, m *consensus.Message) bool {
+	if m.Snapshot.Data != nil {
+		s.fail("a detached node of %s sends the data of snapshot %d", r.id, m.Snapshot.Index)
+	}
+	snapshot := *m.Snapshot
+	data, size, err := r.log.ReadSnapshot(snapshot.Index, 0)
+	if err != nil || uint64(len(data)) != size {
+		return false
+	}
+	snapshot.Data = data
+	m.Snapshot = &snapshot
+	return true
+}
+
 // work does what the node of a replica asks for.
 func (s *sim) work(r *replica) {
 	for r.node != nil && r.node.HasReady() && s.violated == nil {
@@ -293,6 +311,9 @@
 			return
 		}
 		for _, m := range rd.Messages {
+			if m.Type == consensus.MsgSnapshot && s.detached && !s.attach(r, &m) {
+				continue
+			}
 			s.send(m)
 		}
 		if rd.Snapshot != nil {
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -42,13 +42,28 @@
 	mu     sync.Mutex
 	groups map[string]*Group
 	cut    map[string]bool
+	// limit is the size of commands and snapshots above which a message is lost; 0 for none.
+	limit int
+	// lose tells of a message that is lost; nil loses none.
+	lose func(consensus.Message) bool
+}
+
+func (n *mesh) lost(m consensus.Message) bool {
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return n.limit > 0 && size > n.limit || n.lose != nil && n.lose(m)
 }
 
 func (n *mesh) Send(_ string, msgs []consensus.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, m := range msgs {
-		if to := n.groups[m.To]; to != nil && !n.cut[m.From] && !n.cut[m.To] {
+		if to := n.groups[m.To]; to != nil && !n.cut[m.From] && !n.cut[m.To] && !n.lost(m) {
 			to.Deliver([]consensus.Message{m})
 		}
 	}
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -28,6 +28,9 @@
 	readID    uint64
 	transfers []*request
 
+	sender   *sender
+	assembly assembly
+
 	refused error // the message or disk that makes the replica stop
 	stalled bool  // the disk refuses writes
 }
@@ -74,7 +77,7 @@
 	if err == nil {
 		in.Applied = in.Snapshot.Index
 		g.node, err = consensus.New(consensus.Config{ID: o.ID, Group: o.Group, ElectionTimeout: o.ElectionTimeout,
-			HeartbeatInterval: o.HeartbeatInterval, MaxClockDrift: o.MaxClockDrift, Rand: o.Rand}, in, o.Clock.Now())
+			HeartbeatInterval: o.HeartbeatInterval, MaxClockDrift: o.MaxClockDrift, Rand: o.Rand, DetachedSnapshots: true}, in, o.Clock.Now())
 	}
 	if err != nil {
 		_ = log.Close()
@@ -82,6 +85,7 @@
 	}
 	g.log, g.id, g.peer = log, rec.Node, rec.Peers
 	g.applied, g.nextSnapshot = in.Applied, in.Applied+snapshotInterval(o.SnapshotEvery, o.ID)
+	g.sender = newSender(2 * o.ElectionTimeout)
 	g.proposals, g.reads = make(map[uint64]*request), make(map[uint64][]*request)
 	return nil
 }
@@ -149,6 +153,17 @@
 	if m.Node != "" && g.peer[m.From] != m.Node && !g.meet(m) {
 		return
 	}
+	switch {
+	case m.Type == consensus.MsgSnapshotPart:
+		g.partAcknowledged(m)
+		return
+	case m.Type == consensus.MsgSnapshot && m.Part != nil:
+		whole, ok := g.takePart(m)
+		if !ok {
+			return
+		}
+		m = whole
+	}
 	if err := g.node.Step(g.opt.Clock.Now(), m); err != nil {
 		g.opt.Logger.Warn("message refused", "from", m.From, "error", err)
 	}
@@ -268,13 +283,7 @@
 	if err := g.persist(rd); err != nil {
 		return err
 	}
-	if len(rd.Messages) > 0 {
-		for i := range rd.Messages {
-			m := &rd.Messages[i]
-			m.Node, m.ToNode = g.id, g.peer[m.To]
-		}
-		g.opt.Transport.Send(g.opt.Group, rd.Messages)
-	}
+	g.send(g.outgoing(rd.Messages))
 	if err := g.applyAll(rd); err != nil {
 		return err
 	}
@@ -386,6 +395,7 @@
 // settle answers the requests that wait for progress of the replica.
 func (g *Group) settle() {
 	now, s := g.opt.Clock.Now(), g.node.Status()
+	g.assembly.expire(now)
 	kept := g.ready[:0]
 	for _, rr := range g.ready {
 		if rr.index <= g.applied {
@@ -399,6 +409,7 @@
 		g.abandon("the replica lost its leadership")
 		finishAll(g.transfers, nil)
 		g.transfers = nil
+		g.sender.forget()
 	}
 	waiting := g.transfers[:0]
 	for _, r := range g.transfers {
--- a/storage/faultfs/faultfs.go
+++ b/storage/faultfs/faultfs.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"path"
@@ -176,6 +177,21 @@
 	return slices.Clone(n.data), nil
 }
 
+// ReadAt implements storage.FS.
+func (f *FS) ReadAt(name string, p []byte, offset int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.files[name]
+	if !ok {
+		return missing("read", name)
+	}
+	if offset < 0 || offset+int64(len(p)) > int64(len(n.data)) {
+		return io.ErrUnexpectedEOF
+	}
+	copy(p, n.data[offset:])
+	return nil
+}
+
 // Create implements storage.FS.
 func (f *FS) Create(name string) (storage.File, error) {
 	f.mu.Lock()
--- a/storage/files.go
+++ b/storage/files.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +30,17 @@
 	// Reset tells that the log did not contain the snapshot's last entry, so that none of
 	// the entries stored before the snapshot may be used.
 	Reset bool `cbor:"4,keyasint,omitempty"`
+	// Size is the length of the data, which follows in frames of snapshotPartBytes and the rest.
+	Size int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// snapshotPartBytes is the length of a part of a snapshot's data. Parts are checked and read one by
+// one, so that whoever reads a snapshot needs no second copy of it in memory.
+const snapshotPartBytes = 512 << 10
+
+// parts cuts the data of a snapshot into parts.
+func parts(data []byte) [][]byte {
+	return slices.Collect(slices.Chunk(data, snapshotPartBytes))
 }
 
 func segmentName(seq uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, seq) }
@@ -62,12 +75,15 @@
 	if err != nil {
 		return &Refused{Operation: "create " + name, Cause: err.Error()}
 	}
-	offset := uint64(0)
+	header, offset := make([]byte, headerBytes), uint64(0)
 	for _, part := range parts {
-		buf := append(make([]byte, headerBytes, headerBytes+len(part)), part...)
-		sealFrame(buf, 0, offset)
-		offset += uint64(len(buf))
-		if _, err := f.Write(buf); err != nil {
+		fillHeader(header, part, 0, offset)
+		offset += uint64(len(header) + len(part))
+		_, err := f.Write(header)
+		if err == nil {
+			_, err = f.Write(part)
+		}
+		if err != nil {
 			_ = f.Close()
 			_ = d.fs.Remove(temp)
 			return &Refused{Operation: "write " + name, Cause: err.Error()}
@@ -93,26 +109,42 @@
 	return nil
 }
 
-// read returns the parts of a file written by replace.
-func (d folder) read(name string, count int) ([][]byte, error) {
+// read returns the content of a file of one frame written by replace.
+func (d folder) read(name string) ([]byte, error) {
 	b, err := d.fs.ReadFile(d.path(name))
 	if err != nil {
 		return nil, ioError("read", name, err)
 	}
-	var parts [][]byte
-	offset := 0
-	for range count {
-		payload, size, state := readFrame(b[offset:], 0, uint64(offset))
-		if state != frameGood {
-			return nil, corrupt(name, int64(offset), "frame fails its checksum or is cut short")
-		}
-		parts = append(parts, payload)
-		offset += size
+	payload, size, state := readFrame(b, 0, 0)
+	if state != frameGood {
+		return nil, corrupt(name, 0, "frame fails its checksum or is cut short")
+	}
+	if size != len(b) {
+		return nil, corrupt(name, int64(size), "unexpected data after the last frame")
+	}
+	return payload, nil
+}
+
+// readAt fills b with the content of a file from offset on.
+func (d folder) readAt(name string, b []byte, offset int64) error {
+	err := d.fs.ReadAt(d.path(name), b, offset)
+	if err == io.ErrUnexpectedEOF {
+		return corrupt(name, offset, "the file is cut short")
+	}
+	return ioError("read", name, err)
+}
+
+// readFrameAt returns the payload of length bytes of the frame at offset of a file.
+func (d folder) readFrameAt(name string, offset int64, length int) ([]byte, error) {
+	b := make([]byte, headerBytes+length)
+	if err := d.readAt(name, b, offset); err != nil {
+		return nil, err
 	}
-	if offset != len(b) {
-		return nil, corrupt(name, int64(offset), "unexpected data after the last frame")
+	payload, size, state := readFrame(b, 0, uint64(offset))
+	if state != frameGood || size != len(b) {
+		return nil, corrupt(name, offset, "frame fails its checksum or is cut short")
 	}
-	return parts, nil
+	return payload, nil
 }
 
 func (d folder) replaceCBOR(name string, v any) error {
@@ -124,11 +156,11 @@
 }
 
 func (d folder) readCBOR(name string, v any) error {
-	parts, err := d.read(name, 1)
+	b, err := d.read(name)
 	if err != nil {
 		return err
 	}
-	if err := cbor.Unmarshal(parts[0], v); err != nil {
+	if err := cbor.Unmarshal(b, v); err != nil {
 		return corrupt(name, headerBytes, err.Error())
 	}
 	return nil
--- a/storage/frame.go
+++ b/storage/frame.go
@@ -38,8 +38,11 @@
 
 // sealFrame fills the header of a buffer that has headerBytes of space before its payload.
 func sealFrame(buf []byte, file, offset uint64) {
-	payload := buf[headerBytes:]
-	h := buf[:headerBytes]
+	fillHeader(buf[:headerBytes], buf[headerBytes:], file, offset)
+}
+
+// fillHeader fills the header h of a frame with a payload, which starts at offset of a file.
+func fillHeader(h, payload []byte, file, offset uint64) {
 	binary.LittleEndian.PutUint32(h, frameMagic)
 	binary.LittleEndian.PutUint32(h[4:], uint32(len(payload)))
 	binary.LittleEndian.PutUint32(h[8:], uint32(zeroSectors(payload, offset+headerBytes)))
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -12,6 +12,9 @@
 	// ReadDir returns the names of the files in dir, sorted.
 	ReadDir(dir string) ([]string, error)
 	ReadFile(name string) ([]byte, error)
+	// ReadAt fills p with the content from offset on. It returns io.ErrUnexpectedEOF if the file
+	// ends before.
+	ReadAt(name string, p []byte, offset int64) error
 	// Create makes or empties a file for appending.
 	Create(name string) (File, error)
 	// Append opens an existing file for appending.
@@ -60,6 +63,21 @@
 // ReadFile implements FS.
 func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
+// ReadAt implements FS.
+func (OS) ReadAt(name string, p []byte, offset int64) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	if _, err = f.ReadAt(p, offset); err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
 // Create implements FS.
 func (OS) Create(name string) (File, error) {
 	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
--- a/storage/log.go
+++ b/storage/log.go
@@ -6,8 +6,6 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"fuchsiaflow/errs"
 )
 
@@ -23,8 +21,9 @@
 	size      int64  // of the last segment
 	hardState []byte // repeated at the start of each segment
 	snapshot  SnapshotMeta
-	terms     []uint64 // of the entries after the snapshot
-	marker    []byte   // snapshot item for the next frame
+	stored    snapshotFile // of the snapshot
+	terms     []uint64     // of the entries after the snapshot
+	marker    []byte       // snapshot item for the next frame
 	buf       []byte
 	failed    *Unusable
 	closed    bool
@@ -291,15 +290,12 @@
 	}
 	covered := meta.Index - l.snapshot.Index
 	reset := covered > uint64(len(l.terms)) || l.terms[covered-1] != meta.Term
-	head, err := cbor.Marshal(snapshotHead{SnapshotMeta: meta, Reset: reset})
+	file, err := l.writeSnapshot(snapshotHead{SnapshotMeta: meta, Reset: reset, Size: int64(len(data))}, data)
 	if err != nil {
-		return ioError("encode", "snapshot", err)
-	}
-	if err := l.replace(snapshotName(meta.Index, meta.Term), head, data); err != nil {
 		return l.noteFailure(err)
 	}
 	old := l.snapshot
-	l.snapshot = meta
+	l.snapshot, l.stored = meta, file
 	if reset {
 		l.terms = nil
 	} else {
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // replay rebuilds the log from its segments.
@@ -55,19 +53,14 @@
 		return false, nil
 	}
 	name := files.snapshots[len(files.snapshots)-1]
-	parts, err := l.read(name, 2)
+	head, file, err := l.openSnapshot(name)
 	if err != nil {
 		return false, err
 	}
-	var head snapshotHead
-	if err := cbor.Unmarshal(parts[0], &head); err != nil {
-		return false, corrupt(name, headerBytes, err.Error())
-	}
-	r.Snapshot = head.SnapshotMeta
-	if name != snapshotName(r.Snapshot.Index, r.Snapshot.Term) {
-		return false, corrupt(name, headerBytes, "the content belongs to another snapshot")
+	r.Snapshot, l.stored = head.SnapshotMeta, file
+	if r.SnapshotData, err = l.snapshotData(file); err != nil {
+		return false, err
 	}
-	r.SnapshotData = parts[1]
 	for _, old := range files.snapshots[:len(files.snapshots)-1] {
 		if err := l.fs.Remove(l.path(old)); err != nil {
 			return false, ioError("remove", old, err)
