httpconn: idle connections age while the machine is suspended

Cause: the end of an idle connection was measured on Go's steady clock, which stands still during a suspension, while the target closes the connection. A request that may run once and goes out on it ends with an unknown outcome.

Change: the pool reads package bootclock, as leases do. TestConnectionsAgeDuringASuspension replaces the clock of the pool.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/bootclock"
 )
 
 const (
@@ -94,6 +95,10 @@
 	// MaxIdle bounds the idle connections of one address.
 	MaxIdle int
 
+	// now counts the time in which this machine is suspended: targets close idle connections
+	// meanwhile.
+	now func() time.Time
+
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	dialed uint64
@@ -108,7 +113,9 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(maxIdle int) *Pool { return &Pool{MaxIdle: maxIdle, idle: make(map[string][]*conn)} }
+func NewPool(maxIdle int) *Pool {
+	return &Pool{MaxIdle: maxIdle, now: bootclock.Now, idle: make(map[string][]*conn)}
+}
 
 // Dialed returns the number of connections that were opened.
 func (p *Pool) Dialed() uint64 {
@@ -122,7 +129,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	return len(list) > 0 && time.Now().Before(list[len(list)-1].until)
+	return len(list) > 0 && p.now().Before(list[len(list)-1].until)
 }
 
 func (p *Pool) take(addr string) *conn {
@@ -136,7 +143,7 @@
 		c := list[len(list)-1]
 		p.idle[addr] = list[:len(list)-1]
 		p.mu.Unlock()
-		if time.Now().Before(c.until) && c.quiet() {
+		if p.now().Before(c.until) && c.quiet() {
 			return c
 		}
 		_ = c.Close()
@@ -167,7 +174,7 @@
 
 // Sweep closes the idle connections whose time is over.
 func (p *Pool) Sweep() {
-	now := time.Now()
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, list := range p.idle {
@@ -396,7 +403,7 @@
 			_ = x.conn.Close()
 			return
 		}
-		x.conn.until = time.Now().Add(idle)
+		x.conn.until = x.pool.now().Add(idle)
 		x.pool.put(x.conn)
 	})
 }
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -129,6 +129,29 @@
 	}
 }
 
+// Guards against a request on a connection that the target has closed while this machine was
+// suspended: a request that may run once is lost with it.
+func TestConnectionsAgeDuringASuspension(t *testing.T) {
+	addr := target(t, func(_ int, _ *http.Request, c net.Conn) { _, _ = io.WriteString(c, plain) })
+	p := NewPool(2)
+	var suspended time.Duration
+	steady := p.now
+	p.now = func() time.Time { return steady().Add(suspended) }
+	if got, err := get(t, p, addr, "/"); got != "ok" || err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+	if !p.HasIdle(addr) {
+		t.Fatal("the connection is not kept")
+	}
+	suspended = defaultIdle
+	if p.HasIdle(addr) {
+		t.Error("the connection counts as idle after the target's idle timeout")
+	}
+	if _, err := get(t, p, addr, "/"); err != nil || p.Dialed() != 2 {
+		t.Errorf("%d connections, %v, want a new one", p.Dialed(), err)
+	}
+}
+
 // Guards against an answer that breaks off and looks complete, and against a wrong statement
 // about what the target may have seen.
 func TestFailuresSayWhetherTheRequestWasSent(t *testing.T) {
