rpc: fixed flow control windows

Cause: grpc-go measures each link with a ping and its answer for every message that arrives while no ping is out. The messages of watches have 16 to 500 bytes, so that the pings were about as many as the messages: 13 to 88 entry hosts watch 3 to 11 store hosts.

Change: windows of 1 MiB that do not change.

--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -31,6 +31,10 @@
 	firstDialBackoff   = 100 * time.Millisecond
 	dialBackoffFactor  = 1.6
 	dialBackoffJitter  = 0.2
+	// windowBytes is the flow control window of a stream and of a connection. A fixed one keeps
+	// grpc-go from measuring the link with a ping for each message: most messages between hosts are
+	// smaller than these pings. It covers a round trip of 10 ms at 800 Mbit/s.
+	windowBytes = 1 << 20
 )
 
 // Options configures a Pool. Self, Token, Address and Log are required.
@@ -130,6 +134,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(limit), grpc.MaxCallSendMsgSize(limit)),
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler(traceOptions(p.o.TracerProvider)...)),
 		grpc.WithStatsHandler(t),
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -57,6 +57,8 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(limit),
 		grpc.MaxSendMsgSize(limit),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.StatsHandler(otelgrpc.NewServerHandler(traceOptions(o.TracerProvider)...)),
 		grpc.ChainUnaryInterceptor(o.unary),
 		grpc.ChainStreamInterceptor(o.stream),
