--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -36,6 +37,38 @@
 	Restore(data []byte) error
 }
 
+// StreamedState is implemented by state machines that may be large. Their snapshots are written and
+// read piece by piece, without a copy of the state in memory.
+type StreamedState interface {
+	WriteSnapshot(w io.Writer) error
+	ReadSnapshot(r io.Reader) error
+}
+
+// writeSnapshot writes the snapshot of a state machine.
+func writeSnapshot(sm StateMachine, w io.Writer) error {
+	if s, ok := sm.(StreamedState); ok {
+		return s.WriteSnapshot(w)
+	}
+	data, err := sm.Snapshot()
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(data)
+	return err
+}
+
+// readSnapshot replaces the state of a state machine by a snapshot.
+func readSnapshot(sm StateMachine, r io.Reader) error {
+	if s, ok := sm.(StreamedState); ok {
+		return s.ReadSnapshot(r)
+	}
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	return sm.Restore(data)
+}
+
 // Transport sends messages to peers. Send must not block; it may drop messages.
 type Transport interface {
 	Send(group string, msgs []consensus.Message)
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -1,7 +1,9 @@
 package group
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,7 +65,7 @@
 		first = encodeBatch(consensus.Bootstrap(o.Voters))
 	}
 	log, rec, err := storage.Open(o.FS, o.Dir, storage.Options{Group: o.Group, Voter: o.ID, Start: o.Start,
-		First: first, SegmentBytes: o.SegmentBytes, NewNodeID: o.NewNodeID})
+		First: first, SegmentBytes: o.SegmentBytes, StreamSnapshot: true, NewNodeID: o.NewNodeID})
 	if err != nil {
 		return err
 	}
@@ -72,7 +74,7 @@
 	}
 	in, err := decodeRecovered(rec)
 	if err == nil && in.Snapshot.Index > 0 {
-		err = o.StateMachine.Restore(in.Snapshot.Data)
+		err = readSnapshot(o.StateMachine, log.SnapshotReader())
 	}
 	if err == nil {
 		in.Applied = in.Snapshot.Index
@@ -329,7 +331,7 @@
 	g.apply.Lock()
 	defer g.apply.Unlock()
 	if s := rd.Snapshot; s != nil {
-		if err := g.opt.StateMachine.Restore(s.Data); err != nil {
+		if err := readSnapshot(g.opt.StateMachine, bytes.NewReader(s.Data)); err != nil {
 			return errors.WithMessage(err, "restore snapshot of group "+g.opt.Group)
 		}
 		g.applied, g.nextSnapshot = s.Index, s.Index+snapshotInterval(g.opt.SnapshotEvery, g.opt.ID)
@@ -374,13 +376,9 @@
 		return nil
 	}
 	g.apply.Lock()
-	data, err := g.opt.StateMachine.Snapshot()
+	err := g.log.WriteSnapshot(encodeSnapshot(s), func(w io.Writer) error { return writeSnapshot(g.opt.StateMachine, w) })
 	g.apply.Unlock()
 	if err != nil {
-		return errors.WithMessage(err, "snapshot of group "+g.opt.Group)
-	}
-	s.Data = data
-	if err := g.log.Snapshot(encodeSnapshot(s), data); err != nil {
 		var full *storage.Refused
 		if errors.As(err, &full) {
 			g.opt.Logger.Warn("snapshot refused by the disk", "error", err)
--- a/internal/runner/machine.go
+++ b/internal/runner/machine.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"bytes"
+	"io"
 	"sync"
 
 	"fuchsiaflow/internal/mesh"
@@ -56,16 +58,26 @@
 
 // Snapshot implements group.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
+	var out bytes.Buffer
+	err := m.WriteSnapshot(&out)
+	return out.Bytes(), err
+}
+
+// Restore implements group.StateMachine.
+func (m *Machine) Restore(data []byte) error { return m.ReadSnapshot(bytes.NewReader(data)) }
+
+// WriteSnapshot implements group.StreamedState.
+func (m *Machine) WriteSnapshot(w io.Writer) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.state.Snapshot()
+	return m.state.WriteSnapshot(w)
 }
 
-// Restore implements group.StateMachine.
-func (m *Machine) Restore(data []byte) error {
+// ReadSnapshot implements group.StreamedState.
+func (m *Machine) ReadSnapshot(r io.Reader) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := m.state.Restore(data); err != nil {
+	if err := m.state.ReadSnapshot(r); err != nil {
 		return err
 	}
 	m.notify()
--- a/internal/storestate/snapshot_test.go
+++ b/internal/storestate/snapshot_test.go
@@ -6,8 +6,13 @@
 	"math/rand/v2"
 	"runtime"
 	"testing"
+	"testing/iotest"
 
+	"github.com/pkg/errors"
+
+	"fuchsiaflow/errs"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/storage"
 )
 
 // incompressible returns bytes that are stored as they are.
@@ -51,20 +56,26 @@
 	return s
 }
 
-// Guards against a state that changes when a replica restarts from a snapshot.
-func TestSnapshotRoundTrip(t *testing.T) {
-	s := filled(t, 5, 100)
-	data, err := s.Snapshot()
-	if err != nil {
+func snapshotOf(t testing.TB, s *State) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	if err := s.WriteSnapshot(&out); err != nil {
 		t.Fatal(err)
 	}
+	return out.Bytes()
+}
+
+// Guards against a state that changes when a replica restarts from a snapshot, and against one that a
+// snapshot which cannot be read has changed.
+func TestSnapshotRoundTrip(t *testing.T) {
+	s := filled(t, 5, 100)
+	data := snapshotOf(t, s)
 	restored := New()
-	if err := restored.Restore(data); err != nil {
+	if err := restored.ReadSnapshot(bytes.NewReader(data)); err != nil {
 		t.Fatal(err)
 	}
-	again, err := restored.Snapshot()
-	if err != nil || !bytes.Equal(data, again) {
-		t.Errorf("snapshot of %d bytes becomes one of %d bytes, %v", len(data), len(again), err)
+	if again := snapshotOf(t, restored); !bytes.Equal(data, again) {
+		t.Errorf("snapshot of %d bytes becomes one of %d bytes", len(data), len(again))
 	}
 	for job := range 3 {
 		q := Query{Results: &ReadPage{Job: fmt.Sprintf("j%d", job), MaxBytes: 1 << 20}}
@@ -75,25 +86,56 @@
 	if _, ok := restored.Book().Partial("j2-4"); !ok {
 		t.Error("the text of a running item is lost")
 	}
-	if err := New().Restore(data[:len(data)-3]); err == nil {
-		t.Error("a snapshot that is cut off is restored")
+	for _, n := range []int{0, 3, len(data) / 2, len(data) - 3} {
+		if err := restored.ReadSnapshot(bytes.NewReader(data[:n])); errs.CodeOf(err) != errs.CodeCorrupt {
+			t.Errorf("a snapshot that is cut off after %d bytes: %v", n, err)
+		}
+	}
+	lost := &storage.IO{Operation: "read", File: "snapshot", Cause: "lost"}
+	if err := restored.ReadSnapshot(iotest.ErrReader(lost)); !errors.Is(err, lost) {
+		t.Errorf("failure of the disk: %v, which counts as damage", err)
+	}
+	if again := snapshotOf(t, restored); !bytes.Equal(data, again) {
+		t.Error("a snapshot that cannot be read changes the state")
 	}
 }
 
-// Guards against a snapshot that allocates several times the state: all voters take theirs at
-// about the same time, and with 35 MB of state they ran into the memory limit of their host, where
-// the garbage collector left them no time for the group.
-func TestSnapshotNeedsTheMemoryOfItsResult(t *testing.T) {
+// Guards against a snapshot that allocates a copy of the state: voters take theirs while they serve,
+// and with 35 MB of state they ran into the memory limit of their host, where the garbage
+// collector left them no time for the group.
+func TestSnapshotNeedsNoCopyOfTheState(t *testing.T) {
 	s := filled(t, 500, 4000)
+	const limit = 1 << 20 // a part of the file, the buffer, and the entries one after the other
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	data, err := s.Snapshot()
+	written := &counter{}
+	if err := s.WriteSnapshot(written); err != nil {
+		t.Fatal(err)
+	}
 	runtime.ReadMemStats(&after)
-	if err != nil {
+	if got := after.TotalAlloc - before.TotalAlloc; got > limit || written.n < 3*499*4000 {
+		t.Errorf("a snapshot of %d bytes allocates %d, want at most %d", written.n, got, limit)
+	}
+}
+
+// Guards against a reader that needs several times the state: a host that starts again has no memory
+// for it.
+func TestReadingASnapshotNeedsTheMemoryOfTheState(t *testing.T) {
+	data := snapshotOf(t, filled(t, 500, 4000))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if err := New().ReadSnapshot(bytes.NewReader(data)); err != nil {
 		t.Fatal(err)
 	}
-	// The result, and the entries of the book one after the other.
-	if got, limit := after.TotalAlloc-before.TotalAlloc, uint64(2*cap(data)+1<<20); cap(data) > len(data)*5/4 || got > limit {
-		t.Errorf("a snapshot of %d bytes in a buffer of %d allocates %d, want at most %d", len(data), cap(data), got, limit)
+	runtime.ReadMemStats(&after)
+	if got, limit := after.TotalAlloc-before.TotalAlloc, uint64(len(data)*3/2); got > limit {
+		t.Errorf("reading %d bytes allocates %d, want at most %d", len(data), got, limit)
 	}
 }
+
+type counter struct{ n int }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.n += len(p)
+	return len(p), nil
+}
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -4,7 +4,6 @@
 package storestate
 
 import (
-	"bytes"
 	"maps"
 
 	"github.com/fxamacker/cbor/v2"
@@ -194,86 +193,6 @@
 // Index returns the log index of the last command.
 func (s *State) Index() uint64 { return s.index }
 
-type image struct {
-	Config   PutConfig         `cbor:"1,keyasint"`
-	Versions map[string]uint64 `cbor:"2,keyasint"`
-	Retiring map[string]string `cbor:"3,keyasint"`
-	Book     jobs.Image        `cbor:"4,keyasint"`
-	Index    uint64            `cbor:"5,keyasint"`
-}
-
-// entryHead stands in a snapshot for an entry whose results follow it.
-type entryHead struct {
-	Entry   jobs.Entry `cbor:"1,keyasint"`
-	Results int        `cbor:"2,keyasint"`
-}
-
-// Snapshot implements group.StateMachine. The entries of the book and their results follow the rest
-// one by one into one buffer of the final size: an encoder that gets all at once grows its buffers
-// to several times the state, which the hosts have no memory for.
-func (s *State) Snapshot() ([]byte, error) {
-	im := image{s.config, s.versions, s.retiring, s.book.Image(), s.index}
-	entries := im.Book.Entries
-	im.Book.Entries = nil
-	head := Encode(im)
-	size := len(head)
-	for _, e := range entries {
-		size += e.Size()
-	}
-	out := bytes.NewBuffer(make([]byte, 0, size))
-	_, _ = out.Write(head) // a buffer takes everything
-	enc := cbor.NewEncoder(out)
-	for _, e := range entries {
-		h := entryHead{Entry: *e, Results: len(e.Results)}
-		h.Entry.Results = nil
-		if err := enc.Encode(&h); err != nil {
-			return nil, &errs.Corrupt{What: "batch job " + e.ID, Detail: err.Error()}
-		}
-		for i := range e.Results {
-			if err := enc.Encode(&e.Results[i]); err != nil {
-				return nil, &errs.Corrupt{What: "result " + e.Results[i].ID, Detail: err.Error()}
-			}
-		}
-	}
-	return out.Bytes(), nil
-}
-
-// Restore implements group.StateMachine.
-func (s *State) Restore(data []byte) error {
-	var im image
-	rest, err := cbor.UnmarshalFirst(data, &im)
-	for err == nil && len(rest) > 0 {
-		var e *jobs.Entry
-		e, rest, err = decodeEntry(rest)
-		im.Book.Entries = append(im.Book.Entries, e)
-	}
-	if err != nil {
-		return &errs.Corrupt{What: "snapshot of the store state", Detail: err.Error()}
-	}
-	fresh := New()
-	fresh.config, fresh.index = im.Config, im.Index
-	maps.Copy(fresh.versions, im.Versions)
-	maps.Copy(fresh.retiring, im.Retiring)
-	fresh.book = jobs.Load(im.Book)
-	*s = *fresh
-	return nil
-}
-
-// decodeEntry decodes an entry and its results and returns what follows them.
-func decodeEntry(data []byte) (*jobs.Entry, []byte, error) {
-	var h entryHead
-	rest, err := cbor.UnmarshalFirst(data, &h)
-	for range h.Results {
-		if err != nil {
-			break
-		}
-		var r jobs.Result
-		rest, err = cbor.UnmarshalFirst(rest, &r)
-		h.Entry.Results = append(h.Entry.Results, r)
-	}
-	return &h.Entry, rest, err
-}
-
 // Query asks for a part of the state. Exactly one field is set.
 type Query struct {
 	Config  bool        `cbor:"1,keyasint,omitempty"`
--- a/internal/storestate/storestate_test.go
+++ b/internal/storestate/storestate_test.go
@@ -1,6 +1,7 @@
 package storestate
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -62,12 +63,8 @@
 			t.Errorf("result of %s is not taken", f.Result.ID)
 		}
 	}
-	data, err := s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
 	restored := New()
-	if err := restored.Restore(data); err != nil {
+	if err := restored.ReadSnapshot(bytes.NewReader(snapshotOf(t, s))); err != nil {
 		t.Fatal(err)
 	}
 	for name, state := range map[string]*State{"applied": s, "restored": restored} {
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -324,27 +324,6 @@
 // Image returns the stored form. It shares memory with the book.
 func (b *Book) Image() Image { return Image{Entries: b.ordered, Next: b.next, Partials: b.partials} }
 
-// overhead bounds the encoding of an item or a result without its texts and headers, in bytes.
-const overhead = 128
-
-// Size estimates the encoding of the entry from above, in bytes.
-func (e *Entry) Size() int {
-	n := overhead + len(e.Host) + len(e.Path)
-	for _, it := range e.Items {
-		n += overhead + len(it.ID) + len(it.Path) + len(it.Group) + len(it.Body)
-		for k, v := range it.Headers {
-			n += len(k) + len(v) + 2*headerOverhead
-		}
-	}
-	for _, r := range e.Results {
-		n += overhead + len(r.ID) + r.Text.Stored() + headerOverhead*(len(r.Text)+len(r.Versions))
-	}
-	return n
-}
-
-// headerOverhead bounds the length of a CBOR header or a number.
-const headerOverhead = 9
-
 // Load returns the book of an image.
 func Load(im Image) *Book {
 	b := NewBook()
--- a/storage/files.go
+++ b/storage/files.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,17 +29,6 @@
 	// Reset tells that the log did not contain the snapshot's last entry, so that none of
 	// the entries stored before the snapshot may be used.
 	Reset bool `cbor:"4,keyasint,omitempty"`
-	// Size is the length of the data, which follows in frames of snapshotPartBytes and the rest.
-	Size int64 `cbor:"5,keyasint,omitempty"`
-}
-
-// snapshotPartBytes is the length of a part of a snapshot's data. Parts are checked and read one by
-// one, so that whoever reads a snapshot needs no second copy of it in memory.
-const snapshotPartBytes = 512 << 10
-
-// parts cuts the data of a snapshot into parts.
-func parts(data []byte) [][]byte {
-	return slices.Collect(slices.Chunk(data, snapshotPartBytes))
 }
 
 func segmentName(seq uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, seq) }
@@ -67,27 +55,34 @@
 
 func (d folder) path(name string) string { return d.dir + "/" + name }
 
+// frameWriter writes frames one after the other into a file.
+type frameWriter struct {
+	file   File
+	offset uint64
+	header [headerBytes]byte
+}
+
+func (w *frameWriter) frame(payload []byte) error {
+	fillHeader(w.header[:], payload, 0, w.offset)
+	w.offset += uint64(headerBytes + len(payload))
+	if _, err := w.file.Write(w.header[:]); err != nil {
+		return err
+	}
+	_, err := w.file.Write(payload)
+	return err
+}
+
 // replace writes a file so that after a crash either the old or the new content is found.
-// The file has one frame per part.
-func (d folder) replace(name string, parts ...[]byte) error {
+func (d folder) replace(name string, write func(*frameWriter) error) error {
 	temp := d.path(name + tempSuffix)
 	f, err := d.fs.Create(temp)
 	if err != nil {
 		return &Refused{Operation: "create " + name, Cause: err.Error()}
 	}
-	header, offset := make([]byte, headerBytes), uint64(0)
-	for _, part := range parts {
-		fillHeader(header, part, 0, offset)
-		offset += uint64(len(header) + len(part))
-		_, err := f.Write(header)
-		if err == nil {
-			_, err = f.Write(part)
-		}
-		if err != nil {
-			_ = f.Close()
-			_ = d.fs.Remove(temp)
-			return &Refused{Operation: "write " + name, Cause: err.Error()}
-		}
+	if err := write(&frameWriter{file: f}); err != nil {
+		_ = f.Close()
+		_ = d.fs.Remove(temp)
+		return &Refused{Operation: "write " + name, Cause: err.Error()}
 	}
 	err = f.Sync()
 	if cerr := f.Close(); err == nil {
@@ -152,7 +147,7 @@
 	if err != nil {
 		return ioError("encode", name, err)
 	}
-	return d.replace(name, b)
+	return d.replace(name, func(w *frameWriter) error { return w.frame(b) })
 }
 
 func (d folder) readCBOR(name string, v any) error {
--- a/storage/log.go
+++ b/storage/log.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 
@@ -282,6 +283,15 @@
 // Snapshot stores a snapshot and drops the segments and snapshots that it makes obsolete. If
 // the log does not contain the snapshot's last entry, the stored entries are dropped.
 func (l *Log) Snapshot(meta SnapshotMeta, data []byte) error {
+	return l.WriteSnapshot(meta, func(w io.Writer) error {
+		_, err := w.Write(data)
+		return err
+	})
+}
+
+// WriteSnapshot is Snapshot with data that write makes piece by piece. A failure of write stores
+// nothing and is returned.
+func (l *Log) WriteSnapshot(meta SnapshotMeta, write func(io.Writer) error) error {
 	if err := l.usable(); err != nil {
 		return err
 	}
@@ -290,7 +300,7 @@
 	}
 	covered := meta.Index - l.snapshot.Index
 	reset := covered > uint64(len(l.terms)) || l.terms[covered-1] != meta.Term
-	file, err := l.writeSnapshot(snapshotHead{SnapshotMeta: meta, Reset: reset, Size: int64(len(data))}, data)
+	file, err := l.writeSnapshot(snapshotHead{SnapshotMeta: meta, Reset: reset}, write)
 	if err != nil {
 		return l.noteFailure(err)
 	}
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 )
 
 // replay rebuilds the log from its segments.
@@ -58,8 +59,11 @@
 		return false, err
 	}
 	r.Snapshot, l.stored = head.SnapshotMeta, file
-	if r.SnapshotData, err = l.snapshotData(file); err != nil {
-		return false, err
+	if !l.opt.StreamSnapshot {
+		r.SnapshotData = make([]byte, file.size)
+		if _, err := io.ReadFull(l.SnapshotReader(), r.SnapshotData); err != nil {
+			return false, err
+		}
 	}
 	for _, old := range files.snapshots[:len(files.snapshots)-1] {
 		if err := l.fs.Remove(l.path(old)); err != nil {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -63,6 +63,8 @@
 	First Batch
 	// SegmentBytes is the size at which a new segment is started; 8 MiB when zero.
 	SegmentBytes int64
+	// StreamSnapshot leaves Recovered.SnapshotData empty; the caller reads SnapshotReader instead.
+	StreamSnapshot bool
 	// NewNodeID draws a node identity; 128 bits from the system's random source when nil.
 	NewNodeID func() string
 }
