transport, group: sends and turns of bounded size

The receiver stored what it had got in one write, with two more copies.

Ruled out: the state alone (18 MB held); fewer messages under way (they share the memory of the log until they are encoded).

Change: the transport sends at most 512 KiB of entries together and has a timeout for each send; a turn of a replica takes at most 1 MiB of entries.

--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -118,10 +118,21 @@
 	return nil
 }
 
+// maxReceivedBytes is the size of the entries from which a turn takes no more messages. They are stored
+// in one write, whose buffers a replica that catches up must have memory for.
+const maxReceivedBytes = 1 << 20
+
 func (g *Group) drain() {
+	size := 0
 	for range g.opt.MessageRing {
+		if size >= maxReceivedBytes {
+			break
+		}
 		select {
 		case m := <-g.inbox.C():
+			for _, e := range m.Entries {
+				size += len(e.Data)
+			}
 			g.receive(m)
 			continue
 		default:
--- a/internal/group/transfer_test.go
+++ b/internal/group/transfer_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"fuchsiaflow/consensus"
+	"fuchsiaflow/storage"
+	"fuchsiaflow/storage/faultfs"
 )
 
 // catchUp leaves a replica behind a snapshot of several megabytes, lets it come back while prepare
@@ -183,3 +185,23 @@
 		}
 	})
 }
+
+// Guards against a replica that takes in all that it lacks at once and stores it in one write: with
+// 8 MB under way it had several copies of them, and ran into the memory limit of its host.
+func TestTurnTakesABoundedAmount(t *testing.T) {
+	b := newBench(t)
+	opt, _ := b.options("b", faultfs.New(nil), storage.Bootstrap, []string{"a", "b", "c"})
+	g, err := Open(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const messages, size = 10, 512 << 10
+	for i := range messages {
+		g.Deliver([]consensus.Message{{Type: consensus.MsgAppend, From: "a", To: "b", Term: 2, Index: uint64(1 + i),
+			Entries: []consensus.Entry{{Index: uint64(2 + i), Term: 2, Data: make([]byte, size)}}}})
+	}
+	g.drain()
+	if left := g.inbox.Depth(); left != messages-maxReceivedBytes/size {
+		t.Errorf("%d of %d messages of %d bytes are left after a turn", left, messages, size)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,6 +29,10 @@
 	// maxGathered bounds the batches of different groups that are sent without a look at
 	// the ring.
 	maxGathered = 16
+	// maxSendBytes is the size of the entries from which messages are not sent together. A
+	// replica that catches up has many messages under way, and each send is in memory several
+	// times on both sides.
+	maxSendBytes = 512 << 10
 )
 
 type outgoingBatch struct {
@@ -36,6 +40,35 @@
 	messages []consensus.Message
 }
 
+// dataBytes returns the size of what makes messages large.
+func dataBytes(messages []consensus.Message) int {
+	n := 0
+	for _, m := range messages {
+		for _, e := range m.Entries {
+			n += len(e.Data)
+		}
+		if m.Snapshot != nil {
+			n += len(m.Snapshot.Data)
+		}
+	}
+	return n
+}
+
+// split cuts the messages of a batch into batches of at most maxSendBytes, or of one message.
+func (b outgoingBatch) split() []outgoingBatch {
+	var out []outgoingBatch
+	from, size := 0, 0
+	for i := range b.messages {
+		n := dataBytes(b.messages[i : i+1])
+		if i > from && size+n > maxSendBytes {
+			out = append(out, outgoingBatch{b.group, b.messages[from:i]})
+			from, size = i, 0
+		}
+		size += n
+	}
+	return append(out, outgoingBatch{b.group, b.messages[from:]})
+}
+
 // Transport sends consensus messages to the other voters, one duty per peer.
 type Transport struct {
 	peer func(host string) (rpc.PeerClient, error)
@@ -120,13 +153,17 @@
 	}
 }
 
-// gatherBatches joins what waits for the peer already, as long as it is of the same group.
+// gatherBatches joins what waits for the peer already, as long as it is of the same group and small.
 func gatherBatches(ring *kernel.Ring[outgoingBatch], first outgoingBatch) []outgoingBatch {
-	batches := []outgoingBatch{first}
-	for len(batches) < maxGathered {
+	batches := first.split()
+	size := dataBytes(first.messages)
+	for len(batches) < maxGathered && size < maxSendBytes {
 		select {
 		case next := <-ring.C():
-			if last := &batches[len(batches)-1]; last.group == next.group {
+			size += dataBytes(next.messages)
+			if size >= maxSendBytes {
+				batches = append(batches, next.split()...)
+			} else if last := &batches[len(batches)-1]; last.group == next.group {
 				last.messages = append(last.messages, next.messages...)
 			} else {
 				batches = append(batches, next)
@@ -156,6 +193,7 @@
 	timeout := time.AfterFunc(transportTimeout, stream.cancel)
 	defer timeout.Stop()
 	for _, batch := range batches {
+		timeout.Reset(transportTimeout)
 		data, err := cbor.Marshal(batch.messages)
 		if err != nil {
 			return stream, &errs.Corrupt{What: "consensus messages", Detail: err.Error()}
