store: a new job is refused when the jobs that are held fill the memory

Retry-After is when the oldest job is dropped. A job that is known is acknowledged again whatever is held. A finder of leaders returns errs.Full at once instead of asking again until the time is up, and a refusal after an attempt that may have run is unknown. Two gauges and a log line.

Tests: TestSubmissionsStayInsideTheMemory plays the load, TestOnlyNewJobsAreRefused, TestRefusalAfterAnUncertainAttemptIsUnknown (failed before: the refusal said not run), TestSizeOfTheBook.

--- a/errs/errs.go
+++ b/errs/errs.go
@@ -34,6 +34,7 @@
 	CodeConflict        Code = "conflict"
 	CodeTooLarge        Code = "too_large"
 	CodeOverloaded      Code = "overloaded"
+	CodeFull            Code = "full"
 	CodeQuotaExceeded   Code = "quota_exceeded"
 	CodeUnavailable     Code = "unavailable"
 	CodeNotLeader       Code = "not_leader"
@@ -124,6 +125,27 @@
 // FailureOutcome implements Failure.
 func (e *TooLarge) FailureOutcome() Outcome { return NotRun }
 
+// Full reports a store that has no room for more. The request did not run, and no other host has room for
+// it either, so that it is not tried elsewhere.
+type Full struct {
+	Resource string
+	// After is when room is expected.
+	After time.Duration
+}
+
+func (e *Full) Error() string {
+	return fmt.Sprintf("%s is full; room is expected in %s", e.Resource, e.After)
+}
+
+// FailureCode implements Failure.
+func (e *Full) FailureCode() Code { return CodeFull }
+
+// FailureOutcome implements Failure.
+func (e *Full) FailureOutcome() Outcome { return NotRun }
+
+// RetryAfter implements Retryable.
+func (e *Full) RetryAfter() time.Duration { return e.After }
+
 // Overloaded reports a full queue. The request did not run.
 type Overloaded struct {
 	Resource string
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -84,11 +84,11 @@
 				f.Remember(group, host)
 				return result, nil
 			}
-			last = err
-			uncertain = uncertain || errs.OutcomeOf(err) != errs.NotRun
 			if final(err, idempotent) {
-				return nil, err
+				return nil, truthful(group, err, uncertain)
 			}
+			last = err
+			uncertain = uncertain || errs.OutcomeOf(err) != errs.NotRun
 			// A removed replica may name a leader of the past; one that has failed in this
 			// round is not remembered.
 			if redirect != "" && !tried[redirect] {
@@ -100,15 +100,21 @@
 		}
 		select {
 		case <-ctx.Done():
-			if uncertain {
-				return nil, &errs.Interrupted{Operation: "command to group " + group, Reason: last.Error()}
-			}
-			return nil, &errs.Unavailable{Resource: "group " + group, Reason: last.Error()}
+			return nil, truthful(group, &errs.Unavailable{Resource: "group " + group, Reason: last.Error()}, uncertain)
 		case <-time.After(RetryPause):
 		}
 	}
 }
 
+// truthful returns the final failure of a command. If an earlier attempt may have run, a failure that says
+// that the command has not run speaks of the last attempt only.
+func truthful(group string, err error, uncertain bool) error {
+	if uncertain && errs.OutcomeOf(err) == errs.NotRun {
+		return &errs.Interrupted{Operation: "command to group " + group, Reason: err.Error()}
+	}
+	return err
+}
+
 func (f *Finder) queue(group string, round int) []string {
 	var list []string
 	if id := f.Leader(group); id != "" {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -76,6 +76,7 @@
 	elected   uint64        // term in which this replica was last seen to lead
 	since     time.Time     // when that was noticed
 	confirmed atomic.Uint64 // term in which all earlier entries are applied
+	nextDrop  atomic.Int64  // nanoseconds until the oldest job is dropped, at the last look
 
 	// The fields below belong to one period of leadership.
 	term     uint64
@@ -260,6 +261,9 @@
 	return list
 }
 
+// NextDrop returns the time until the oldest job is dropped; 0 or less when that is not known.
+func (r *Runner) NextDrop() time.Duration { return time.Duration(r.nextDrop.Load()) }
+
 // clean gives up items that are too old and drops what is no longer needed.
 func (r *Runner) clean(now time.Time) {
 	if now.Sub(r.cleaned) < housekeeping {
@@ -280,12 +284,17 @@
 			r.terminate(schedule.Key{Job: j.ID, Item: item}, "too old")
 		}
 	}
+	oldest := now
 	for id, first := range r.first {
+		if first.Before(oldest) {
+			oldest = first
+		}
 		if r.jobs[id] == nil && now.Sub(first) > r.o.KeepResults+keepSlack {
 			delete(r.first, id)
 			r.propose(&storestate.Command{Drop: &storestate.Drop{Job: id}}, func(time.Time, storestate.Reply) {})
 		}
 	}
+	r.nextDrop.Store(int64(oldest.Add(r.o.KeepResults + keepSlack).Sub(now)))
 	r.metrics.state(r.sched)
 	for _, e := range r.sched.Engines(now) {
 		r.o.Log.Debug("engine", "engine", e.ID, "model", e.Model, "version", e.Version, "running", e.Running, "slots", e.Slots, "tokens", e.Tokens,
--- a/internal/store/peerserver.go
+++ b/internal/store/peerserver.go
@@ -120,6 +120,9 @@
 	if !st.group.IsLeader() || st.stopping() {
 		return nil, st.notLeader()
 	}
+	if err := st.admit(command); err != nil {
+		return nil, err
+	}
 	return st.group.Propose(ctx, command)
 }
 
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -21,6 +21,11 @@
 }
 
 func openStoreWith(t *testing.T, dir string, m *observe.Metrics) string {
+	t.Helper()
+	return newStore(t, dir, m).disk.ID
+}
+
+func newStore(t *testing.T, dir string, m *observe.Metrics) *Store {
 	t.Helper()
 	s := &settings.Role{Host: "h", IP: "127.0.0.1", PeerPort: 1, Seeds: []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}, FirstStart: true,
 		DataDir: dir, LostDisks: 1, Timing: settings.RoleTiming{Grace: time.Second}}
@@ -29,7 +34,7 @@
 	if err != nil {
 		t.Fatalf("open: %v", err)
 	}
-	return st.disk.ID
+	return st
 }
 
 // Guards against a host that does not start any more because a file is damaged, and against one
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,7 +71,10 @@
 	present *presence
 	grpc    *grpc.Server
 	control *http.Server
-	done    chan struct{} // closed when the host stops
+	runner  *runner.Runner
+	// admission decides whether there is room for another job.
+	admission admission
+	done      chan struct{} // closed when the host stops
 	// leaderSince is when this replica was first seen to lead in its term, on bootclock.
 	leaderSince atomic.Int64
 }
@@ -79,7 +82,7 @@
 // New opens the disk and returns the host; Start makes it take part.
 func New(o Options) (*Store, error) {
 	s := o.Settings
-	st := &Store{o: o, kernel: kernel.New(o.Log), done: make(chan struct{}), present: newPresence()}
+	st := &Store{o: o, kernel: kernel.New(o.Log), done: make(chan struct{}), present: newPresence(), admission: newAdmission(s.MemoryBytes)}
 	st.view = mesh.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
 	fs := measuredFS{FS: o.FS, syncs: o.Metrics.Histogram("storage_sync_seconds", "Time of a sync of a file of the state group.", observe.SecondsBuckets)}
@@ -96,7 +99,7 @@
 	st.pool = rolehost.NewPool(s, st.disk.ID, o.Log, o.Tracing)
 	st.calls = statecall.New(st.view, s.IP, st, st.peer)
 	st.grpc = rolehost.NewServer(o.Log, o.Tracing)
-	run := runner.New(runner.Options{Group: st.group, Machine: st.machine, View: st.view, Calls: o.Calls, Headers: o.Headers, Holder: st.disk.ID,
+	st.runner = runner.New(runner.Options{Group: st.group, Machine: st.machine, View: st.view, Calls: o.Calls, Headers: o.Headers, Holder: st.disk.ID,
 		OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
 		name    string
@@ -108,7 +111,7 @@
 		{"peer-server", peerServer{st: st}},
 		{"watch", &mesh.Watcher{View: st.view, Self: s.IP, Peer: st.peer, Store: true, Log: o.Log}},
 		{"keeper", &keeper{st: st}},
-		{"runner", run},
+		{"runner", st.runner},
 		{"control", controlService{st}},
 		{"trace", o.Tracing},
 		{"metrics", rolehost.Metrics(s.Listen.Metrics, o.Metrics)},
@@ -225,6 +228,14 @@
 	gauge("group_commit_index", "Newest committed entry.", func() float64 { return float64(st.group.Status().Commit) })
 	gauge("group_applied_index", "Newest applied entry.", func() float64 { return float64(st.group.Status().Applied) })
 	gauge("group_voters", "Voters of the state group.", func() float64 { return float64(len(st.group.Status().Voters)) })
+	gauge("jobs_held_bytes", "Memory of the batch jobs that this replica holds, about.", func() float64 {
+		held := 0
+		st.machine.View(func(s *storestate.State) { held = s.Book().Size() })
+		return float64(held)
+	})
+	gauge("jobs_limit_bytes", "Memory of batch jobs from which new ones are refused; 0 without a limit.", func() float64 {
+		return float64(st.admission.limit)
+	})
 	gauge("group_waiting_requests", "Commands that wait for the replica.", func() float64 { return float64(st.group.Health().RequestDepth) })
 }
 
--- a/internal/storestate/command.go
+++ b/internal/storestate/command.go
@@ -67,6 +67,25 @@
 	return lengths
 }
 
+// SubmittedJob returns the id of the job that a command submits; ok is false for other commands.
+func SubmittedJob(data []byte) (id string, ok bool) {
+	n, used := binary.Uvarint(data)
+	if used <= 0 || n > uint64(len(data)-used) {
+		return "", false
+	}
+	var e struct {
+		Command struct {
+			Submit *struct {
+				ID string `cbor:"1,keyasint"`
+			} `cbor:"3,keyasint"`
+		} `cbor:"1,keyasint"`
+	}
+	if err := cbor.Unmarshal(data[used:used+int(n)], &e); err != nil || e.Command.Submit == nil {
+		return "", false // a command that cannot be decoded changes nothing
+	}
+	return e.Command.Submit.ID, true
+}
+
 // decodeCommand decodes a command whose texts refer to data.
 func decodeCommand(data []byte) (Command, error) {
 	n, used := binary.Uvarint(data)
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -314,6 +314,36 @@
 	return nil, &errs.NotFound{Kind: "item of a batch job", ID: item}
 }
 
+// itemBytes approximates the memory of an item or a result without its texts, body and headers, in
+// bytes.
+const itemBytes = 256
+
+// Size approximates the memory of the book in bytes. Its cost is the number of items and results.
+func (b *Book) Size() int {
+	n := 0
+	for _, e := range b.ordered {
+		n += itemBytes * (len(e.Items) + len(e.Results))
+		for i := range e.Items {
+			n += e.Items[i].contentBytes()
+		}
+		for i := range e.Results {
+			n += e.Results[i].Text.Stored()
+		}
+	}
+	for _, p := range b.partials {
+		n += itemBytes + p.Text.Stored()
+	}
+	return n
+}
+
+func (it *Item) contentBytes() int {
+	n := len(it.Body)
+	for name, value := range it.Headers {
+		n += len(name) + len(value)
+	}
+	return n
+}
+
 // Image is the stored form of a book.
 type Image struct {
 	Entries  []*Entry            `cbor:"1,keyasint"`
