--- a/internal/group/ready.go
+++ b/internal/group/ready.go
@@ -108,9 +108,11 @@
 	if !ok {
 		return nil
 	}
-	g.apply.Lock()
-	err := g.log.WriteSnapshot(encodeSnapshot(s), func(w io.Writer) error { return writeSnapshot(g.opt.StateMachine, w) })
-	g.apply.Unlock()
+	err := g.log.WriteSnapshot(encodeSnapshot(s), func(w io.Writer) error {
+		g.apply.Lock()
+		defer g.apply.Unlock() // before the sync, which may take long
+		return writeSnapshot(g.opt.StateMachine, w)
+	})
 	if err != nil {
 		var full *storage.Refused
 		if errors.As(err, &full) {
--- a/internal/storestate/snapshot.go
+++ b/internal/storestate/snapshot.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"maps"
 
@@ -39,9 +40,8 @@
 	// snapshotBuffer is the size of the buffers between records and disk, in bytes. Most results have
 	// a few kB.
 	snapshotBuffer = 64 << 10
-	// maxRecordBytes rejects absurd lengths before memory is allocated; a record is at most a batch
-	// job, which is one command.
-	maxRecordBytes = 64 << 20
+	// maxRecordBytes rejects absurd lengths before memory is allocated.
+	maxRecordBytes = 1 << 30
 )
 
 // recordWriter writes records.
@@ -82,7 +82,7 @@
 		return err
 	}
 	if n > maxRecordBytes {
-		return &errs.TooLarge{What: "record of a snapshot", Limit: maxRecordBytes}
+		return &errs.Corrupt{What: "record of a snapshot", Detail: fmt.Sprintf("it has %d bytes", n)}
 	}
 	if uint64(cap(r.buf)) < n {
 		r.buf = make([]byte, n)
--- a/internal/storestate/snapshot_test.go
+++ b/internal/storestate/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -91,6 +92,10 @@
 			t.Errorf("a snapshot that is cut off after %d bytes: %v", n, err)
 		}
 	}
+	absurd := binary.AppendUvarint(nil, 1<<40)
+	if err := restored.ReadSnapshot(bytes.NewReader(absurd)); errs.CodeOf(err) != errs.CodeCorrupt {
+		t.Errorf("a record of absurd length: %v", err)
+	}
 	lost := &storage.IO{Operation: "read", File: "snapshot", Cause: "lost"}
 	if err := restored.ReadSnapshot(iotest.ErrReader(lost)); !errors.Is(err, lost) {
 		t.Errorf("failure of the disk: %v, which counts as damage", err)
