--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -139,6 +139,16 @@
 
 const settleTime = 5 * time.Second
 
+// newLedBench returns a bench with three replicas, of which one leads.
+func newLedBench(t *testing.T) (b *bench, leader *replicaUnderTest, others []*replicaUnderTest) {
+	t.Helper()
+	b = newBench(t)
+	rs := b.three()
+	time.Sleep(settleTime)
+	leader, others = leaderOf(rs)
+	return b, leader, others
+}
+
 // Guards against a group of one voter that needs a transport or waits for an election, and
 // against losing acknowledged commands at a restart.
 func TestOneVoterElectsItselfAndSurvivesRestart(t *testing.T) {
@@ -172,10 +182,7 @@
 // keeps its lease, and against a replica that does not catch up.
 func TestLeaderIsolationAndCatchUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		rs := b.three()
-		time.Sleep(settleTime)
-		old, others := leaderOf(rs)
+		b, old, others := newLedBench(t)
 		if _, err := old.Propose(t.Context(), []byte("1")); err != nil {
 			t.Fatal(err)
 		}
@@ -215,10 +222,7 @@
 // removal that leaves the group unable to commit.
 func TestTransferAndMembership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		rs := b.three()
-		time.Sleep(settleTime)
-		old, others := leaderOf(rs)
+		b, old, others := newLedBench(t)
 		if err := old.Transfer(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -337,10 +341,7 @@
 // the bootstrap setting was left on.
 func TestLostDiskDoesNotVote(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		rs := b.three()
-		time.Sleep(settleTime)
-		leader, others := leaderOf(rs)
+		b, leader, others := newLedBench(t)
 		victim := others[0]
 		_ = victim.stop()
 		victim.fs.Lose()
@@ -427,10 +428,7 @@
 // the lost one, with that one's identity, still arrive there.
 func TestMessagesForTheEarlierReplicaAtAnAddressAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		rs := b.three()
-		time.Sleep(settleTime)
-		leader, others := leaderOf(rs)
+		b, leader, others := newLedBench(t)
 		victim := others[0]
 		_ = victim.stop()
 		again := b.start("new", faultfs.New(nil), storage.Join)
--- a/internal/group/transfer_test.go
+++ b/internal/group/transfer_test.go
@@ -17,10 +17,7 @@
 func catchUp(t *testing.T, within time.Duration, prepare func(b *bench, leader, behind *replicaUnderTest)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
-		rs := b.three()
-		time.Sleep(settleTime)
-		leader, others := leaderOf(rs)
+		b, leader, others := newLedBench(t)
 		behind := others[0]
 		b.net.isolate(behind.opt.ID, true)
 		const commands, size = 400, 10 << 10
--- a/internal/pack/pack_test.go
+++ b/internal/pack/pack_test.go
@@ -36,6 +36,21 @@
 	return out
 }
 
+// Guards against texts that fill the memory of the store hosts: they hold the results of two minutes,
+// and the log, each replica and the messages between them carry the same bytes. A random letter has
+// log2(26) = 4.7 bits, 0.59 of a byte; the table of the code takes some tens of bytes.
+func TestTextsArePackedShort(t *testing.T) {
+	for _, n := range []int{500, 2000, 20000} {
+		packed := Pack(generated(n))
+		if limit := n*60/100 + 64; len(packed) > limit {
+			t.Errorf("%d bytes are stored in %d, want at most %d", n, len(packed), limit)
+		}
+	}
+	if packed := Pack(generated(20)); len(packed) > 22 {
+		t.Errorf("20 bytes are stored in %d", len(packed))
+	}
+}
+
 func BenchmarkPack(b *testing.B) {
 	data := generated(4000)
 	b.SetBytes(int64(len(data)))
--- a/jobs/text_test.go
+++ b/jobs/text_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -33,28 +32,3 @@
 		}
 	})
 }
-
-// generated returns a text of random letters, the least compressible that a model makes.
-func generated(n int) []byte {
-	rng := rand.New(rand.NewPCG(1, 2))
-	out := make([]byte, n)
-	for i := range out {
-		out[i] = byte('a' + rng.IntN(26))
-	}
-	return out
-}
-
-// Guards against texts that fill the memory of the store hosts: they hold the results of two minutes,
-// and the log, each replica and the messages between them carry the same bytes. A random letter has
-// log2(26) = 4.7 bits, 0.59 of a byte; the table of the code takes some tens of bytes.
-func TestTextsAreStoredShort(t *testing.T) {
-	for _, n := range []int{500, 2000, 20000} {
-		text := NewText(generated(n))
-		if limit := n*60/100 + 64; text.Stored() > limit {
-			t.Errorf("%d bytes are stored in %d, want at most %d", n, text.Stored(), limit)
-		}
-	}
-	if text := NewText(generated(20)); text.Stored() > 22 {
-		t.Errorf("20 bytes are stored in %d", text.Stored())
-	}
-}
