--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -48,6 +48,14 @@
 	lose func(consensus.Message) bool
 }
 
+// interfere changes limit or lose while the replicas run.
+func (n *mesh) interfere(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+// lost is called with the lock.
 func (n *mesh) lost(m consensus.Message) bool {
 	size := 0
 	for _, e := range m.Entries {
