rpc: Redial discards a connection whose call failed before the state says so

Cause: grpc-go lets calls fail (picker) before it sets the connectivity state, so Pool.Redial saw CONNECTING after a failed call, kept the connection, and the next call failed in its dial backoff. Ruled out: (*ClientConn).ResetConnectBackoff, which races with new connections; waiting for a state change, which may never come. Change: the activity of a connection records that a call ended without being handed to a connection; until the state is READY, that counts as a failed dial.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -48,6 +48,9 @@
 	now          func() time.Time
 	pending      atomic.Int64 // calls that were sent and have not ended
 	lastActivity atomic.Int64 // last response or end of an idle period, Unix nanoseconds
+	// unreachable is set when a call ends without having been handed to a connection, and cleared by the
+	// next call that is.
+	unreachable atomic.Bool
 }
 
 // TagRPC implements stats.Handler.
@@ -62,8 +65,9 @@
 // HandleRPC implements stats.Handler.
 func (t *connActivity) HandleRPC(ctx context.Context, s stats.RPCStats) {
 	c, _ := ctx.Value(callKey{}).(*call)
-	switch s.(type) {
+	switch s := s.(type) {
 	case *stats.OutHeader:
+		t.unreachable.Store(false)
 		// A transparent retry sends the headers of the same call twice, but the call ends once.
 		if c != nil && c.sent.CompareAndSwap(false, true) && t.pending.Add(1) == 1 {
 			t.lastActivity.Store(t.now().UnixNano())
@@ -71,8 +75,11 @@
 	case *stats.InHeader, *stats.InPayload, *stats.InTrailer:
 		t.lastActivity.Store(t.now().UnixNano())
 	case *stats.End:
-		if c != nil && c.sent.Load() {
+		switch {
+		case c != nil && c.sent.Load():
 			t.pending.Add(-1)
+		case status.Code(s.Error) == codes.Unavailable:
+			t.unreachable.Store(true)
 		}
 	}
 }
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -72,6 +72,13 @@
 	activity   *connActivity
 }
 
+// dialFailed reports whether the last dial failed. grpc-go fails calls before it changes the connectivity
+// state, so that a failed call also counts until the state shows a working connection.
+func (c *conn) dialFailed() bool {
+	state := c.cc.GetState()
+	return state == connectivity.TransientFailure || state != connectivity.Ready && c.activity.unreachable.Load()
+}
+
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
 	if o.Now == nil {
@@ -199,7 +206,7 @@
 func (p *Pool) Redial(host string) {
 	p.mu.Lock()
 	c := p.conns[host]
-	failing := c != nil && c.cc.GetState() == connectivity.TransientFailure
+	failing := c != nil && c.dialFailed()
 	if failing {
 		delete(p.conns, host)
 	}
