Scoring calls: items whose text is scored by a request of their own

Ruled out: a second HTTP client in the runner (retries, hedging and health of targets would stand twice); scoring before the text is committed (a lost leader could list the score of a text that is generated again).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,7 @@
 		{"watch", &clusterview.Watcher{View: e.view, Self: s.IP, Peer: peer, Log: o.Log}},
 		{"trace", o.Tracing},
 		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
+		{"forwarder", e.forwarder},
 		{"http", httpService{e}},
 	}
 	for _, v := range services {
@@ -266,7 +267,6 @@
 		}
 		k.Go(s.name+"/serve", func(context.Context) error { return rolehost.Serve(s.server, listener) })
 	}
-	k.Every("forward/sweep", forward.SweepInterval, e.forwarder.Sweep)
 	return nil
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/routes"
 )
@@ -65,7 +66,7 @@
 	warmupFraction = 0.6
 )
 
-// Forwarder forwards requests to targets. It is safe for concurrent use.
+// Forwarder forwards requests to targets. It is safe for concurrent use and implements kernel.Service.
 type Forwarder struct {
 	headers dialect.Headers
 	view    *clusterview.View
@@ -87,9 +88,17 @@
 	return f
 }
 
-// Sweep closes idle connections and removes the state of targets that no longer serve. It must be called
-// every SweepInterval.
-func (f *Forwarder) Sweep(context.Context) {
+// Start implements kernel.Service.
+func (f *Forwarder) Start(_ context.Context, k *kernel.Kernel) error {
+	k.Every("forward/sweep", sweepInterval, f.sweep)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (f *Forwarder) Stop(context.Context) error { return nil }
+
+// sweep closes idle connections and removes the state of targets that no longer serve.
+func (f *Forwarder) sweep(context.Context) {
 	f.pool.CloseExpired()
 	var ids []string
 	for _, t := range f.view.Serving("") {
@@ -100,9 +109,6 @@
 	f.balancer.Retain(ids)
 }
 
-// SweepInterval is how often Sweep must be called.
-const SweepInterval = sweepInterval
-
 // call is a caller's request in progress.
 type call struct {
 	forwarder     *Forwarder
@@ -120,11 +126,19 @@
 	sawRejection  bool          // a target in tried rejected the request without running it
 	retryWait     time.Duration // time until a target that failed may be tried again
 	attempts      int           // attempts started
+	serverErrors  int           // answers with status 500
 }
 
 // Serve forwards a request that matches a route of the configuration with the given version. The timeout
-// is the route's, or the caller's deadline if that is shorter.
+// is the route's, or the caller's deadline if that is shorter. If the response cannot be completed, Serve
+// panics with http.ErrAbortHandler, which closes the connection to the caller.
 func (f *Forwarder) Serve(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) {
+	if err := f.newCall(w, r, route, version).run(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) *call {
 	c := &call{forwarder: f, route: route, configVersion: version, req: r, w: w, id: r.Header.Get(f.headers.RequestID), startedAt: bootclock.Now()}
 	c.service = route.ChooseService(hashString(c.id))
 	timeout := route.Timeout
@@ -132,19 +146,23 @@
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	c.deadline = c.startedAt.Add(timeout)
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	return c
+}
+
+// run sends the request and responds to the caller. It returns AbortedResponse if the caller gets no
+// response or an incomplete one.
+func (c *call) run() error {
+	ctx, cancel := context.WithTimeout(c.req.Context(), c.deadline.Sub(c.startedAt))
 	defer cancel()
-	body, err := readBody(r)
+	body, err := readBody(c.req)
 	if err != nil {
-		c.finish("client gone", 0, "", err)
-		panic(http.ErrAbortHandler)
+		return c.abort("client gone", 0, "", err)
 	}
 	c.body = body
-	if route.Kind == routes.Stream {
-		c.stream(ctx)
-		return
+	if c.route.Kind == routes.Stream {
+		return c.stream(ctx)
 	}
-	c.roundTrip(ctx)
+	return c.roundTrip(ctx)
 }
 
 // pickTarget selects a target that is not in tried and reports the start of an attempt to the balancer.
@@ -290,17 +308,24 @@
 }
 
 // failTimeout ends a request whose context is done, because of its deadline or because the caller has
-// disconnected. In the latter case it aborts the handler without a response.
-func (c *call) failTimeout() {
-	if c.req.Context().Err() != nil {
-		c.finish("client gone", 0, "", nil)
-		panic(http.ErrAbortHandler)
-	}
-	if c.possibleRuns > 0 {
+// disconnected. In the latter case there is no response.
+func (c *call) failTimeout() error {
+	switch {
+	case c.req.Context().Err() != nil:
+		return c.abort("client gone", 0, "", nil)
+	case c.possibleRuns > 0:
 		c.fail(http.StatusGatewayTimeout, "no answer in time")
-		return
+	default:
+		c.refuse(retryAfterFull, "no target available in time")
 	}
-	c.refuse(retryAfterFull, "no target available in time")
+	return nil
+}
+
+// abort ends a request whose response cannot be completed. The caller of the forwarder must close the
+// connection, so that the response does not look complete.
+func (c *call) abort(outcome string, status int, target string, err error) error {
+	c.finish(outcome, status, target, err)
+	return &AbortedResponse{Request: c.id, Reason: outcome}
 }
 
 // finish logs the end of the request and updates the metrics.
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -88,7 +88,7 @@
 
 // roundTrip runs attempts until one succeeds or no more are allowed, and responds to the caller. A
 // retryable request that is slow is also sent to a second target (a hedged request).
-func (c *call) roundTrip(ctx context.Context) {
+func (c *call) roundTrip(ctx context.Context) error {
 	results := make(chan *attemptResult, c.route.AttemptLimit()+1)
 	pending := 0
 	var fallback *attemptResult
@@ -115,7 +115,7 @@
 	first, ok := c.pickFirstTarget(ctx)
 	if !ok {
 		c.failExhausted()
-		return
+		return nil
 	}
 	send(first)
 	hedgeTimer := time.NewTimer(max(time.Duration(hedgeFraction*float64(c.objective())), minHedgeDelay))
@@ -124,11 +124,9 @@
 		select {
 		case <-ctx.Done():
 			if fallback != nil {
-				c.writeResponse(ctx, fallback)
-				return
+				return c.writeResponse(fallback)
 			}
-			c.failTimeout()
-			return
+			return c.failTimeout()
 		case <-hedgeTimer.C:
 			if pending > 0 && c.retryable() {
 				sendToNext()
@@ -137,8 +135,10 @@
 		case res := <-results:
 			pending--
 			if res.kind == resultAnswered {
-				c.writeResponse(ctx, res)
-				return
+				return c.writeResponse(res)
+			}
+			if res.kind == resultServerError && res.resp.StatusCode == http.StatusInternalServerError {
+				c.serverErrors++
 			}
 			if res.kind == resultServerError && fallback == nil {
 				fallback = res
@@ -157,11 +157,10 @@
 			continue
 		}
 		if fallback != nil {
-			c.writeResponse(ctx, fallback)
-			return
+			return c.writeResponse(fallback)
 		}
 		c.failExhausted()
-		return
+		return nil
 	}
 }
 
@@ -282,9 +281,9 @@
 	c.forwarder.balancer.RecordLoad(bootclock.Now(), target, balance.LoadReport{Running: counts[0], Waiting: counts[1], Slots: counts[2]})
 }
 
-// writeResponse passes a response on to the caller. If an error occurs after the header was sent, it
-// aborts the connection to the caller, so that the response does not look complete.
-func (c *call) writeResponse(_ context.Context, res *attemptResult) {
+// writeResponse passes a response on to the caller. It returns AbortedResponse if an error occurs after
+// the header was sent.
+func (c *call) writeResponse(res *attemptResult) error {
 	defer res.close()
 	copyResponseHeader(c.w.Header(), res.resp.Header)
 	if !res.truncated {
@@ -298,10 +297,10 @@
 		_, err = io.Copy(c.w, res.resp.Body)
 	}
 	if err != nil {
-		c.finish("interrupted", res.resp.StatusCode, res.target, err)
-		panic(http.ErrAbortHandler)
+		return c.abort("interrupted", res.resp.StatusCode, res.target, err)
 	}
 	c.finish("answered", res.resp.StatusCode, res.target, nil)
+	return nil
 }
 
 // isFailure reports whether an error wraps an errs.Failure.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -28,7 +28,7 @@
 
 // stream forwards server-sent events as they arrive. If the route is resumable, an interrupted stream
 // is resumed at another target after the last complete event.
-func (c *call) stream(ctx context.Context) {
+func (c *call) stream(ctx context.Context) error {
 	s := &eventStream{call: c}
 	if id, err := strconv.ParseUint(c.req.Header.Get(c.forwarder.headers.LastEventID), 10, 64); err == nil {
 		s.lastEventID = id
@@ -42,36 +42,34 @@
 			cand, ok = c.pickTarget()
 		}
 		if !ok {
-			s.failStream(ctx)
-			return
+			return s.failStream(ctx)
 		}
 		c.attempts++
-		if s.attempt(ctx, cand) {
-			return
+		if finished, err := s.attempt(ctx, cand); finished {
+			return err
 		}
 		if ctx.Err() != nil || !c.retryable() {
-			s.failStream(ctx)
-			return
+			return s.failStream(ctx)
 		}
 	}
 }
 
-// failStream ends a stream for which no more attempts are possible. If the header was sent, it aborts the connection
-// to the caller, so that the stream does not look complete.
-func (s *eventStream) failStream(ctx context.Context) {
+// failStream ends a stream for which no more attempts are possible. It returns AbortedResponse if the
+// header was sent.
+func (s *eventStream) failStream(ctx context.Context) error {
 	switch {
 	case s.headerSent:
-		s.finish("interrupted", http.StatusOK, s.target, nil)
-		panic(http.ErrAbortHandler)
+		return s.abort("interrupted", http.StatusOK, s.target, nil)
 	case ctx.Err() != nil:
-		s.failTimeout()
-	default:
-		s.failExhausted()
+		return s.failTimeout()
 	}
+	s.failExhausted()
+	return nil
 }
 
-// attempt streams from one target. It reports whether the request is finished.
-func (s *eventStream) attempt(ctx context.Context, cand balance.Candidate) bool {
+// attempt streams from one target. It reports whether the request is finished; err is AbortedResponse if
+// its response is incomplete.
+func (s *eventStream) attempt(ctx context.Context, cand balance.Candidate) (finished bool, err error) {
 	begin := bootclock.Now()
 	ctx, s.span = s.startSpan(ctx, cand.ID)
 	req := s.newRequest(cand.ID)
@@ -84,7 +82,7 @@
 			s.possibleRuns++
 		}
 		s.finishAttempt(cand, balance.Failed, begin, err)
-		return false
+		return false, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
 	res := &attemptResult{target: cand.ID, resp: resp}
@@ -96,7 +94,7 @@
 			outcome = balance.Failed
 		}
 		s.finishAttempt(cand, outcome, begin, err)
-		return false
+		return false, nil
 	}
 	s.possibleRuns++
 	if resp.StatusCode != http.StatusOK {
@@ -112,10 +110,10 @@
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
 		s.finish("answered", resp.StatusCode, cand.ID, nil)
-		return true
+		return true, nil
 	}
 	s.finishAttempt(cand, balance.Failed, begin, err)
-	return false
+	return false, nil
 }
 
 // checkHeader classifies the response of a target by its status and headers.
@@ -136,21 +134,20 @@
 
 // handleNonOK passes on a response whose status is not 200, unless it is a failure and another attempt
 // is allowed. If the header of an earlier response was already sent, the status cannot be passed on and
-// the attempt fails. It reports whether the request is finished.
-func (s *eventStream) handleNonOK(cand balance.Candidate, resp *httpconn.Response, begin time.Time) bool {
+// the attempt fails. Its results are those of attempt.
+func (s *eventStream) handleNonOK(cand balance.Candidate, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	failure := resp.StatusCode >= http.StatusInternalServerError
 	if err != nil || failure && s.retryable() {
 		s.finishAttempt(cand, balance.Failed, begin, err)
-		return false
+		return false, nil
 	}
 	if s.headerSent {
 		s.finishAttempt(cand, balance.Failed, begin, nil)
-		return false
+		return false, nil
 	}
 	s.finishAttempt(cand, balance.OK, begin, nil)
-	s.writeResponse(s.req.Context(), &attemptResult{target: cand.ID, resp: resp, data: data, cancel: func() {}})
-	return true
+	return true, s.writeResponse(&attemptResult{target: cand.ID, resp: resp, data: data, cancel: func() {}})
 }
 
 // copyEvents passes on the events of one response, except those that the caller already has. Unless the
--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -15,10 +15,12 @@
 // openJob is the runner's copy of a job that has not ended.
 type openJob struct {
 	*jobs.Job
-	items     map[string]*openItem // without a result, by ID
-	routeName string
-	deadline  time.Time
-	expiresAt time.Time // zero if the items never expire
+	items map[string]*openItem // without a result, by ID
+	// openInGroup is the number of items by group.
+	openInGroup map[string]int
+	routeName   string
+	deadline    time.Time
+	expiresAt   time.Time // zero if the items never expire
 }
 
 // openItem is an item without a result.
@@ -26,6 +28,17 @@
 	jobs.Item
 	failures     int       // runs that an engine reported as failed
 	waitingSince time.Time // start of the current wait for an engine
+	// textCompleteAt is when the text of an item that is to be scored was complete; zero if this leader
+	// did not see it.
+	textCompleteAt time.Time
+}
+
+// removeItem removes an item that has a result or is about to get one.
+func (j *openJob) removeItem(id string) {
+	if it := j.items[id]; it != nil {
+		j.openInGroup[it.Group]--
+		delete(j.items, id)
+	}
 }
 
 // recordNewJobs records when this replica first saw each job. Job ages are measured from that time
@@ -73,6 +86,7 @@
 		for _, key := range r.sched.Reroute(func(t *schedule.Task) string { return r.serviceOf(table, t.Key()) }) {
 			r.terminate(key, "route was removed")
 		}
+		r.rerouteScoring(table)
 	}
 }
 
@@ -99,10 +113,11 @@
 func (r *Runner) newOpenJob(now time.Time, e *jobs.Entry, table *routes.Table) *openJob {
 	job := e.Job
 	job.Items = nil
-	j := &openJob{Job: &job, items: make(map[string]*openItem)}
+	j := &openJob{Job: &job, items: make(map[string]*openItem), openInGroup: make(map[string]int)}
 	for _, it := range e.Items {
 		if !e.HasResult(it.ID) {
 			j.items[it.ID] = &openItem{Item: it}
+			j.openInGroup[it.Group]++
 		}
 	}
 	first, ok := r.firstSeen[e.ID]
@@ -138,14 +153,20 @@
 	}
 }
 
-// addJob adds a job and its items to the scheduler. Items that no route matches are terminated.
+// addJob adds a job and its items to the scheduler. Items that no route matches are terminated, and those
+// whose text an earlier job or leader completed are finished.
 func (r *Runner) addJob(now time.Time, j *openJob, table *routes.Table) {
 	r.jobs[j.ID] = j
 	var tasks []schedule.Task
 	var unrouted []schedule.Key
+	completeTexts := make(map[string]*partialText)
 	carriedOver, resumed := 0, 0
 	for id, it := range j.items {
 		key := schedule.Key{Job: j.ID, Item: id}
+		if p := r.usablePartial(j, id); p != nil && p.complete {
+			completeTexts[id] = p
+			continue
+		}
 		service := r.serviceOf(table, key)
 		if service == "" {
 			unrouted = append(unrouted, key)
@@ -167,11 +188,15 @@
 		r.knownItems[id] = true
 	}
 	r.opts.Log.Info("batch job added to the scheduler", "job", j.ID, "model", j.Model, "step", j.TrainStep, "min_version", j.MinVersion, "wanted", j.WantedGroups,
-		"items", len(j.items), "carried", carriedOver, "resumed", resumed, "age_ms", now.Sub(r.firstSeen[j.ID]).Milliseconds(), "route", j.routeName)
+		"items", len(j.items), "carried", carriedOver, "resumed", resumed, "complete", len(completeTexts), "age_ms", now.Sub(r.firstSeen[j.ID]).Milliseconds(), "route", j.routeName)
 	r.sched.AddJob(j.ID, sortTasks(tasks))
 	for _, key := range unrouted {
 		r.terminate(key, "no route matches")
 	}
+	for id, p := range completeTexts {
+		delete(r.partials, id)
+		r.finishText(now, j, j.items[id], p)
+	}
 }
 
 // serviceOf returns the service that the routes select for an item, or "" if no route matches.
@@ -194,6 +219,9 @@
 	for _, key := range r.sched.EndJob(id) {
 		r.stopRun(key, "job ended")
 	}
+	for item := range j.items {
+		r.stopScoring(schedule.Key{Job: id, Item: item})
+	}
 	delete(r.jobs, id)
 	r.metrics.jobDuration.Observe(now.Sub(r.firstSeen[id]).Seconds())
 	r.opts.Log.Info("batch job removed from the scheduler", "job", id, "model", j.Model, "step", j.TrainStep, "age_ms", now.Sub(r.firstSeen[id]).Milliseconds(),
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -78,5 +78,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &partialText{text: text, lastEventID: p.LastEventID, eventCount: p.EventCount, versions: p.Versions, committed: len(text), proposedEvents: p.EventCount}, nil
+	return &partialText{text: text, lastEventID: p.LastEventID, eventCount: p.EventCount, versions: p.Versions, committed: len(text), proposedEvents: p.EventCount,
+		complete: p.Complete, completeCommitted: p.Complete}, nil
 }
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -47,7 +47,9 @@
 	committed int
 	// proposedEvents is the number of events included in the last proposal.
 	proposedEvents int
-	updatedAt      time.Time // end of the last run, or load from the committed state
+	// complete is set when the text is whole, and completeCommitted when that is committed.
+	complete, completeCommitted bool
+	updatedAt                   time.Time // end of the last run, or load from the committed state
 }
 
 // remainingTokens estimates the number of output tokens still to be generated. If the text already
@@ -164,15 +166,14 @@
 	r.logRun(rn, ir, res, resumedEvents)
 	r.metrics.countRun(res.outcome)
 	j := r.jobs[rn.key.Job]
+	ir.output.complete = res.complete
 	if j == nil || j.items[rn.key.Item] == nil {
-		if !res.complete {
-			r.partials[rn.key.Item] = ir.output
-		}
+		r.partials[rn.key.Item] = ir.output
 		return
 	}
 	if res.complete && j.AllowsVersions(ir.output.versions) {
 		r.sched.EndRun(now, rn.key, schedule.Finished, 0, 0)
-		r.commitText(j, rn.key.Item, ir.output, ir.output.committed)
+		r.finishText(now, j, j.items[rn.key.Item], ir.output)
 		return
 	}
 	r.rescheduleItem(now, j, rn.key, ir, res)
@@ -214,14 +215,15 @@
 	return 1
 }
 
-// commitText commits the text of an item as its result, sending only the bytes after offset from. The
-// command is refused if the committed prefix differs; the complete text is then proposed instead.
-func (r *Runner) commitText(j *openJob, item string, p *partialText, from int) {
-	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[from:]), Versions: p.versions}
+// commitText commits the text of an item and its score, if it has one, as its result, sending only the
+// bytes after offset from. The command is refused if the committed prefix differs; the complete text is
+// then proposed instead.
+func (r *Runner) commitText(j *openJob, item string, p *partialText, from int, score string) {
+	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[from:]), Versions: p.versions, Score: score}
 	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Result: result, Offset: from}},
 		func(now time.Time, reply storestate.Reply) {
 			if !reply.Changed && from > 0 {
-				r.commitText(j, item, p, 0)
+				r.commitText(j, item, p, 0, score)
 				return
 			}
 			r.resultCommitted(now, j, result, reply)
@@ -236,7 +238,7 @@
 
 // resultCommitted removes an item whose result is committed.
 func (r *Runner) resultCommitted(now time.Time, j *openJob, result jobs.Result, reply storestate.Reply) {
-	delete(j.items, result.ID)
+	j.removeItem(result.ID)
 	r.opts.Log.Info("item result committed", "job", j.ID, "item", result.ID, "state", result.State, "versions", result.Versions,
 		"taken", reply.Changed, "left", len(j.items), "age_ms", now.Sub(r.firstSeen[j.ID]).Milliseconds())
 }
@@ -250,7 +252,8 @@
 	r.stopRun(key, "item terminated")
 	delete(r.runs, key)
 	r.sched.RemoveTask(key)
-	delete(j.items, key.Item)
+	r.stopScoring(key)
+	j.removeItem(key.Item)
 	r.opts.Log.Warn("item terminated", "job", key.Job, "item", key.Item, "reason", reason)
 	r.commitResult(j, jobs.Result{ID: key.Item, State: jobs.Terminated})
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/kernel"
@@ -52,6 +53,8 @@
 	View         *clusterview.View
 	EngineClient dialect.EngineClient
 	Headers      dialect.Headers
+	// Forwarder sends the scoring calls.
+	Forwarder *forward.Forwarder
 	// Holder is the ID of this replica, sent with each order as the holder of the fencing token.
 	Holder string
 	// OrderWait is how long a new leader waits before its first order, so that orders of an earlier
@@ -89,11 +92,13 @@
 	runs               map[schedule.Key]*activeRun
 	partials           map[string]*partialText // by item, while no run uses it
 	knownItems         map[string]bool         // items seen in earlier jobs
-	orderStates        map[string]*orderState  // by engine
-	publishedVersions  map[string]uint64       // newest published weight version of each model
-	syncedRevision     uint64                  // revision of the state machine at the last sync
-	routesVersion      uint64                  // configuration version at the last sync
-	lastDemandSequence uint64                  // sequence number of the newest job whose demand was reported
+	scoringQueue       *schedule.ScoringQueue
+	scorings           map[schedule.Key]*scoring // items whose call is in scoringQueue
+	orderStates        map[string]*orderState    // by engine
+	publishedVersions  map[string]uint64         // newest published weight version of each model
+	syncedRevision     uint64                    // revision of the state machine at the last sync
+	routesVersion      uint64                    // configuration version at the last sync
+	lastDemandSequence uint64                    // sequence number of the newest job whose demand was reported
 	cleanedAt          time.Time
 	reviewedAt         time.Time // last evaluation, see reviewInterval
 	progressStoredAt   time.Time // when partial texts were last proposed
@@ -173,10 +178,12 @@
 	if review {
 		r.reviewedAt = now
 		r.sched.SetEngines(r.engines())
+		r.updateScoringSlots()
 	}
 	for _, a := range r.sched.AssignTasks(now) {
 		r.startRun(now, a)
 	}
+	r.startScoring(now)
 	r.measureSpeed(now)
 	if review {
 		for _, m := range r.sched.PlanMoves(now) {
@@ -211,6 +218,7 @@
 	r.sched = schedule.New()
 	r.jobs, r.runs = make(map[string]*openJob), make(map[schedule.Key]*activeRun)
 	r.partials, r.knownItems = make(map[string]*partialText), make(map[string]bool)
+	r.scoringQueue, r.scorings = schedule.NewScoringQueue(), make(map[schedule.Key]*scoring)
 	r.orderStates, r.publishedVersions = make(map[string]*orderState), nil
 	r.syncedRevision, r.routesVersion, r.lastDemandSequence = 0, 0, 0
 	r.opts.Log.Info("runner became active", "term", term, "holder", r.opts.Holder, "elected_ms_ago", now.Sub(r.electedAt).Milliseconds())
@@ -305,7 +313,7 @@
 		}
 	}
 	r.nextDropNanos.Store(int64(oldest.Add(r.opts.KeepResults + retentionSlack).Sub(now)))
-	r.metrics.updateGauges(r.sched)
+	r.metrics.updateGauges(r.sched, r.scoringQueue)
 	for _, e := range r.sched.EngineStates(now) {
 		r.opts.Log.Debug("engine state", "engine", e.ID, "model", e.Model, "version", e.Version, "running", e.Running, "slots", e.Slots, "tokens", e.ExpectedTokens,
 			"limit", e.KVCacheTokens, "failures", e.Failures, "paused", e.InBackoff, "loading", e.Loading, "gap_ms", e.EventGapMs)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,6 +19,7 @@
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/observe"
@@ -75,6 +76,7 @@
 	grpc         *grpc.Server
 	control      *http.Server
 	runner       *runner.Runner
+	forwarder    *forward.Forwarder // sends the scoring calls of the runner
 	// admission decides whether there is memory for another job.
 	admission admission
 	done      chan struct{} // closed when the host stops
@@ -103,8 +105,9 @@
 	st.pool = rolehost.NewClientPool(s, st.replica.ID, o.Log, o.Tracing)
 	st.leaderClient = stateclient.New(st.view, s.IP, st, st.peer)
 	st.grpc = rolehost.NewGRPCServer(o.Log, o.Tracing)
-	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Headers: o.Headers, Holder: st.replica.ID,
-		OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
+	st.forwarder = forward.New(o.Headers, st.view, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
+	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder,
+		Headers: o.Headers, Holder: st.replica.ID, OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
 		name    string
 		service any
@@ -115,6 +118,7 @@
 		{"peer-server", peerServer{st: st}},
 		{"watch", &clusterview.Watcher{View: st.view, Self: s.IP, Peer: st.peer, IsStoreHost: true, Log: o.Log}},
 		{"keeper", &membershipController{st: st}}, // the name is used in metrics and logs
+		{"forwarder", st.forwarder},
 		{"runner", st.runner},
 		{"control", controlService{st}},
 		{"trace", o.Tracing},
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -30,6 +30,26 @@
 	ExpectedOutputTokens int `cbor:"6,keyasint,omitempty"`
 	// Group identifies the items that share a prompt.
 	Group string `cbor:"7,keyasint,omitempty"`
+	// Scoring is the request that scores the complete text; nil if the item is not scored.
+	Scoring *ScoringRequest `cbor:"9,keyasint,omitempty"`
+}
+
+// ScoringRequest is a request that is sent to a scoring service once the text of an item is complete.
+// The signature of the answer is the score of the item.
+type ScoringRequest struct {
+	ID string `cbor:"1,keyasint"`
+	// Host and Path are matched against the routes.
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// sameAs reports whether both are nil or identify the same request.
+func (s *ScoringRequest) sameAs(other *ScoringRequest) bool {
+	if s == nil || other == nil {
+		return s == other
+	}
+	return s.ID == other.ID && s.Host == other.Host && s.Path == other.Path
 }
 
 // Job is a batch job as a client submits it.
@@ -61,6 +81,9 @@
 		if it.ID == "" || seen[it.ID] {
 			return &errs.Invalid{Path: "$.items.id", Want: "a unique id", Got: it.ID}
 		}
+		if it.Scoring != nil && it.Scoring.ID == "" {
+			return &errs.Invalid{Path: "$.items.scoring.id", Want: "an id", Got: "an empty string"}
+		}
 		seen[it.ID] = true
 	}
 	return nil
@@ -91,6 +114,8 @@
 	Text Text `cbor:"3,keyasint,omitempty"`
 	// Versions are the weight versions that generated events of the text, in ascending order.
 	Versions []uint64 `cbor:"4,keyasint,omitempty"`
+	// Score is the signature of the answer to the item's scoring request; empty if it has none.
+	Score string `cbor:"5,keyasint,omitempty"`
 }
 
 // PartialText is the text that an unfinished item has generated so far.
@@ -100,6 +125,8 @@
 	LastEventID uint64   `cbor:"2,keyasint,omitempty"`
 	EventCount  int      `cbor:"3,keyasint,omitempty"`
 	Versions    []uint64 `cbor:"4,keyasint,omitempty"`
+	// Complete is set when the text is whole and only its score is missing.
+	Complete bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Entry is a job with its results and status.
@@ -141,7 +168,8 @@
 }
 
 // Submit adds a job unless its ID is known, and reports whether it did. Items that an earlier job
-// completed with weight versions that the new job accepts get that result at once.
+// completed with weight versions that the new job accepts get that result at once. If such an item is
+// to be scored by another request than before, only its text is reused.
 func (b *Table) Submit(j Job) bool {
 	if b.entries[j.ID] != nil {
 		return false
@@ -151,21 +179,36 @@
 	b.entries[j.ID] = e
 	b.inOrder = append(b.inOrder, e)
 	for i := range e.Items {
-		if r, ok := b.reusableResult(e, e.Items[i].ID); ok {
+		r, sameScoring, ok := b.reusableResult(e, &e.Items[i])
+		switch {
+		case ok && sameScoring:
 			b.addResult(e, r)
+		case ok:
+			b.partials[r.ID] = &PartialText{Text: r.Text, Versions: r.Versions, EventCount: 1, Complete: true}
 		}
 	}
 	return true
 }
 
-// reusableResult returns the result of an item from an earlier job if e accepts its versions.
-func (b *Table) reusableResult(e *Entry, item string) (Result, bool) {
-	earlier := b.entries[b.completedIn[item]]
+// reusableResult returns the result of an item from an earlier job if e accepts its versions, and whether
+// the same request scored it.
+func (b *Table) reusableResult(e *Entry, it *Item) (r Result, sameScoring, ok bool) {
+	earlier := b.entries[b.completedIn[it.ID]]
 	if earlier == nil || earlier == e {
-		return Result{}, false
+		return Result{}, false, false
 	}
-	r := earlier.Results[earlier.resultIndex[item]]
-	return r, e.AllowsVersions(r.Versions)
+	r = earlier.Results[earlier.resultIndex[it.ID]]
+	return r, it.Scoring.sameAs(earlier.scoring(it.ID)), e.AllowsVersions(r.Versions)
+}
+
+// scoring returns the scoring request of an item, or nil if it has none.
+func (e *Entry) scoring(item string) *ScoringRequest {
+	for i := range e.Items {
+		if e.Items[i].ID == item {
+			return e.Items[i].Scoring
+		}
+	}
+	return nil
 }
 
 func (b *Table) addResult(e *Entry, r Result) {
@@ -177,26 +220,38 @@
 	for i := range e.Items {
 		if e.Items[i].ID == r.ID {
 			delete(b.partials, r.ID)
-			e.Items[i].Body, e.Items[i].Headers = nil, nil // no longer needed
+			e.Items[i].releaseContent()
 		}
 	}
 }
 
+// releaseContent drops what is no longer needed once the item has a result. The identity of the scoring
+// request is kept, so that a later job with the same item can tell whether the score applies to it.
+func (it *Item) releaseContent() {
+	it.Body, it.Headers = nil, nil
+	if it.Scoring != nil {
+		it.Scoring = &ScoringRequest{ID: it.Scoring.ID, Host: it.Scoring.Host, Path: it.Scoring.Path}
+	}
+}
+
 // AppendText appends to the stored text of an item if its length is offset; offset 0 replaces the
-// stored text. It reports whether the text was stored.
+// stored text, unless that is complete and accepted by the job. It reports whether the text was stored.
 func (b *Table) AppendText(job, item string, offset int, p PartialText) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(item) {
 		return false
 	}
 	stored := b.partials[item]
+	if stored != nil && stored.Complete && e.AllowsVersions(stored.Versions) {
+		return p.Complete && stored.Text.Len() == offset+p.Text.Len() && slices.Equal(stored.Versions, p.Versions)
+	}
 	if offset == 0 {
 		stored = &PartialText{}
 	}
 	if stored == nil || stored.Text.Len() != offset {
 		return false
 	}
-	b.partials[item] = &PartialText{Text: slices.Concat(stored.Text, p.Text), LastEventID: p.LastEventID, EventCount: p.EventCount, Versions: p.Versions}
+	b.partials[item] = &PartialText{Text: slices.Concat(stored.Text, p.Text), LastEventID: p.LastEventID, EventCount: p.EventCount, Versions: p.Versions, Complete: p.Complete}
 	return true
 }
 
@@ -217,12 +272,16 @@
 // Finish records the result of an item. If offset is positive, the text of the result is appended
 // to the stored text of the item, whose length must be offset. Finish reports whether the result
 // was recorded. It is rejected if the job is unknown or ended, if the item is not part of the job
-// or has a result, or if it is completed with versions that the job does not accept.
+// or has a result, if it is completed with versions that the job does not accept, or if it is completed
+// without the score that it needs.
 func (b *Table) Finish(job string, offset int, r Result) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(r.ID) || r.State == Completed && !e.AllowsVersions(r.Versions) {
 		return false
 	}
+	if r.State == Completed && r.Score == "" && e.scoring(r.ID) != nil {
+		return false
+	}
 	if offset > 0 {
 		p := b.partials[r.ID]
 		if p == nil || p.Text.Len() != offset {
@@ -343,6 +402,9 @@
 // contentBytes returns the size of the body and the headers.
 func (it *Item) contentBytes() int {
 	n := len(it.Body)
+	if it.Scoring != nil {
+		n += len(it.Scoring.Body)
+	}
 	for name, value := range it.Headers {
 		n += len(name) + len(value)
 	}
