clusterview: in a large system hosts watch only the voters, which watch all store hosts

Ruled out: k stores by rendezvous hashing (a host is not ready without events of a majority of the voters, which would then need relayed ages); gossip (urgent news of drains needs bounded delay). Change: selectSources: up to 7 store hosts all are watched as before; above, entry hosts and other stores watch the voters and the leader, voters watch all; a host that hears no majority also watches seeds and some stores of its own and other failure domains. A watch stays open for 5 s after it was last selected. Refreshed ages no longer wake the streams, they wait for the next heartbeat; a relay passes each refresh on.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -73,6 +73,8 @@
 	records   map[string]*record
 	byAddress map[string]string // address to ID of the target that uses it now
 	revision  uint64
+	// urgentRevision is the revision of the last change that other hosts must learn at once.
+	urgentRevision uint64
 }
 
 // NewRegistry returns an empty registry.
@@ -110,7 +112,10 @@
 		rec.revisedAt, rec.revision = old.revisedAt, old.revision
 	}
 	r.records[t.ID] = rec
-	if old == nil || urgentChange(&old.Target, &t) || direct && weightsDiffer(&old.Target, &t) || now.Sub(rec.revisedAt) >= refresh {
+	switch {
+	case old == nil || urgentChange(&old.Target, &t) || direct && weightsDiffer(&old.Target, &t):
+		r.bumpUrgentRevision(now, rec)
+	case now.Sub(rec.revisedAt) >= refresh:
 		r.bumpRevision(now, rec)
 	}
 	return true
@@ -128,7 +133,7 @@
 			return false
 		}
 		other.State = Gone
-		r.bumpRevision(now, other)
+		r.bumpUrgentRevision(now, other)
 	}
 	r.byAddress[t.Address] = t.ID
 	return true
@@ -140,6 +145,12 @@
 	rec.revision, rec.revisedAt = r.revision, now
 }
 
+// bumpUrgentRevision is bumpRevision for a change that other hosts must learn at once.
+func (r *Registry) bumpUrgentRevision(now time.Time, rec *record) {
+	r.bumpRevision(now, rec)
+	r.urgentRevision = r.revision
+}
+
 // urgentChange reports whether the change must reach other hosts at once, even through relays.
 func urgentChange(a, b *Target) bool {
 	return a.State != b.State || a.Address != b.Address || a.Incarnation != b.Incarnation || a.Service != b.Service
@@ -156,7 +167,7 @@
 	if rec.State != Gone {
 		rec.State = Gone
 		rec.reportedAt = now
-		r.bumpRevision(now, rec)
+		r.bumpUrgentRevision(now, rec)
 	}
 	return true
 }
@@ -231,3 +242,7 @@
 
 // Revision returns the current revision, which increases with each change to pass on to other hosts.
 func (r *Registry) Revision() uint64 { return r.revision }
+
+// UrgentRevision returns the revision of the last change to pass on at once. Later revisions only update
+// ages.
+func (r *Registry) UrgentRevision() uint64 { return r.urgentRevision }
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -23,9 +23,9 @@
 	// nothing else about the target changes.
 	targetRefresh = 5 * time.Second
 	// relayRefresh is the same for reports relayed by another store host. It is less than
-	// targetExpiry, so that hosts that receive only relayed reports get them before the target
-	// expires.
-	relayRefresh = 15 * time.Second
+	// targetRefresh, so that each refresh is passed on: most hosts of a large system receive only
+	// relayed reports.
+	relayRefresh = 4 * time.Second
 	// storeExpiry is the time for which a store host that is not a seed is watched after it was
 	// last reported.
 	storeExpiry = 30 * time.Second
@@ -138,15 +138,19 @@
 		return false
 	}
 	old, known := v.stores[s.IP()]
+	if known && old.ReplicaID == s.ReplicaID && s.Domain == "" {
+		s = old.StoreHost // an announcement by RecordStore may name the replica only
+	}
 	v.stores[s.IP()] = storeEntry{s, now}
 	return !known || old.ReplicaID != s.ReplicaID
 }
 
 // mergeTarget merges a target report with merge and logs changes that affect decisions. It reports
-// whether the revision of the registry changed. The caller holds the lock.
+// whether there is something to pass on at once; ages wait for the next heartbeat of a watch. The caller
+// holds the lock.
 func (v *View) mergeTarget(now time.Time, t fleet.Target, from string, merge func(time.Time, fleet.Target) bool) bool {
 	old, known := v.registry.Get(t.ID)
-	before := v.registry.Revision()
+	before := v.registry.UrgentRevision()
 	if !merge(now, t) {
 		return false
 	}
@@ -155,7 +159,7 @@
 		v.log.Info("target changed", "target", t.ID, "service", t.Service, "address", t.Address, "state", current.State,
 			"previous", old.State, "sequence", t.Sequence, "age_ms", t.Age.Milliseconds(), "from", from)
 	}
-	return v.registry.Revision() != before
+	return v.registry.UrgentRevision() != before
 }
 
 // UpdateTarget records a report that a target sent directly to this host.
@@ -294,20 +298,33 @@
 // store hosts. The leader is included because, after a restart of all hosts, it may not be a seed,
 // and only its events list the non-voting store hosts.
 func (v *View) StoreIPs() []string {
+	in := v.sourceInput()
+	return in.all()
+}
+
+// Sources returns the sorted IP addresses of the store hosts that the host at IP address self watches.
+func (v *View) Sources(self, domain string, isStoreHost bool) []string {
+	in := v.sourceInput()
+	in.self, in.domain, in.isStoreHost = self, domain, isStoreHost
+	in.hearsMajority = v.MajorityAge() < majorityTimeout
+	return selectSources(&in)
+}
+
+// sourceInput returns what the view knows of the store hosts.
+func (v *View) sourceInput() sourceInput {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	ips := slices.Clone(v.seeds)
-	for ip := range v.stores {
-		ips = append(ips, ip)
+	in := sourceInput{seeds: v.seeds}
+	for _, s := range v.stores {
+		in.stores = append(in.stores, s.StoreHost)
 	}
 	for _, id := range v.voters {
-		ips = append(ips, ReplicaIP(id))
+		in.voters = append(in.voters, ReplicaIP(id))
 	}
 	if v.leader != "" {
-		ips = append(ips, ReplicaIP(v.leader))
+		in.leader = ReplicaIP(v.leader)
 	}
-	slices.Sort(ips)
-	return slices.Compact(ips)
+	return in
 }
 
 // RecordStore records a store host that has announced itself to this host.
--- a/internal/clusterview/watch.go
+++ b/internal/clusterview/watch.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 
+	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/rpc"
 )
@@ -22,23 +23,36 @@
 	watchRetryDelay = 200 * time.Millisecond
 	// discoverInterval is the interval at which the view is checked for new store hosts.
 	discoverInterval = 250 * time.Millisecond
+	// majorityTimeout is the time without events from a majority of the voters after which a host also
+	// watches other store hosts: two heartbeats.
+	majorityTimeout = 2 * watchHeartbeat
+	// watchLinger is how long a watch stays open after its store host was last selected, so that a short
+	// disturbance does not close and open streams.
+	watchLinger = 5 * time.Second
 )
 
-// Watcher watches each store host that the view knows. It implements kernel.Service.
+// Watcher watches the store hosts that View.Sources selects. It implements kernel.Service.
 type Watcher struct {
-	View *View
-	Self string // IP address of this host, which is not watched
-	Peer func(host string) (rpc.PeerClient, error)
+	View   *View
+	Self   string // IP address of this host, which is not watched
+	Domain string // failure domain of this host
+	Peer   func(host string) (rpc.PeerClient, error)
 	// IsStoreHost reports whether this host is a store host.
 	IsStoreHost bool
 	Log         *slog.Logger
 
-	watches map[string]context.CancelFunc
+	watches map[string]*watch // by IP address
+}
+
+// watch is a store host that is being watched.
+type watch struct {
+	cancel     context.CancelFunc
+	selectedAt time.Time // when View.Sources last contained the store host
 }
 
 // Start implements kernel.Service.
 func (w *Watcher) Start(_ context.Context, k *kernel.Kernel) error {
-	w.watches = make(map[string]context.CancelFunc)
+	w.watches = make(map[string]*watch)
 	w.discover(k)
 	k.Every("watch/discover", discoverInterval, func(context.Context) {
 		w.View.Expire()
@@ -50,28 +64,35 @@
 // Stop implements kernel.Service.
 func (w *Watcher) Stop(context.Context) error { return nil }
 
+// discover opens and closes watches as View.Sources selects.
 func (w *Watcher) discover(k *kernel.Kernel) {
-	known := make(map[string]bool)
-	for _, ip := range w.View.StoreIPs() {
-		known[ip] = true
-		if ip == w.Self || w.watches[ip] != nil {
+	now := bootclock.Now()
+	for _, ip := range w.View.Sources(w.Self, w.Domain, w.IsStoreHost) {
+		if ip == w.Self {
 			continue
 		}
-		ctx, cancel := context.WithCancel(k.Context())
-		w.watches[ip] = cancel
-		k.Go("watch/"+ip, func(context.Context) error {
-			w.watchStore(ctx, ip)
-			return nil
-		})
+		if w.watches[ip] == nil {
+			w.watches[ip] = w.openWatch(k, ip)
+		}
+		w.watches[ip].selectedAt = now
 	}
-	for ip, cancel := range w.watches {
-		if !known[ip] {
-			cancel()
+	for ip, open := range w.watches {
+		if now.Sub(open.selectedAt) > watchLinger {
+			open.cancel()
 			delete(w.watches, ip)
 		}
 	}
 }
 
+func (w *Watcher) openWatch(k *kernel.Kernel, ip string) *watch {
+	ctx, cancel := context.WithCancel(k.Context())
+	k.Go("watch/"+ip, func(context.Context) error {
+		w.watchStore(ctx, ip)
+		return nil
+	})
+	return &watch{cancel: cancel}
+}
+
 // watchStore watches one store host until ctx is done.
 func (w *Watcher) watchStore(ctx context.Context, ip string) {
 	connected := false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,7 +92,7 @@
 		service any
 	}{
 		{"peers", e.pool},
-		{"watch", &clusterview.Watcher{View: e.view, Self: s.IP, Peer: peer, Log: o.Log}},
+		{"watch", &clusterview.Watcher{View: e.view, Self: s.IP, Domain: s.FailureDomain, Peer: peer, Log: o.Log}},
 		{"trace", o.Tracing},
 		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
 		{"forwarder", e.forwarder},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -116,7 +116,7 @@
 		{"transport", link},
 		{"group", groupService{st}},
 		{"peer-server", peerServer{st: st}},
-		{"watch", &clusterview.Watcher{View: st.view, Self: s.IP, Peer: st.peer, IsStoreHost: true, Log: o.Log}},
+		{"watch", &clusterview.Watcher{View: st.view, Self: s.IP, Domain: s.FailureDomain, Peer: st.peer, IsStoreHost: true, Log: o.Log}},
 		{"keeper", &membershipController{st: st}}, // the name is used in metrics and logs
 		{"forwarder", st.forwarder},
 		{"runner", st.runner},
