Answers without end: bounds on heads, events and texts

Cause: a target may send bytes that are no answer and never stop; the header of an answer (http.ReadResponse), a line of an event stream and the events of an item were read without bound, so memory grew until a timeout, and a run of valid events never ended. Change: httpconn reads at most 64 KiB for a header and the interim responses before it; sse rejects an event over 256 KiB; the runner ends a run with more events than the item has output tokens or with over 1 MiB of text, and drops that text; headers of answers to orders are at most 64 KiB. The outcome stays unknown: such a request may have run. Also: the counter of requests in the test server of httpconn was shared between connections without synchronization.

--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -35,6 +35,8 @@
 	settingsPollInterval = time.Second
 	// engineIdleTimeout is how long an idle connection for orders to an engine is kept open.
 	engineIdleTimeout = 3 * time.Second
+	// maxEngineHeaderBytes is the maximum size of the header of an engine's answer to an order.
+	maxEngineHeaderBytes = 64 << 10
 )
 
 // roleFlags are the flags of all roles.
@@ -76,7 +78,7 @@
 			return nil, &errs.Invalid{Path: "$.data_dir", Want: "a folder", Got: "none"}
 		}
 		s.PeerListenPort = c.PeerListenPort
-		client := &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout, MaxIdleConnsPerHost: 1}}
+		client := &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxEngineHeaderBytes}}
 		return store.New(store.Options{Settings: s, Headers: platform.Headers, EngineClient: platform.EngineClient{Client: client}, Control: platform.NewControlHandler,
 			Log: log, Metrics: m, Tracing: t, FS: storage.OS{}})
 	})
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -35,6 +35,9 @@
 	// maxInlineBodyBytes is the largest body that is sent before the response is read. It is smaller
 	// than the minimum send buffer of a socket.
 	maxInlineBodyBytes = 8 << 10
+	// maxHeadBytes is the maximum size of the header of a response together with the interim responses
+	// before it. A faulty target may send bytes that never end.
+	maxHeadBytes = 64 << 10
 	// writeResultWait is how long a complete response waits for the result of sending the request.
 	writeResultWait = 10 * time.Millisecond
 )
@@ -107,6 +110,7 @@
 type conn struct {
 	net.Conn
 	addr      string
+	head      *headLimiter // source of r
 	r         *bufio.Reader
 	expiresAt time.Time // when an idle connection may no longer be reused
 	reused    bool      // whether it has served a request before
@@ -227,7 +231,38 @@
 	if err != nil {
 		return nil, &RequestError{Address: addr, Phase: "dial", Cause: err.Error()}
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, bufferBytes)}, nil
+	return newConn(nc, addr), nil
+}
+
+func newConn(nc net.Conn, addr string) *conn {
+	head := &headLimiter{source: nc}
+	return &conn{Conn: nc, addr: addr, head: head, r: bufio.NewReaderSize(head, bufferBytes)}
+}
+
+// headLimiter limits how much is read while the header of a response is expected.
+type headLimiter struct {
+	source  io.Reader
+	limited bool
+	budget  int // bytes left
+}
+
+// begin allows maxHeadBytes until end is called.
+func (l *headLimiter) begin() { l.limited, l.budget = true, maxHeadBytes }
+
+// end removes the limit.
+func (l *headLimiter) end() { l.limited = false }
+
+// Read implements io.Reader. It returns errs.Corrupt when the limit is exceeded.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.budget <= 0 {
+		return 0, &errs.Corrupt{What: "header of a response", Detail: fmt.Sprintf("it exceeds %d bytes", maxHeadBytes)}
+	}
+	n, err := l.source.Read(p[:min(len(p), l.budget)])
+	l.budget -= n
+	return n, err
 }
 
 // Do sends a request and returns after reading the header of the response. The end of ctx aborts the
@@ -366,6 +401,8 @@
 
 // readHead reads the header of the final response and skips 1xx responses.
 func (x *exchange) readHead(req *Request) (*Response, error) {
+	x.conn.head.begin()
+	defer x.conn.head.end()
 	for {
 		r, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
 		if err != nil {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		n := 0
+		var n atomic.Int64
 		for {
 			c, err := l.Accept()
 			if err != nil {
@@ -42,8 +43,7 @@
 					if _, err := io.Copy(io.Discard, req.Body); err != nil {
 						return
 					}
-					n++
-					respond(n, req, c)
+					respond(int(n.Add(1)), req, c)
 				}
 			}()
 		}
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
 	"fuchsiaflow/errs"
@@ -33,6 +35,8 @@
 	firstEventTimeout = 1500 * time.Millisecond
 	// minRunDeadline is the minimum deadline that is sent to an engine.
 	minRunDeadline = 5 * time.Second
+	// maxTextBytes is the maximum length of the text of an item. A page of results holds 1 MB.
+	maxTextBytes = 1 << 20
 )
 
 // partialText is the text that was generated for an item so far. During a run, the goroutine of the run
@@ -195,6 +199,10 @@
 		}
 	}
 	r.partials[key.Item] = ir.output
+	var endless *EndlessText
+	if errors.As(res.err, &endless) {
+		delete(r.partials, key.Item) // the item starts again from the beginning
+	}
 	it.waitingSince = now
 	remainingTokens, requiredVersion := 0, uint64(0) // 0 keeps the scheduler's estimate
 	if p := r.usablePartial(j, key.Item); p != nil {
@@ -405,6 +413,9 @@
 				Detail: "event " + strconv.FormatUint(ev.ID, 10) + " follows event " + strconv.FormatUint(ir.output.lastEventID, 10)}
 		}
 		ir.appendEvent(ev)
+		if err := ir.checkTextSize(); err != nil {
+			return false, err
+		}
 		if !ir.job.AllowsVersions(ir.output.versions) {
 			return false, &errs.Conflict{Kind: "item", ID: ir.item.ID, Stored: "a minimum or single weight version",
 				Received: "version " + strconv.FormatUint(ir.version, 10)}
@@ -412,6 +423,33 @@
 	}
 }
 
+// checkTextSize returns EndlessText if the text is longer than the item can produce: each event has at
+// least one token.
+func (ir *itemRun) checkTextSize() error {
+	outputTokens := ir.item.MaxTotalTokens - ir.item.PromptTokens
+	tooMany := outputTokens > 0 && ir.output.eventCount > outputTokens
+	if !tooMany && len(ir.output.text) <= maxTextBytes {
+		return nil
+	}
+	return &EndlessText{Engine: ir.target, Item: ir.item.ID, Events: ir.output.eventCount, Bytes: len(ir.output.text)}
+}
+
+// EndlessText reports an engine that sends more events than an item can have. None of them can be trusted.
+type EndlessText struct {
+	Engine, Item  string
+	Events, Bytes int
+}
+
+func (e *EndlessText) Error() string {
+	return fmt.Sprintf("engine %s sent %d events with %d bytes, more than item %s can have", e.Engine, e.Events, e.Bytes, e.Item)
+}
+
+// FailureCode implements errs.Failure.
+func (e *EndlessText) FailureCode() errs.Code { return errs.CodeCorrupt }
+
+// FailureOutcome implements errs.Failure.
+func (e *EndlessText) FailureOutcome() errs.Outcome { return errs.Unknown }
+
 // appendEvent appends an event to the text and counts it.
 func (ir *itemRun) appendEvent(ev sse.Event) {
 	now := bootclock.Now()
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -130,3 +131,36 @@
 		}
 	}
 }
+
+// endlessEvents returns an engine that sends valid events until the connection is closed.
+func endlessEvents(first int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Versions", "1")
+		for n := first; r.Context().Err() == nil; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: e\n\n", n); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// Guards against an engine whose stream of valid events never ends: it must neither fill the memory nor
+// complete the item, and its events must not be resumed.
+func TestEndlessEventsAreRejected(t *testing.T) {
+	for name, item := range map[string]jobs.Item{
+		"beyond the tokens of the item": {ID: "item", Path: "/p", MaxTotalTokens: 60, PromptTokens: 10},
+		"tokens unknown":                {ID: "item", Path: "/p"},
+	} {
+		ir := newItemRun(t, endlessEvents(1), &jobs.Job{ID: "j", Model: "m"}, &partialText{})
+		ir.item = item
+		res := ir.run(t.Context())
+		var endless *EndlessText
+		if res.complete || res.outcome != schedule.Broken || !errors.As(res.err, &endless) {
+			t.Errorf("%s: %+v, want a broken run with EndlessText", name, res)
+		}
+		if len(ir.output.text) > maxTextBytes+100 || item.MaxTotalTokens > 0 && ir.output.eventCount > 51 {
+			t.Errorf("%s: %d events with %d bytes were kept", name, ir.output.eventCount, len(ir.output.text))
+		}
+	}
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -5,10 +5,16 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"strconv"
+
+	"fuchsiaflow/errs"
 )
 
+// maxEventBytes is the maximum size of an event. A faulty target may send a line that never ends.
+const maxEventBytes = 256 << 10
+
 // Event is one complete event.
 type Event struct {
 	// Raw is the event as received, including the empty line that ends it.
@@ -34,14 +40,17 @@
 	return &Reader{buffered: bufio.NewReaderSize(r, bufferBytes), extraField: extraField}
 }
 
-// Next returns the next complete event. It returns io.EOF if the stream ended after an event, and
-// io.ErrUnexpectedEOF if it ended within one, which is dropped.
+// Next returns the next complete event. It returns io.EOF if the stream ended after an event,
+// io.ErrUnexpectedEOF if it ended within one, which is dropped, and errs.Corrupt if an event exceeds
+// maxEventBytes.
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	hasData := false
 	for {
-		line, err := r.buffered.ReadBytes('\n')
-		e.Raw = append(e.Raw, line...)
+		start := len(e.Raw)
+		raw, err := r.appendLine(e.Raw)
+		e.Raw = raw
+		line := raw[start:]
 		if err != nil {
 			if err == io.EOF && len(e.Raw) > 0 {
 				err = io.ErrUnexpectedEOF
@@ -72,3 +81,17 @@
 		}
 	}
 }
+
+// appendLine appends the next line, with its end, to an event.
+func (r *Reader) appendLine(event []byte) ([]byte, error) {
+	for {
+		part, err := r.buffered.ReadSlice('\n')
+		event = append(event, part...)
+		if len(event) > maxEventBytes {
+			return event, &errs.Corrupt{What: "event stream", Detail: fmt.Sprintf("an event exceeds %d bytes", maxEventBytes)}
+		}
+		if err != bufio.ErrBufferFull {
+			return event, err
+		}
+	}
+}
