--- a/internal/clusterview/sources.go
+++ b/internal/clusterview/sources.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -48,8 +49,7 @@
 // from which it learns of new voters and of the targets that still reach its own failure domain.
 func selectSources(in *sourceInput) []string {
 	all := in.all()
-	isHub := in.self == in.leader || slices.Contains(in.voters, in.self)
-	if len(all) <= maxFullMesh || isHub || in.isStoreHost && !in.hearsMajority {
+	if len(all) <= maxFullMesh || in.isHub() || in.isStoreHost && !in.hearsMajority {
 		return all
 	}
 	ips := slices.Clone(in.voters)
@@ -63,6 +63,17 @@
 	return slices.Compact(ips)
 }
 
+// isHub reports whether the host passes news on to all others.
+func (in *sourceInput) isHub() bool {
+	return in.self == in.leader || slices.Contains(in.voters, in.self)
+}
+
+// publishes reports whether news that reaches a store host also reaches the entry hosts that can reach it or
+// a voter that it hears. voterAge is the time since any voter sent an event to the host.
+func publishes(in *sourceInput, voterAge time.Duration) bool {
+	return len(in.all()) <= maxFullMesh || in.isHub() || voterAge < majorityTimeout
+}
+
 // fallback returns some store hosts of the own and of other failure domains. Rendezvous hashing spreads the
 // hosts over them.
 func (in *sourceInput) fallback() []string {
--- a/internal/clusterview/sources_test.go
+++ b/internal/clusterview/sources_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // fleetSize is a deployment of store hosts that are spread over failure domains; the first stores of each
@@ -119,3 +120,36 @@
 		}
 	}
 }
+
+// Guards against a departure of a target that is acknowledged by a store host that nobody watches, and
+// against one that nobody acknowledges in a failure domain that is cut off with its voter.
+func TestPublishes(t *testing.T) {
+	f := largeFleet
+	plain, voter := storeIP(20), storeIP(2)
+	for _, c := range []struct {
+		name     string
+		in       *sourceInput
+		voterAge time.Duration
+		want     bool
+	}{
+		{"in contact", f.input(plain, f.domain(20), true), 100 * time.Millisecond, true},
+		{"hears no voter", f.input(plain, f.domain(20), true), 2 * time.Second, false},
+		{"is a voter", f.input(voter, f.domain(2), true), 2 * time.Second, true},
+		{"small system", fleetSize{stores: 5, domains: 3, voters: 3}.input(storeIP(4), "d1", true), 2 * time.Second, true},
+	} {
+		if got := publishes(c.in, c.voterAge); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a store host that loses its failure domain when it announces itself without it, and is then
+// no fallback of the hosts there.
+func TestAnnouncementKeepsDomain(t *testing.T) {
+	v := newTestView()
+	v.Merge(&Event{From: StoreHost{ReplicaID: "10.0.0.1~x", Domain: "d1"}})
+	v.RecordStore(StoreHost{ReplicaID: "10.0.0.1~x"})
+	if in := v.sourceInput(); len(in.stores) != 1 || in.stores[0].Domain != "d1" {
+		t.Errorf("stores %+v, want the failure domain d1", in.stores)
+	}
+}
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -276,6 +276,15 @@
 // is cut off from the state group, while one that receives them from a majority may learn of the next
 // leader soon.
 func (v *View) MajorityAge() time.Duration {
+	ages := v.voterAges()
+	if len(ages) == 0 {
+		return targetExpiry
+	}
+	return ages[len(ages)/2]
+}
+
+// voterAges returns the time since each voter of the state group sent an event, in ascending order.
+func (v *View) voterAges() []time.Duration {
 	now := bootclock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -287,11 +296,8 @@
 		}
 		ages = append(ages, age)
 	}
-	if len(ages) == 0 {
-		return targetExpiry
-	}
 	slices.Sort(ages)
-	return ages[len(ages)/2]
+	return ages
 }
 
 // StoreIPs returns the sorted IP addresses of the seeds, the leader, the voters and the other known
@@ -310,6 +316,18 @@
 	return selectSources(&in)
 }
 
+// Publishes reports whether news that reaches the store host at IP address self reaches other hosts. A store
+// host of a large system that hears no voter is watched by none, and must not acknowledge such news.
+func (v *View) Publishes(self string) bool {
+	in := v.sourceInput()
+	in.self = self
+	voterAge := targetExpiry
+	if ages := v.voterAges(); len(ages) > 0 {
+		voterAge = ages[0]
+	}
+	return publishes(&in, voterAge)
+}
+
 // sourceInput returns what the view knows of the store hosts.
 func (v *View) sourceInput() sourceInput {
 	v.mu.Lock()
--- a/internal/store/control.go
+++ b/internal/store/control.go
@@ -80,14 +80,30 @@
 	return c.st.leaderClient.Retired(ctx, host)
 }
 
-// HandleHeartbeat processes a heartbeat of a target.
-func (c *Control) HandleHeartbeat(t fleet.Target) { c.st.view.UpdateTarget(t) }
+// HandleHeartbeat processes a heartbeat of a target. If the target is draining and this host cannot tell the
+// others, it returns errs.Unavailable, so that the target also tells another host.
+func (c *Control) HandleHeartbeat(t fleet.Target) error {
+	c.st.view.UpdateTarget(t)
+	if t.State == fleet.Ready {
+		return nil
+	}
+	return c.checkPublishes(t.ID)
+}
+
+// checkPublishes returns errs.Unavailable if the departure of a target would not reach other hosts.
+func (c *Control) checkPublishes(target string) error {
+	if c.st.view.Publishes(c.st.opts.Settings.IP) {
+		return nil
+	}
+	c.st.opts.Log.Warn("departure of a target not acknowledged", "target", target, "majority_age_ms", c.st.view.MajorityAge().Milliseconds())
+	return &errs.Unavailable{Resource: "departure of target " + target, Reason: "this host reaches no voter", Outcome: errs.NotRun}
+}
 
 // DeregisterTarget processes the deregistration of a target. It returns errs.Unavailable for an unknown target, so
-// that the target tries a host that knows it.
+// that the target tries a host that knows it, and if the host cannot tell the others.
 func (c *Control) DeregisterTarget(id string) error {
 	if !c.st.view.MarkTargetGone(id) {
 		return &errs.Unavailable{Resource: "target " + id, Reason: "it is not registered on this host", Outcome: errs.NotRun}
 	}
-	return nil
+	return c.checkPublishes(id)
 }
