--- a/cmd/fuchsiaflow/follow.go
+++ b/cmd/fuchsiaflow/follow.go
@@ -30,6 +30,9 @@
 
 // Run prints the lines of all logs that contain the ID, sorted by time.
 func (c *followCommand) Run() error {
+	if strings.TrimSpace(c.ID) == "" {
+		return &errs.Invalid{Path: "ID", Want: "the id of a request, scoring call, batch job, item or target", Got: "an empty string"}
+	}
 	var lines []logLine
 	if len(c.Files) == 0 {
 		lines = findLines(os.Stdin, c.ID)
--- a/cmd/fuchsiaflow/main_test.go
+++ b/cmd/fuchsiaflow/main_test.go
@@ -42,3 +42,11 @@
 		t.Errorf("err = %v", err)
 	}
 }
+
+// Guards against an empty id, for example from an unset variable of a script, that selects lines at random.
+func TestFollowNeedsAnID(t *testing.T) {
+	var invalid *errs.Invalid
+	if err := (&followCommand{ID: " "}).Run(); !errors.As(err, &invalid) {
+		t.Errorf("error %v, want errs.Invalid", err)
+	}
+}
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -134,6 +134,8 @@
 	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir}
 	r.runs[key] = rn
 	term, resumedEvents := r.term, p.eventCount
+	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "version", t.Weights[j.Model],
+		"waited_ms", now.Sub(j.items[key.Item].waitingSince).Milliseconds())
 	r.kernel.Go("runner/run", func(context.Context) error {
 		ctx, span := r.opts.Tracing.StartClientSpan(ctx, "run item", attribute.String("job", key.Job), attribute.String("item", key.Item),
 			attribute.String("target", t.ID))
