--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
 	"fuchsiaflow/errs"
@@ -33,6 +35,8 @@
 	firstEventTimeout = 1500 * time.Millisecond
 	// minRunDeadline is the minimum deadline that is sent to an engine.
 	minRunDeadline = 5 * time.Second
+	// maxTextBytes is the maximum length of the text of an item. A page of results holds 1 MB.
+	maxTextBytes = 1 << 20
 )
 
 // partialText is the text that was generated for an item so far. During a run, the goroutine of the run
@@ -47,7 +51,9 @@
 	committed int
 	// proposedEvents is the number of events included in the last proposal.
 	proposedEvents int
-	updatedAt      time.Time // end of the last run, or load from the committed state
+	// complete is set when the text is whole, and completeCommitted when that is committed.
+	complete, completeCommitted bool
+	updatedAt                   time.Time // end of the last run, or load from the committed state
 }
 
 // remainingTokens estimates the number of output tokens still to be generated. If the text already
@@ -128,6 +134,8 @@
 	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir}
 	r.runs[key] = rn
 	term, resumedEvents := r.term, p.eventCount
+	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "version", t.Weights[j.Model],
+		"waited_ms", now.Sub(j.items[key.Item].waitingSince).Milliseconds())
 	r.kernel.Go("runner/run", func(context.Context) error {
 		ctx, span := r.opts.Tracing.StartClientSpan(ctx, "run item", attribute.String("job", key.Job), attribute.String("item", key.Item),
 			attribute.String("target", t.ID))
@@ -164,15 +172,14 @@
 	r.logRun(rn, ir, res, resumedEvents)
 	r.metrics.countRun(res.outcome)
 	j := r.jobs[rn.key.Job]
+	ir.output.complete = res.complete
 	if j == nil || j.items[rn.key.Item] == nil {
-		if !res.complete {
-			r.partials[rn.key.Item] = ir.output
-		}
+		r.partials[rn.key.Item] = ir.output
 		return
 	}
 	if res.complete && j.AllowsVersions(ir.output.versions) {
 		r.sched.EndRun(now, rn.key, schedule.Finished, 0, 0)
-		r.commitText(j, rn.key.Item, ir.output, ir.output.committed)
+		r.finishText(now, j, j.items[rn.key.Item], ir.output)
 		return
 	}
 	r.rescheduleItem(now, j, rn.key, ir, res)
@@ -194,6 +201,10 @@
 		}
 	}
 	r.partials[key.Item] = ir.output
+	var endless *EndlessText
+	if errors.As(res.err, &endless) {
+		delete(r.partials, key.Item) // the item starts again from the beginning
+	}
 	it.waitingSince = now
 	remainingTokens, requiredVersion := 0, uint64(0) // 0 keeps the scheduler's estimate
 	if p := r.usablePartial(j, key.Item); p != nil {
@@ -214,14 +225,15 @@
 	return 1
 }
 
-// commitText commits the text of an item as its result, sending only the bytes after offset from. The
-// command is refused if the committed prefix differs; the complete text is then proposed instead.
-func (r *Runner) commitText(j *openJob, item string, p *partialText, from int) {
-	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[from:]), Versions: p.versions}
+// commitText commits the text of an item and its score, if it has one, as its result, sending only the
+// bytes after offset from. The command is refused if the committed prefix differs; the complete text is
+// then proposed instead.
+func (r *Runner) commitText(j *openJob, item string, p *partialText, from int, score string) {
+	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[from:]), Versions: p.versions, Score: score}
 	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Result: result, Offset: from}},
 		func(now time.Time, reply storestate.Reply) {
 			if !reply.Changed && from > 0 {
-				r.commitText(j, item, p, 0)
+				r.commitText(j, item, p, 0, score)
 				return
 			}
 			r.resultCommitted(now, j, result, reply)
@@ -236,7 +248,7 @@
 
 // resultCommitted removes an item whose result is committed.
 func (r *Runner) resultCommitted(now time.Time, j *openJob, result jobs.Result, reply storestate.Reply) {
-	delete(j.items, result.ID)
+	j.removeItem(result.ID)
 	r.opts.Log.Info("item result committed", "job", j.ID, "item", result.ID, "state", result.State, "versions", result.Versions,
 		"taken", reply.Changed, "left", len(j.items), "age_ms", now.Sub(r.firstSeen[j.ID]).Milliseconds())
 }
@@ -250,7 +262,8 @@
 	r.stopRun(key, "item terminated")
 	delete(r.runs, key)
 	r.sched.RemoveTask(key)
-	delete(j.items, key.Item)
+	r.stopScoring(key)
+	j.removeItem(key.Item)
 	r.opts.Log.Warn("item terminated", "job", key.Job, "item", key.Item, "reason", reason)
 	r.commitResult(j, jobs.Result{ID: key.Item, State: jobs.Terminated})
 }
@@ -402,6 +415,9 @@
 				Detail: "event " + strconv.FormatUint(ev.ID, 10) + " follows event " + strconv.FormatUint(ir.output.lastEventID, 10)}
 		}
 		ir.appendEvent(ev)
+		if err := ir.checkTextSize(); err != nil {
+			return false, err
+		}
 		if !ir.job.AllowsVersions(ir.output.versions) {
 			return false, &errs.Conflict{Kind: "item", ID: ir.item.ID, Stored: "a minimum or single weight version",
 				Received: "version " + strconv.FormatUint(ir.version, 10)}
@@ -409,6 +425,33 @@
 	}
 }
 
+// checkTextSize returns EndlessText if the text is longer than the item can produce: each event has at
+// least one token.
+func (ir *itemRun) checkTextSize() error {
+	outputTokens := ir.item.MaxTotalTokens - ir.item.PromptTokens
+	tooMany := outputTokens > 0 && ir.output.eventCount > outputTokens
+	if !tooMany && len(ir.output.text) <= maxTextBytes {
+		return nil
+	}
+	return &EndlessText{Engine: ir.target, Item: ir.item.ID, Events: ir.output.eventCount, Bytes: len(ir.output.text)}
+}
+
+// EndlessText reports an engine that sends more events than an item can have. None of them can be trusted.
+type EndlessText struct {
+	Engine, Item  string
+	Events, Bytes int
+}
+
+func (e *EndlessText) Error() string {
+	return fmt.Sprintf("engine %s sent %d events with %d bytes, more than item %s can have", e.Engine, e.Events, e.Bytes, e.Item)
+}
+
+// FailureCode implements errs.Failure.
+func (e *EndlessText) FailureCode() errs.Code { return errs.CodeCorrupt }
+
+// FailureOutcome implements errs.Failure.
+func (e *EndlessText) FailureOutcome() errs.Outcome { return errs.Unknown }
+
 // appendEvent appends an event to the text and counts it.
 func (ir *itemRun) appendEvent(ev sse.Event) {
 	now := bootclock.Now()
