--- /dev/null
+++ b/internal/runner/itemrun.go
@@ -0,0 +1,215 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/sse"
+	"fuchsiaflow/jobs"
+	"fuchsiaflow/schedule"
+)
+
+const (
+	// eventTimeout is the time without an event after which a run is aborted. A fully loaded
+	// engine sends an event about every 50 ms, one that is four times slower every 200 ms.
+	eventTimeout = 900 * time.Millisecond
+	// firstEventTimeout bounds the time to the first event, which includes prompt processing and,
+	// if the engine's memory is full, waiting for other runs.
+	firstEventTimeout = 1500 * time.Millisecond
+	// minRunDeadline is the minimum deadline that is sent to an engine.
+	minRunDeadline = 5 * time.Second
+	// maxTextBytes is the maximum length of the text of an item. A page of results holds 1 MB.
+	maxTextBytes = 1 << 20
+)
+
+// itemRun streams one item from one engine. While it runs, output.mu guards output and the fields
+// from eventCount on; all other fields belong to its goroutine.
+type itemRun struct {
+	headers      dialect.Headers
+	pool         *httpconn.Pool
+	job          *openJob
+	item         jobs.Item
+	target       string
+	address      string
+	deadline     time.Duration
+	output       *partialText
+	version      uint64 // weight version of the next event
+	startedAt    time.Time
+	eventCount   int // events received in this run
+	lastEventAt  time.Time
+	firstEventAt time.Time
+	// sampledCount and sampledAt are eventCount and lastEventAt at the last speed sample.
+	sampledCount int
+	sampledAt    time.Time
+}
+
+// newRequest builds the request for the engine. It resumes after the last event of the text, if any.
+func (ir *itemRun) newRequest() *httpconn.Request {
+	h := make(http.Header, len(ir.item.Headers)+4)
+	for name, value := range ir.item.Headers {
+		h.Set(name, value)
+	}
+	h.Set(ir.headers.RequestID, ir.item.ID)
+	h.Set(ir.headers.ExpectedInstance, ir.target)
+	h.Set(ir.headers.Deadline, strconv.FormatInt(ir.deadline.Milliseconds(), 10))
+	if ir.output.lastEventID > 0 {
+		h.Set(ir.headers.LastEventID, strconv.FormatUint(ir.output.lastEventID, 10))
+	}
+	return &httpconn.Request{Method: http.MethodPost, RequestURI: ir.item.Path, Host: ir.job.Host, Header: h,
+		Body: bytes.NewReader(ir.item.Body), ContentLength: int64(len(ir.item.Body))}
+}
+
+// run streams the item until it is complete, the stream is interrupted or ctx is done.
+func (ir *itemRun) run(ctx context.Context) runResult {
+	ir.startedAt = bootclock.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := time.AfterFunc(firstEventTimeout, cancel)
+	defer timeout.Stop()
+	resp, err := ir.pool.Do(ctx, ir.address, ir.newRequest())
+	if err != nil {
+		return runResult{outcome: schedule.Broken, err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if res, ok := ir.checkHeader(resp); !ok {
+		return res
+	}
+	complete, err := ir.readEvents(resp, timeout)
+	res := runResult{status: resp.StatusCode, version: ir.version, complete: complete, err: err, outcome: schedule.Broken}
+	if complete {
+		res.outcome = schedule.Finished
+	}
+	if ir.eventCount > 1 {
+		res.eventGap = ir.lastEventAt.Sub(ir.firstEventAt) / time.Duration(ir.eventCount-1)
+	}
+	return res
+}
+
+// checkHeader checks the status and headers of the response. ok is false if there is no stream to read.
+func (ir *itemRun) checkHeader(resp *httpconn.Response) (res runResult, ok bool) {
+	res = runResult{status: resp.StatusCode, outcome: schedule.Broken}
+	if got := resp.Header.Get(ir.headers.RequestID); got != "" && got != ir.item.ID {
+		res.err = &errs.Corrupt{What: "response from engine " + ir.target, Detail: "request ID is " + got}
+		return res, false
+	}
+	switch {
+	// 421 means that another instance uses the address now, so the run counts as broken even if the
+	// response says that the item was not run.
+	case resp.StatusCode == http.StatusMisdirectedRequest, resp.StatusCode == http.StatusOK && resp.Header.Get(ir.headers.NotRun) == "":
+	case resp.Header.Get(ir.headers.NotRun) != "":
+		res.outcome = schedule.Refused
+	case resp.StatusCode == http.StatusInternalServerError, resp.StatusCode == http.StatusUnprocessableEntity:
+		res.outcome = schedule.Failed
+	}
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBody)) // lets the connection be reused
+		res.err = &dialect.UnexpectedResponse{Call: "item", Address: ir.address, Status: resp.StatusCode}
+		return res, false
+	}
+	v, err := strconv.ParseUint(resp.Header.Get(ir.headers.WeightVersion), 10, 64)
+	if err != nil && ir.job.Model != "" {
+		res.err = &errs.Corrupt{What: "response from engine " + ir.target, Detail: "weight version is missing or invalid"}
+		return res, false
+	}
+	ir.version = v
+	return res, true
+}
+
+// maxErrorBody is the maximum number of bytes of an error response that are read to reuse the
+// connection.
+const maxErrorBody = 16 << 10
+
+// readEvents appends events to the text until the stream ends. It reports whether the text is complete.
+// Without framing the end of the body cannot be told from a lost connection, so the text is then
+// incomplete.
+func (ir *itemRun) readEvents(resp *httpconn.Response, timeout *time.Timer) (complete bool, err error) {
+	events := sse.NewReader(resp.Body, ir.headers.WeightVersionField)
+	for {
+		ev, err := events.Next()
+		if err == io.EOF && resp.Framed {
+			return ir.output.eventCount > 0, nil
+		}
+		if err != nil {
+			return false, &errs.Interrupted{Operation: "stream from engine " + ir.target, Reason: err.Error()}
+		}
+		timeout.Reset(eventTimeout)
+		if ev.Extra != "" {
+			v, err := strconv.ParseUint(ev.Extra, 10, 64)
+			if err != nil {
+				return false, &errs.Corrupt{What: "event from engine " + ir.target, Detail: "weight version " + strconv.Quote(ev.Extra)}
+			}
+			ir.version = v
+		}
+		if ev.ID != ir.output.lastEventID+1 {
+			return false, &errs.Corrupt{What: "stream from engine " + ir.target,
+				Detail: "event " + strconv.FormatUint(ev.ID, 10) + " follows event " + strconv.FormatUint(ir.output.lastEventID, 10)}
+		}
+		ir.appendEvent(ev)
+		if err := ir.checkTextSize(); err != nil {
+			return false, err
+		}
+		if !ir.job.AllowsVersions(ir.output.versions) {
+			return false, &errs.Conflict{Kind: "item", ID: ir.item.ID, Stored: "a minimum or single weight version",
+				Received: "version " + strconv.FormatUint(ir.version, 10)}
+		}
+	}
+}
+
+// checkTextSize returns EndlessText if the text is longer than the item can produce: each event has at
+// least one token.
+func (ir *itemRun) checkTextSize() error {
+	outputTokens := ir.item.MaxTotalTokens - ir.item.PromptTokens
+	tooMany := outputTokens > 0 && ir.output.eventCount > outputTokens
+	if !tooMany && len(ir.output.text) <= maxTextBytes {
+		return nil
+	}
+	return &EndlessText{Engine: ir.target, Item: ir.item.ID, Events: ir.output.eventCount, Bytes: len(ir.output.text)}
+}
+
+// EndlessText reports an engine that sends more events than an item can have. None of them can be trusted.
+type EndlessText struct {
+	Engine, Item  string
+	Events, Bytes int
+}
+
+func (e *EndlessText) Error() string {
+	return fmt.Sprintf("engine %s sent %d events with %d bytes, more than item %s can have", e.Engine, e.Events, e.Bytes, e.Item)
+}
+
+// FailureCode implements errs.Failure.
+func (e *EndlessText) FailureCode() errs.Code { return errs.CodeCorrupt }
+
+// FailureOutcome implements errs.Failure.
+func (e *EndlessText) FailureOutcome() errs.Outcome { return errs.Unknown }
+
+// appendEvent appends an event to the text and counts it.
+func (ir *itemRun) appendEvent(ev sse.Event) {
+	now := bootclock.Now()
+	ir.output.mu.Lock()
+	defer ir.output.mu.Unlock()
+	if ir.eventCount == 0 {
+		ir.firstEventAt = now
+	}
+	ir.eventCount++
+	ir.lastEventAt = now
+	p := ir.output
+	if p.eventCount > 0 {
+		p.text = append(p.text, '\n')
+	}
+	p.text = append(p.text, ev.Data...)
+	p.lastEventID = ev.ID
+	p.eventCount++
+	if ir.version > 0 && !slices.Contains(p.versions, ir.version) {
+		p.versions = slices.Sorted(slices.Values(append(slices.Clone(p.versions), ir.version)))
+	}
+}
--- /dev/null
+++ b/internal/runner/partialtext.go
@@ -0,0 +1,42 @@
+package runner
+
+import (
+	"sync"
+	"time"
+)
+
+// partialText is the text that was generated for an item so far. During a run, the goroutine of the run
+// appends to it while the runner's loop commits it; mu guards it then.
+type partialText struct {
+	mu          sync.Mutex
+	text        []byte
+	lastEventID uint64 // ID of the last event, 0 before the first
+	eventCount  int
+	versions    []uint64 // weight versions that generated the text, ascending
+	// committed is the length of the committed prefix of the text, in bytes.
+	committed int
+	// proposedEvents is the number of events included in the last proposal.
+	proposedEvents int
+	// complete is set when the text is whole, and completeCommitted when that is committed.
+	complete, completeCommitted bool
+	updatedAt                   time.Time // end of the last run, or load from the committed state
+}
+
+// remainingTokens estimates the number of output tokens still to be generated. If the text already
+// reaches the client's estimate, the item is a long one, and half of its present length is assumed.
+func (p *partialText) remainingTokens(estimate int) int {
+	const tokensPerEvent = 43 // typical value; only the relative order of the estimates matters
+	generated := p.eventCount * tokensPerEvent
+	if left := estimate - generated; left > tokensPerEvent {
+		return left
+	}
+	return max(generated/2, tokensPerEvent)
+}
+
+// requiredVersion returns the weight version that a resumed run must use, or 0 for any.
+func (p *partialText) requiredVersion(j *openJob) uint64 {
+	if j.SingleVersion && len(p.versions) == 1 {
+		return p.versions[0]
+	}
+	return 0
+}
