schedule: PlanMoves skips engines that no other is much faster than

Cause: on the leader of the large deployment every review (each 50 ms) visited all engines for each of some 500 runs. Change: a run is a candidate only if its engine's gap is at least minMoveSpeedup times the smallest gap of all engines; the later check demands more, so the decisions are the same. Measured: BenchmarkPlanMoves (83 engines, 480 runs, none slow) 954 to 73 us a review.

--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -8,6 +8,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -336,14 +337,15 @@
 func (s *Scheduler) PlanMoves(now time.Time) []Move {
 	var out []Move
 	claimedSlots := make(map[string]int)
+	slowGap := minMoveSpeedup * s.smallestGap(now)
 	for _, id := range s.jobOrder {
 		j := s.jobs[id]
 		if len(j.waiting) > 0 {
 			continue
 		}
 		for _, r := range runsByRemainingTokens(j.running) {
-			if r.stopRequested || !r.engine.speed.fresh(now) {
-				continue
+			if r.stopRequested || !r.engine.speed.fresh(now) || r.engine.speed.averageGap < slowGap {
+				continue // no engine is so much faster; the search below costs a visit of every engine
 			}
 			task := *r.task
 			if task.SingleVersion {
@@ -364,6 +366,15 @@
 	return out
 }
 
+// smallestGap returns the smallest expected gap of all engines, in seconds.
+func (s *Scheduler) smallestGap(now time.Time) float64 {
+	smallest := math.Inf(1)
+	for _, e := range s.engines {
+		smallest = min(smallest, e.speed.expectedGap(now, s.medianGap))
+	}
+	return smallest
+}
+
 // runsByRemainingTokens returns the runs ordered by the expected number of remaining tokens, largest
 // first.
 func runsByRemainingTokens(runs map[string]*run) []*run {
