A text that is whole but not finished, and engines that failed before new weights, no longer cost a model its engines

The engine that resumes it has nothing to send and states no weight version, which counted as a corrupt answer: 50 runs in 4 s, each a failure of another engine, until a model had 3 of 12 engines. (2) A failed engine recovers only with a run, and got no load order; as all waiting items required a newer version, none could start: no order for that model in 14 s. Ruled out: load of the leader (goti646139 had 290 items waiting, 72 slots and 18 runs, other models ran). Change: a signed answer with the item's id, no version and no event ends a resumed text; two resumed runs in a row without an event start the item from the beginning; an idle failed engine on which no waiting item can start gets a load order after its backoff, and again after 2 s if it does not answer.

--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -117,7 +117,7 @@
 		return res, false
 	}
 	v, err := strconv.ParseUint(resp.Header.Get(ir.headers.WeightVersion), 10, 64)
-	if err != nil && ir.job.Model != "" {
+	if err != nil && ir.job.Model != "" && !ir.continuesAfterEnd(resp) {
 		res.err = &errs.Corrupt{What: "response from engine " + ir.target, Detail: "weight version is missing or invalid"}
 		return res, false
 	}
@@ -125,6 +125,14 @@
 	return res, true
 }
 
+// continuesAfterEnd reports whether a response without a weight version may be the answer to a run that
+// resumes after the last event of a text: nothing follows, so that no version applies. readEvents rejects
+// any event of such a response.
+func (ir *itemRun) continuesAfterEnd(resp *httpconn.Response) bool {
+	return ir.output.lastEventID > 0 && resp.Header.Get(ir.headers.WeightVersion) == "" &&
+		resp.Header.Get(ir.headers.RequestID) == ir.item.ID && resp.Header.Get(ir.headers.ServerStamp) != ""
+}
+
 // maxErrorBody is the maximum number of bytes of an error response that are read to reuse the
 // connection.
 const maxErrorBody = 16 << 10
@@ -150,6 +158,9 @@
 			}
 			ir.version = v
 		}
+		if ir.version == 0 && ir.job.Model != "" {
+			return false, &errs.Corrupt{What: "event from engine " + ir.target, Detail: "no weight version applies to it"}
+		}
 		if ev.ID != ir.output.lastEventID+1 {
 			return false, &errs.Corrupt{What: "stream from engine " + ir.target,
 				Detail: "event " + strconv.FormatUint(ev.ID, 10) + " follows event " + strconv.FormatUint(ir.output.lastEventID, 10)}
--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -26,8 +26,10 @@
 // openItem is an item without a result.
 type openItem struct {
 	jobs.Item
-	failures     int       // runs that an engine reported as failed
-	waitingSince time.Time // start of the current wait for an engine
+	failures int // runs that an engine reported as failed
+	// fruitlessResumes is the number of successive runs that resumed the text and ended without an event.
+	fruitlessResumes int
+	waitingSince     time.Time // start of the current wait for an engine
 	// textCompleteAt is when the text of an item that is to be scored was complete; zero if this leader
 	// did not see it.
 	textCompleteAt time.Time
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -142,9 +142,8 @@
 		}
 	}
 	r.partials[key.Item] = ir.output
-	var endless *EndlessText
-	if errors.As(res.err, &endless) {
-		delete(r.partials, key.Item) // the item starts again from the beginning
+	if mustRestart(it, ir, res) {
+		delete(r.partials, key.Item)
 	}
 	it.waitingSince = now
 	remainingTokens, requiredVersion := 0, uint64(0) // 0 keeps the scheduler's estimate
@@ -156,6 +155,25 @@
 	r.sched.EndRun(now, key, res.outcome, remainingTokens, requiredVersion)
 }
 
+// mustRestart reports whether an item must start again from the beginning: its text is not to be trusted, or
+// runs that resumed it ended maxFruitlessResumes times in a row without a new event. Otherwise a text that
+// no engine can continue would make engine after engine look broken.
+func mustRestart(it *openItem, ir *itemRun, res runResult) bool {
+	var endless *EndlessText
+	if errors.As(res.err, &endless) {
+		return true
+	}
+	if res.outcome != schedule.Broken || res.status != http.StatusOK || ir.eventCount > 0 || ir.output.eventCount == 0 {
+		it.fruitlessResumes = 0
+		return false
+	}
+	it.fruitlessResumes++
+	return it.fruitlessResumes >= maxFruitlessResumes
+}
+
+// maxFruitlessResumes tolerates one engine that breaks off by itself.
+const maxFruitlessResumes = 2
+
 // maxAttempts returns the number of failed runs after which an item is terminated.
 func (r *Runner) maxAttempts(j *openJob) int {
 	if table := r.opts.View.Table(); table != nil {
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -164,3 +164,63 @@
 		}
 	}
 }
+
+// answerAfterEnd answers as an engine does that has nothing left to send: with a signature, without a weight
+// version and without events, but for extra.
+func answerAfterEnd(stamp, extra string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if stamp != "" {
+			w.Header().Set("Stamp", stamp)
+		}
+		_, _ = io.WriteString(w, extra)
+	})
+}
+
+// Guards against a text that holds all events and is never completed, because its engine was lost before the
+// end of the stream: the answer to the resumed run has no weight version. An unsigned answer, or one with an
+// event, must not complete it.
+func TestRunResumedAfterLastEventCompletes(t *testing.T) {
+	for _, c := range []struct {
+		name, stamp, extra string
+		lastEventID        uint64
+		complete           bool
+	}{
+		{"signed and empty", "s", "", 2, true},
+		{"unsigned", "", "", 2, false},
+		{"with an event", "s", "id: 3\ndata: e3\n\n", 2, false},
+		{"not resumed", "s", "", 0, false},
+	} {
+		text := &partialText{text: []byte("e1\ne2"), lastEventID: c.lastEventID, eventCount: int(c.lastEventID), versions: []uint64{1}}
+		ir := newItemRun(t, answerAfterEnd(c.stamp, c.extra), &jobs.Job{ID: "j", Model: "m"}, text)
+		ir.headers = scoringHeaders
+		if res := ir.run(t.Context()); res.complete != c.complete || c.complete && res.outcome != schedule.Finished {
+			t.Errorf("%s: %+v, want complete %v", c.name, res, c.complete)
+		}
+		if string(text.text) != "e1\ne2" {
+			t.Errorf("%s: text %q", c.name, text.text)
+		}
+	}
+}
+
+// Guards against an item whose text no engine continues, and which makes engine after engine look broken.
+func TestFruitlessResumesRestartTheItem(t *testing.T) {
+	it := &openItem{}
+	resumed := &itemRun{output: &partialText{eventCount: 5}}
+	broken := runResult{outcome: schedule.Broken, status: http.StatusOK}
+	if mustRestart(it, resumed, broken) {
+		t.Error("the text is dropped after one engine that broke off")
+	}
+	if !mustRestart(it, resumed, broken) {
+		t.Error("the text is kept after two engines that did not continue it")
+	}
+	it = &openItem{}
+	mustRestart(it, resumed, broken)
+	mustRestart(it, &itemRun{output: &partialText{eventCount: 6}, eventCount: 1}, broken) // made progress
+	if mustRestart(it, resumed, broken) {
+		t.Error("resumes without an event are counted across one with an event")
+	}
+	if mustRestart(&openItem{}, resumed, runResult{outcome: schedule.Broken}) {
+		t.Error("an engine that cannot be reached counts as one that does not continue the text")
+	}
+}
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -212,6 +212,9 @@
 	shares := engineShares(models, demand, len(engines))
 	assigned := make(map[string]int)
 	for _, e := range engines {
+		if e.assignedModel == "" && e.loading != nil {
+			e.assignedModel = e.loading.model // ordered by recoveryModel
+		}
 		if e.assignedModel != "" && slices.Contains(models, e.assignedModel) {
 			assigned[e.assignedModel]++
 		} else {
--- a/schedule/loads.go
+++ b/schedule/loads.go
@@ -59,7 +59,8 @@
 // PlanLoads selects the engines that load a newer version now: those whose version of the assigned model
 // is older than the published one, up to the limit of concurrent loads. Engines that cannot run the
 // waiting items of their model until they load come first, since any other load delays these items;
-// then those with the fewest runs. The caller reports the result of each order with RecordLoadOrder.
+// then those with the fewest runs; last those that have failed, see recoveryModel. The caller reports the
+// result of each order with RecordLoadOrder.
 func (s *Scheduler) PlanLoads(now time.Time, published map[string]uint64) []LoadOrder {
 	s.expireLoads(now)
 	loading := make(map[string]int)
@@ -85,19 +86,52 @@
 	}
 	slices.SortStableFunc(outdated, func(a, b *engine) int { return cmp.Or(blocked(b)-blocked(a), len(a.runs)-len(b.runs)) })
 	var out []LoadOrder
-	for _, e := range outdated {
+	order := func(e *engine, model string) {
 		if loading[e.Service] >= s.maxConcurrentLoads(e.Service) {
-			continue
+			return
 		}
 		loading[e.Service]++
-		version := published[e.assignedModel]
+		version := published[model]
 		// RecordLoadOrder permits probes once the engine has accepted the order.
-		e.loading = &weightLoad{model: e.assignedModel, version: version, startedAt: now, nextProbe: now.Add(loadTimeout)}
-		out = append(out, LoadOrder{Engine: e.ID, Model: e.assignedModel, Version: version})
+		e.loading = &weightLoad{model: model, version: version, startedAt: now, nextProbe: now.Add(loadTimeout)}
+		out = append(out, LoadOrder{Engine: e.ID, Model: model, Version: version})
+	}
+	for _, e := range outdated {
+		order(e, e.assignedModel)
+	}
+	for _, e := range s.enginesByID() {
+		if model := s.recoveryModel(now, e); model != "" && published[model] > e.versions[model] {
+			order(e, model)
+		}
 	}
 	return out
 }
 
+// recoveryModel returns the model to load on an engine that has failed, or "" for none. A failed engine
+// recovers with a run, but none can start on it if all waiting items require newer weights than it has. An
+// order then takes the place of that run.
+func (s *Scheduler) recoveryModel(now time.Time, e *engine) string {
+	idle := e.consecutiveFailures > 0 && !e.draining && e.loading == nil && len(e.runs) == 0
+	if !idle || now.Before(e.backoffUntil) || now.Before(e.loadOrderBackoffUntil) {
+		return ""
+	}
+	model, mostWaiting := "", 0
+	for _, id := range s.jobOrder {
+		waiting := s.jobs[id].waiting
+		if len(waiting) == 0 || waiting[0].Service != e.Service {
+			continue
+		}
+		if e.versionAllows(now, waiting[0]) {
+			return "" // a run can show whether the engine works
+		}
+		eligible := e.assignedModel == "" || e.assignedModel == waiting[0].Model
+		if eligible && len(waiting) > mostWaiting {
+			model, mostWaiting = waiting[0].Model, len(waiting)
+		}
+	}
+	return model
+}
+
 // requiredVersions returns, for each model, the oldest version that all of its waiting items accept.
 func (s *Scheduler) requiredVersions() map[string]uint64 {
 	required := make(map[string]uint64)
@@ -129,8 +163,12 @@
 	if !accepted {
 		e.loading = nil
 		e.loadOrderBackoffUntil = now.Add(loadOrderBackoff)
+		if e.consecutiveFailures > 0 {
+			e.loadOrderBackoffUntil = now.Add(maxFailureBackoff)
+		}
 		return
 	}
+	e.consecutiveFailures = min(e.consecutiveFailures, unavailableAfter-1) // it has answered; a run shows the rest
 	e.loading.accepted, e.loading.startedAt = true, now
 	e.loading.nextProbe = now.Add(s.loadDuration.expected())
 }
