--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,8 +66,8 @@
 	// target that is disconnected from the control plane still serves requests.
 	Expiry time.Duration
 	// Refresh is how often the host that receives the reports of a target passes on its age and
-	// weights while nothing else changes. Other hosts relay these only every RelayRefresh: since all
-	// hosts watch that first host themselves, a relay helps only those that cannot reach it.
+	// weights while nothing else changes, and RelayRefresh how often other hosts relay them. A host that
+	// receives only relayed reports needs a RelayRefresh below Refresh.
 	Refresh, RelayRefresh time.Duration
 
 	records   map[string]*record
--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -1,6 +1,6 @@
 // Package clusterview distributes the state known to the store hosts to all hosts: the configuration in
-// force, the targets, the store hosts themselves and their leader. Each host watches every known
-// store host over a separate stream and merges the received events into one View.
+// force, the targets, the store hosts themselves and their leader. Each host watches the store hosts that
+// selectSources chooses, each over a separate stream, and merges the received events into one View.
 package clusterview
 
 import (
