--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -93,12 +93,12 @@
 	partials           map[string]*partialText // by item, while no run uses it
 	knownItems         map[string]bool         // items seen in earlier jobs
 	scoringQueue       *schedule.ScoringQueue
-	scorings           map[schedule.Key]*scoring // items whose call is in scoringQueue
-	orderStates        map[string]*orderState    // by engine
-	publishedVersions  map[string]uint64         // newest published weight version of each model
-	syncedRevision     uint64                    // revision of the state machine at the last sync
-	routesVersion      uint64                    // configuration version at the last sync
-	lastDemandSequence uint64                    // sequence number of the newest job whose demand was reported
+	pendingScores      map[schedule.Key]*pendingScore // items whose call is in scoringQueue
+	orderStates        map[string]*orderState         // by engine
+	publishedVersions  map[string]uint64              // newest published weight version of each model
+	syncedRevision     uint64                         // revision of the state machine at the last sync
+	routesVersion      uint64                         // configuration version at the last sync
+	lastDemandSequence uint64                         // sequence number of the newest job whose demand was reported
 	cleanedAt          time.Time
 	reviewedAt         time.Time // last evaluation, see reviewInterval
 	progressStoredAt   time.Time // when partial texts were last proposed
@@ -218,7 +218,7 @@
 	r.sched = schedule.New()
 	r.jobs, r.runs = make(map[string]*openJob), make(map[schedule.Key]*activeRun)
 	r.partials, r.knownItems = make(map[string]*partialText), make(map[string]bool)
-	r.scoringQueue, r.scorings = schedule.NewScoringQueue(), make(map[schedule.Key]*scoring)
+	r.scoringQueue, r.pendingScores = schedule.NewScoringQueue(), make(map[schedule.Key]*pendingScore)
 	r.orderStates, r.publishedVersions = make(map[string]*orderState), nil
 	r.syncedRevision, r.routesVersion, r.lastDemandSequence = 0, 0, 0
 	r.opts.Log.Info("runner became active", "term", term, "holder", r.opts.Holder, "elected_ms_ago", now.Sub(r.electedAt).Milliseconds())
--- a/internal/runner/scoring.go
+++ b/internal/runner/scoring.go
@@ -19,8 +19,8 @@
 // somewhat late.
 const minScoringTimeout = time.Second
 
-// scoring is an item whose text is complete and committed, and which waits for its score.
-type scoring struct {
+// pendingScore is an item whose text is complete and committed, and which waits for its score.
+type pendingScore struct {
 	text   *partialText
 	cancel context.CancelFunc // stops the call in progress; nil if there is none
 }
@@ -77,7 +77,7 @@
 			service, maxErrors = scoringService(route, it), max(maxErrors, route.AttemptLimit())
 		}
 	}
-	r.scorings[key] = &scoring{text: p}
+	r.pendingScores[key] = &pendingScore{text: p}
 	r.scoringQueue.Add(schedule.ScoringCall{Job: j.ID, Item: it.ID, Service: service, Group: it.Group, Deadline: j.deadline, MaxServerErrors: maxErrors})
 	r.opts.Log.Info("item text complete", "job", j.ID, "item", it.ID, "call", it.Scoring.ID, "events", p.eventCount, "versions", p.versions, "service", service)
 }
@@ -117,7 +117,7 @@
 
 // startScoring starts the scoring calls that are due.
 func (r *Runner) startScoring(now time.Time) {
-	if len(r.scorings) == 0 {
+	if len(r.pendingScores) == 0 {
 		return
 	}
 	openItems := func(job, group string) int { return r.jobs[job].openInGroup[group] }
@@ -129,7 +129,7 @@
 // startScoringCall sends a scoring call in its own goroutine.
 func (r *Runner) startScoringCall(now time.Time, c schedule.ScoringCall) {
 	key := c.Key()
-	j, s := r.jobs[key.Job], r.scorings[key]
+	j, s := r.jobs[key.Job], r.pendingScores[key]
 	it := j.items[key.Item]
 	table := r.opts.View.Table()
 	route, ok := scoringRoute(table, it)
@@ -154,8 +154,8 @@
 
 // handleScoringEnd commits the score of an item, or queues its call again. An item whose calls were
 // answered with too many server errors is terminated.
-func (r *Runner) handleScoringEnd(now time.Time, key schedule.Key, s *scoring, reply forward.Reply, took time.Duration, err error) {
-	if r.scorings[key] != s {
+func (r *Runner) handleScoringEnd(now time.Time, key schedule.Key, s *pendingScore, reply forward.Reply, took time.Duration, err error) {
+	if r.pendingScores[key] != s {
 		return // the job has ended or the item was terminated
 	}
 	s.cancel = nil
@@ -168,7 +168,7 @@
 	r.logScoringCall(now, j, it, reply, score != "", took, err)
 	if score != "" {
 		r.scoringQueue.Remove(key)
-		delete(r.scorings, key)
+		delete(r.pendingScores, key)
 		r.commitText(j, it.ID, s.text, s.text.committed, score)
 		return
 	}
@@ -211,11 +211,11 @@
 // stopScoring stops the scoring call of an item that needs no score any more. The committed text stays, so
 // that a later job with the same item can use it.
 func (r *Runner) stopScoring(key schedule.Key) {
-	s := r.scorings[key]
+	s := r.pendingScores[key]
 	if s == nil {
 		return
 	}
-	delete(r.scorings, key)
+	delete(r.pendingScores, key)
 	r.scoringQueue.Remove(key)
 	if s.cancel != nil {
 		s.cancel()
