--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -57,6 +58,7 @@
 	rec         *recorder
 	events      int
 	gap         time.Duration
+	spread      bool // items differ in speed, by up to a ninth
 	mu          sync.Mutex
 	version     uint64
 	orders      uint64
@@ -159,6 +161,16 @@
 	}
 }
 
+// gapOf returns the time between two events of an item.
+func (e *engine) gapOf(item string) time.Duration {
+	if !e.spread {
+		return e.gap
+	}
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, item)
+	return e.gap + e.gap*time.Duration(h.Sum32()%9)/72
+}
+
 // generate runs an item: one event every gap, from the one after Last-Event-Id on.
 func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Fuchsiaflow-Request-Id")
@@ -185,7 +197,7 @@
 			e.log.end(rn, false)
 			e.rec.logf("replica %s: run %d of item %s is cut before event %d", e.id, rn.serial, id, n)
 			return
-		case <-time.After(e.gap):
+		case <-time.After(e.gapOf(id)):
 		}
 		e.mu.Lock()
 		now := e.version
--- a/review/harness/textsofruns.go
+++ b/review/harness/textsofruns.go
@@ -24,6 +24,7 @@
 		if err != nil {
 			return outcome{}, err
 		}
+		e.spread = true
 		go e.heartbeats(c)
 	}
 	config := configDoc(1, []map[string]any{route("r-roll", "/roll/", "rollout", "models")}, map[string]int{"models": 4})
