--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -62,6 +62,7 @@
 	mu          sync.Mutex
 	version     uint64
 	orders      uint64
+	sequence    int
 	fence       uint64
 	loadedAt    time.Time
 	born        int64
@@ -86,15 +87,29 @@
 	_ = e.server.Close()
 }
 
+// nextSequence counts the heartbeats of the engine.
+func (e *engine) nextSequence() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	return e.sequence
+}
+
+// heartbeat returns the document of a heartbeat.
+func (e *engine) heartbeat(sequence int) map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return map[string]any{"Service": e.service, "Address": e.addr, "Zone": "z0", "Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 0,
+		"Stage": "dual", "Models": []map[string]any{{"Name": model, "Version": e.version, "Adapters": []string{}}}, "Sequence": sequence, "born": e.born}
+}
+
 // heartbeats reports the engine to one store host after the other until it is down.
 func (e *engine) heartbeats(c *cluster) {
-	for seq := 1; ; seq++ {
-		e.mu.Lock()
-		doc, _ := json.Marshal(map[string]any{"Service": e.service, "Address": e.addr, "Zone": "z0", "Version": "v1", "Slots": 4, "State": "ready", "ColdRemainingMs": 0,
-			"Stage": "dual", "Models": []map[string]any{{"Name": model, "Version": e.version, "Adapters": []string{}}}, "Sequence": seq, "born": e.born})
-		e.mu.Unlock()
+	for {
+		sequence := e.nextSequence()
+		doc, _ := json.Marshal(e.heartbeat(sequence))
 		for i := range c.stores {
-			status, _ := call(oneShot, http.MethodPost, c.controlAddr(c.stores[(seq+i)%3]), "/Instances.Heartbeat/"+e.id, map[string]string{"Content-Type": "application/json"}, doc, time.Second)
+			status, _ := call(oneShot, http.MethodPost, c.controlAddr(c.stores[(sequence+i)%3]), "/Instances.Heartbeat/"+e.id, map[string]string{"Content-Type": "application/json"}, doc, time.Second)
 			if status == http.StatusOK {
 				break
 			}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (outcome, error){
 	"foreign-beats": foreignBeats,
 	"stream-twice":  streamTwice,
+	"left-replica":  leftReplica,
 	"route-moved":   routeMoved,
 	"service-gone":  serviceRemoved,
 	"texts-of-runs": textsOfRuns,
