jobs: a stored text is continued only by the run that stored it

Callers saw texts that change from one run of an item to another after event 9 or 10, with the weight versions of one run only. The stored text of an unfinished item is kept by item and is shared by all open jobs that have it. A run extends it by naming the length that it stored last; a second run of the same item replaced the text by one of equal length, and the first run's next part or result was appended to that.

Ruled out: the engine's stream and its resumption (event ids are checked one by one); a change of leader (one leader started both runs, by its log).

Change: each stored text has a revision that its writer chooses, unique by term and counter. A part or a result that omits its prefix names revision and length (jobs.Prefix), else it is refused and the whole text is sent. The zero revision keeps the rule for stored data of earlier builds. Same cause, related paths: the complete text of an item that is to be scored was taken as stored when another run's text of equal length was there, and was never scored when that had another length; the stored one is scored now. A result that continues a complete text must name its versions.

The repeat of an append whose answer was lost is now reported as stored.

--- a/internal/runner/partialtext.go
+++ b/internal/runner/partialtext.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"fuchsiaflow/jobs"
 )
 
 // partialText is the text that was generated for an item so far. During a run, the goroutine of the run
@@ -13,8 +15,8 @@
 	lastEventID uint64 // ID of the last event, 0 before the first
 	eventCount  int
 	versions    []uint64 // weight versions that generated the text, ascending
-	// committed is the length of the committed prefix of the text, in bytes.
-	committed int
+	// committed is the prefix of the text that is committed.
+	committed jobs.Prefix
 	// proposedEvents is the number of events included in the last proposal.
 	proposedEvents int
 	// complete is set when the text is whole, and completeCommitted when that is committed.
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -29,6 +29,7 @@
 			continue
 		}
 		if p, ok := rn.itemRun.uncommitted(); ok {
+			p.Partial.Revision = r.nextRevision()
 			rn.committing = true
 			runs = append(runs, rn)
 			items = append(items, p)
@@ -41,7 +42,7 @@
 		for i, rn := range runs {
 			rn.committing = false
 			if i < len(reply.Stored) && reply.Stored[i] {
-				rn.itemRun.setCommitted(items[i].Offset + items[i].Partial.Text.Len())
+				rn.itemRun.setCommitted(items[i].StoredPrefix())
 			}
 		}
 	})
@@ -57,15 +58,22 @@
 		return storestate.ItemProgress{}, false
 	}
 	p.proposedEvents = p.eventCount // a rejected part is proposed again only with new events
-	return storestate.ItemProgress{Job: ir.job.ID, Item: ir.item.ID, Offset: p.committed, Partial: jobs.PartialText{
-		Text: jobs.NewText(p.text[p.committed:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions}}, true
+	return storestate.ItemProgress{Job: ir.job.ID, Item: ir.item.ID, Offset: p.committed.Len, BaseRevision: p.committed.Revision, Partial: jobs.PartialText{
+		Text: jobs.NewText(p.text[p.committed.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions}}, true
 }
 
-// setCommitted records that the first n bytes of the text are committed.
-func (ir *itemRun) setCommitted(n int) {
+// setCommitted records that a prefix of the text is committed.
+func (ir *itemRun) setCommitted(prefix jobs.Prefix) {
 	ir.output.mu.Lock()
 	defer ir.output.mu.Unlock()
-	ir.output.committed = n
+	ir.output.committed = prefix
+}
+
+// nextRevision returns a revision for a text to store. It is unique, because a term has one leader.
+func (r *Runner) nextRevision() uint64 {
+	const termShift = 32 // bits; a term stores far fewer than 1<<32 texts
+	r.revisionsInTerm++
+	return r.term<<termShift | r.revisionsInTerm
 }
 
 // committedPartial returns the committed partial text of an item, or nil if there is none.
@@ -78,6 +86,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &partialText{text: text, lastEventID: p.LastEventID, eventCount: p.EventCount, versions: p.Versions, committed: len(text), proposedEvents: p.EventCount,
+	return &partialText{text: text, lastEventID: p.LastEventID, eventCount: p.EventCount, versions: p.Versions, committed: jobs.Prefix{Revision: p.Revision, Len: len(text)}, proposedEvents: p.EventCount,
 		complete: p.Complete, completeCommitted: p.Complete}, nil
 }
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -185,14 +185,14 @@
 }
 
 // commitText commits the text of an item and its score, if it has one, as its result, sending only the
-// bytes after offset from. The command is refused if the committed prefix differs; the complete text is
+// bytes after the committed prefix. The command is refused if that is no longer stored; the complete text is
 // then proposed instead.
-func (r *Runner) commitText(j *openJob, item string, p *partialText, from int, score string) {
-	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[from:]), Versions: p.versions, Score: score}
-	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Result: result, Offset: from}},
+func (r *Runner) commitText(j *openJob, item string, p *partialText, prefix jobs.Prefix, score string) {
+	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[prefix.Len:]), Versions: p.versions, Score: score}
+	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Result: result, Offset: prefix.Len, BaseRevision: prefix.Revision}},
 		func(now time.Time, reply storestate.Reply) {
-			if !reply.Changed && from > 0 {
-				r.commitText(j, item, p, 0, score)
+			if !reply.Changed && prefix.Len > 0 {
+				r.commitText(j, item, p, jobs.Prefix{}, score)
 				return
 			}
 			r.resultCommitted(now, j, result, reply)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -99,6 +99,7 @@
 	syncedRevision     uint64                         // revision of the state machine at the last sync
 	routesVersion      uint64                         // configuration version at the last sync
 	lastDemandSequence uint64                         // sequence number of the newest job whose demand was reported
+	revisionsInTerm    uint64                         // number of revisions that nextRevision has returned
 	cleanedAt          time.Time
 	reviewedAt         time.Time // last evaluation, see reviewInterval
 	progressStoredAt   time.Time // when partial texts were last proposed
@@ -220,7 +221,7 @@
 	r.partials, r.knownItems = make(map[string]*partialText), make(map[string]bool)
 	r.scoringQueue, r.pendingScores = schedule.NewScoringQueue(), make(map[schedule.Key]*pendingScore)
 	r.orderStates, r.publishedVersions = make(map[string]*orderState), nil
-	r.syncedRevision, r.routesVersion, r.lastDemandSequence = 0, 0, 0
+	r.syncedRevision, r.routesVersion, r.lastDemandSequence, r.revisionsInTerm = 0, 0, 0, 0
 	r.opts.Log.Info("runner became active", "term", term, "holder", r.opts.Holder, "elected_ms_ago", now.Sub(r.electedAt).Milliseconds())
 	return true
 }
--- a/internal/runner/scoring.go
+++ b/internal/runner/scoring.go
@@ -39,26 +39,41 @@
 	}
 }
 
-// storeCompleteText commits the text of an item that is to be scored, sending only the bytes after offset
-// from. The command is refused if the committed prefix differs; the complete text is then sent instead.
-func (r *Runner) storeCompleteText(j *openJob, it *openItem, p *partialText, from int) {
-	progress := storestate.ItemProgress{Job: j.ID, Item: it.ID, Offset: from, Partial: jobs.PartialText{Text: jobs.NewText(p.text[from:]),
-		LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions, Complete: true}}
+// storeCompleteText commits the text of an item that is to be scored, sending only the bytes after the
+// committed prefix. The command is refused if that is no longer stored; the complete text is then sent instead.
+// If another open job has stored a complete text of the item meanwhile, that text is scored.
+func (r *Runner) storeCompleteText(j *openJob, it *openItem, p *partialText, prefix jobs.Prefix) {
+	progress := storestate.ItemProgress{Job: j.ID, Item: it.ID, Offset: prefix.Len, BaseRevision: prefix.Revision,
+		Partial: jobs.PartialText{Text: jobs.NewText(p.text[prefix.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions,
+			Complete: true, Revision: r.nextRevision()}}
 	command := &storestate.Command{Progress: &storestate.Progress{Items: []storestate.ItemProgress{progress}}}
 	r.propose(command, func(_ time.Time, reply storestate.Reply) {
 		stored := len(reply.Stored) == 1 && reply.Stored[0]
 		switch {
 		case stored:
-			p.committed, p.completeCommitted = len(p.text), true
+			p.committed, p.completeCommitted = progress.StoredPrefix(), true
 			r.queueScoring(j, it, p)
-		case from > 0:
-			r.storeCompleteText(j, it, p, 0)
+		case prefix.Len > 0:
+			r.storeCompleteText(j, it, p, jobs.Prefix{})
 		default:
-			r.opts.Log.Info("complete text not stored", "job", j.ID, "item", it.ID, "bytes", len(p.text), "open", r.isOpen(j, it.ID))
+			r.scoreStoredText(j, it)
 		}
 	})
 }
 
+// scoreStoredText queues the scoring call of an item of which another job has stored the complete text.
+func (r *Runner) scoreStoredText(j *openJob, it *openItem) {
+	var p *partialText
+	var err error
+	r.opts.StateMachine.View(func(s *storestate.State) { p, err = committedPartial(s.Jobs(), it.ID) })
+	if err != nil || p == nil || !p.complete || !j.AllowsVersions(p.versions) {
+		r.opts.Log.Info("complete text not stored", "job", j.ID, "item", it.ID, "open", r.isOpen(j, it.ID), "error", err)
+		return
+	}
+	r.opts.Log.Info("complete text of another job is scored", "job", j.ID, "item", it.ID, "events", p.eventCount, "versions", p.versions)
+	r.queueScoring(j, it, p)
+}
+
 // isOpen reports whether the item of a job still needs a result.
 func (r *Runner) isOpen(j *openJob, item string) bool {
 	return r.jobs[j.ID] == j && j.items[item] != nil
--- a/internal/runner/scoring_test.go
+++ b/internal/runner/scoring_test.go
@@ -156,14 +156,22 @@
 // submit submits job j with item "item", which is scored by call "call".
 func (c *scoringCluster) submit() {
 	c.t.Helper()
-	c.propose(&storestate.Command{SubmitJob: &jobs.Job{ID: "j", Host: "h", Path: "/gen/j", Model: "m", MinVersion: 1, WantedGroups: 1, Items: []jobs.Item{
-		{ID: "item", Path: "/gen/1", Body: []byte("b"), Group: "g", Scoring: &jobs.ScoringRequest{ID: "call", Host: "h", Path: "/score/1", Body: []byte("x")}}}}})
+	c.submitJob("j", "call")
 }
 
-func (c *scoringCluster) results() []jobs.Result {
+// submitJob submits a job with item "item", which is scored by the given call.
+func (c *scoringCluster) submitJob(id, call string) {
+	c.t.Helper()
+	c.propose(&storestate.Command{SubmitJob: &jobs.Job{ID: id, Host: "h", Path: "/gen/j", Model: "m", MinVersion: 1, WantedGroups: 1, Items: []jobs.Item{
+		{ID: "item", Path: "/gen/1", Body: []byte("b"), Group: "g", Scoring: &jobs.ScoringRequest{ID: call, Host: "h", Path: "/score/1", Body: []byte("x")}}}}})
+}
+
+func (c *scoringCluster) results() []jobs.Result { return c.resultsOf("j") }
+
+func (c *scoringCluster) resultsOf(job string) []jobs.Result {
 	var list []jobs.Result
 	c.stateMachine.View(func(s *storestate.State) {
-		page, _ := s.Jobs().Read("j", 0, 1<<20)
+		page, _ := s.Jobs().Read(job, 0, 1<<20)
 		list = page.Results
 	})
 	return list
@@ -355,3 +363,24 @@
 	c.applyConfig(3, true)
 	c.checkResult(1)
 }
+
+// Guards against an item that is never scored because another open job has stored the complete text of the
+// same item first.
+func TestItemOfTwoOpenJobsIsScoredInBoth(t *testing.T) {
+	c := newScoringCluster(t)
+	c.addTarget("s", "scoring", c.serveScoring)
+	c.hooks(nil, func(int, http.ResponseWriter) bool {
+		c.await("second text", func() bool { generations, _, _ := c.counts(); return generations >= 2 })
+		time.Sleep(100 * time.Millisecond) // the second text is proposed while the first one is stored
+		return false
+	})
+	for _, job := range []string{"j", "j2"} {
+		c.submitJob(job, "call of "+job)
+	}
+	for _, job := range []string{"j", "j2"} {
+		c.await("result of job "+job, func() bool { return len(c.resultsOf(job)) == 1 })
+		if r := c.resultsOf(job)[0]; r.State != jobs.Completed || r.Score == "" {
+			t.Errorf("job %s: result %+v, want a complete text with a score", job, r)
+		}
+	}
+}
--- a/internal/store/admission_test.go
+++ b/internal/store/admission_test.go
@@ -110,8 +110,8 @@
 	for j := range 3 {
 		id := fmt.Sprint(j)
 		b.Submit(jobs.Job{ID: id, Items: []jobs.Item{{ID: id + "a", Body: text}, {ID: id + "b", Body: text}}})
-		b.Finish(id, 0, jobs.Result{ID: id + "a", State: jobs.Completed, Text: jobs.NewText(text)})
-		b.AppendText(id, id+"b", 0, jobs.PartialText{Text: jobs.NewText(text[:100])})
+		b.Finish(id, jobs.Prefix{}, jobs.Result{ID: id + "a", State: jobs.Completed, Text: jobs.NewText(text)})
+		b.AppendText(id, id+"b", jobs.Prefix{}, jobs.PartialText{Text: jobs.NewText(text[:100])})
 	}
 	packedLen := jobs.NewText(text).PackedLen()
 	if got, content := b.MemoryBytes(), 3*(packedLen+5000+100); got < content || got > content+3*2000 {
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -49,6 +49,12 @@
 	// Offset is the length of the item's stored text, to which the text of the result is appended; 0 if
 	// the result has the whole text.
 	Offset int `cbor:"3,keyasint,omitempty"`
+	// BaseRevision is the revision of the stored text at that offset; see jobs.PartialText.
+	BaseRevision uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+func (f *FinishItem) prefix() jobs.Prefix {
+	return jobs.Prefix{Revision: f.BaseRevision, Len: f.Offset}
 }
 
 // Progress stores text that running items have generated.
@@ -63,6 +69,17 @@
 	// Offset is the length of the stored text that the new text continues; 0 replaces the stored text.
 	Offset  int              `cbor:"3,keyasint,omitempty"`
 	Partial jobs.PartialText `cbor:"4,keyasint"`
+	// BaseRevision is the revision of the stored text that the new text continues.
+	BaseRevision uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+func (p *ItemProgress) prefix() jobs.Prefix {
+	return jobs.Prefix{Revision: p.BaseRevision, Len: p.Offset}
+}
+
+// StoredPrefix returns the stored text of the item after the command, as a prefix of what follows.
+func (p *ItemProgress) StoredPrefix() jobs.Prefix {
+	return jobs.Prefix{Revision: p.Partial.Revision, Len: p.Offset + p.Partial.Text.Len()}
 }
 
 // EndJob ends a job, which keeps its results.
@@ -151,11 +168,11 @@
 	case c.SubmitJob != nil:
 		return Reply{Changed: s.jobs.Submit(*c.SubmitJob)}
 	case c.FinishItem != nil:
-		return Reply{Changed: s.jobs.Finish(c.FinishItem.Job, c.FinishItem.Offset, c.FinishItem.Result)}
+		return Reply{Changed: s.jobs.Finish(c.FinishItem.Job, c.FinishItem.prefix(), c.FinishItem.Result)}
 	case c.Progress != nil:
 		r := Reply{}
 		for _, it := range c.Progress.Items {
-			r.Stored = append(r.Stored, s.jobs.AppendText(it.Job, it.Item, it.Offset, it.Partial))
+			r.Stored = append(r.Stored, s.jobs.AppendText(it.Job, it.Item, it.prefix(), it.Partial))
 		}
 		return r
 	case c.EndJob != nil:
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -127,6 +127,22 @@
 	Versions    []uint64 `cbor:"4,keyasint,omitempty"`
 	// Complete is set when the text is whole and only its score is missing.
 	Complete bool `cbor:"5,keyasint,omitempty"`
+	// Revision identifies the text among all texts that were ever stored for the item. It is chosen by
+	// the writer; 0 if the text was not stored by AppendText.
+	Revision uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Prefix identifies the stored text that a new part continues. The zero Prefix is empty: the part is the
+// whole text. The length alone does not identify a text, because several runs of an item can store texts
+// of the same length while more than one open job contains the item.
+type Prefix struct {
+	Revision uint64 // PartialText.Revision of the stored text
+	Len      int    // length of the stored text in bytes
+}
+
+// matches reports whether the prefix is the stored text p, which may be nil.
+func (prefix Prefix) matches(p *PartialText) bool {
+	return p != nil && p.Revision == prefix.Revision && p.Text.Len() == prefix.Len
 }
 
 // Entry is a job with its results and status.
@@ -234,24 +250,27 @@
 	}
 }
 
-// AppendText appends to the stored text of an item if its length is offset; offset 0 replaces the
+// AppendText appends to the stored text of an item if that is the given prefix; an empty prefix replaces the
 // stored text, unless that is complete and accepted by the job. It reports whether the text was stored.
-func (b *Table) AppendText(job, item string, offset int, p PartialText) bool {
+func (b *Table) AppendText(job, item string, prefix Prefix, p PartialText) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(item) {
 		return false
 	}
 	stored := b.partials[item]
-	if stored != nil && stored.Complete && e.AllowsVersions(stored.Versions) {
-		return p.Complete && stored.Text.Len() == offset+p.Text.Len() && slices.Equal(stored.Versions, p.Versions)
+	if stored != nil && p.Revision > 0 && p.Revision == stored.Revision {
+		return true // the command is repeated
 	}
-	if offset == 0 {
-		stored = &PartialText{}
+	if stored != nil && stored.Complete && e.AllowsVersions(stored.Versions) {
+		return p.Complete && p.Revision == stored.Revision && stored.Text.Len() == prefix.Len+p.Text.Len() && slices.Equal(stored.Versions, p.Versions)
 	}
-	if stored == nil || stored.Text.Len() != offset {
-		return false
+	if prefix.Len > 0 {
+		if !prefix.matches(stored) {
+			return false
+		}
+		p.Text = slices.Concat(stored.Text, p.Text)
 	}
-	b.partials[item] = &PartialText{Text: slices.Concat(stored.Text, p.Text), LastEventID: p.LastEventID, EventCount: p.EventCount, Versions: p.Versions, Complete: p.Complete}
+	b.partials[item] = &p
 	return true
 }
 
@@ -269,12 +288,12 @@
 	return e != nil && !e.Ended && !e.HasResult(item) && slices.ContainsFunc(e.Items, func(it Item) bool { return it.ID == item })
 }
 
-// Finish records the result of an item. If offset is positive, the text of the result is appended
-// to the stored text of the item, whose length must be offset. Finish reports whether the result
+// Finish records the result of an item. If the prefix is not empty, the text of the result is appended
+// to the stored text of the item, which must be that prefix. Finish reports whether the result
 // was recorded. It is rejected if the job is unknown or ended, if the item is not part of the job
-// or has a result, if it is completed with versions that the job does not accept, or if it is completed
-// without the score that it needs.
-func (b *Table) Finish(job string, offset int, r Result) bool {
+// or has a result, if it is completed with versions that the job does not accept or that are not those of a
+// complete stored text, or if it is completed without the score that it needs.
+func (b *Table) Finish(job string, prefix Prefix, r Result) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(r.ID) || r.State == Completed && !e.AllowsVersions(r.Versions) {
 		return false
@@ -282,12 +301,12 @@
 	if r.State == Completed && r.Score == "" && e.scoring(r.ID) != nil {
 		return false
 	}
-	if offset > 0 {
-		p := b.partials[r.ID]
-		if p == nil || p.Text.Len() != offset {
+	if prefix.Len > 0 {
+		stored := b.partials[r.ID]
+		if !prefix.matches(stored) || stored.Complete && !slices.Equal(stored.Versions, r.Versions) {
 			return false
 		}
-		r.Text = slices.Concat(p.Text, r.Text)
+		r.Text = slices.Concat(stored.Text, r.Text)
 	}
 	b.addResult(e, r)
 	return true
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -39,7 +39,7 @@
 			case 1, 2:
 				r := Result{ID: rapid.SampledFrom(items).Draw(t, "item"), State: Completed, Text: NewText([]byte(fmt.Sprint(step))),
 					Versions: []uint64{rapid.Uint64Range(0, 5).Draw(t, "version")}}
-				b.Finish(id, 0, r)
+				b.Finish(id, Prefix{}, r)
 			case 3:
 				if b.End(id) != (submitted[id] != nil) {
 					t.Fatalf("End(%s) misreports whether the job exists", id)
@@ -77,7 +77,7 @@
 func TestSubmitReusesResults(t *testing.T) {
 	b := NewTable()
 	b.Submit(newJob("j1", 3, "a", "b"))
-	b.Finish("j1", 0, Result{ID: "a", State: Completed, Text: NewText([]byte("x")), Versions: []uint64{3}})
+	b.Finish("j1", Prefix{}, Result{ID: "a", State: Completed, Text: NewText([]byte("x")), Versions: []uint64{3}})
 	b.End("j1")
 	b.Submit(newJob("j2", 3, "a", "b"))
 	b.Submit(newJob("j3", 4, "a", "b"))
@@ -95,7 +95,7 @@
 	b := NewTable()
 	b.Submit(newJob("j", 0, "a", "b", "c"))
 	for _, it := range []string{"a", "b", "c"} {
-		b.Finish("j", 0, Result{ID: it, State: Completed, Text: NewText(make([]byte, 1000))})
+		b.Finish("j", Prefix{}, Result{ID: it, State: Completed, Text: NewText(make([]byte, 1000))})
 	}
 	if p, _ := b.Read("j", 0, 10); len(p.Results) != 1 || p.Next != 1 {
 		t.Errorf("page of %d results, next %d", len(p.Results), p.Next)
@@ -111,13 +111,13 @@
 	b := NewTable()
 	b.Submit(newJob("j1", 0, "a", "b"))
 	partial := func(s string) PartialText { return PartialText{Text: NewText([]byte(s)), Versions: []uint64{1}} }
-	if !b.AppendText("j1", "a", 0, partial("one ")) || !b.AppendText("j1", "a", 4, partial("two ")) {
+	if !b.AppendText("j1", "a", Prefix{}, partial("one ")) || !b.AppendText("j1", "a", Prefix{Len: 4}, partial("two ")) {
 		t.Fatal("a continuation at the right offset was rejected")
 	}
-	if b.AppendText("j1", "a", 4, partial("two ")) {
+	if b.AppendText("j1", "a", Prefix{Len: 4}, partial("two ")) {
 		t.Error("a part was appended twice")
 	}
-	if b.Finish("j1", 4, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
+	if b.Finish("j1", Prefix{Len: 4}, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
 		t.Error("a result that does not continue the stored text was accepted")
 	}
 	b.End("j1")
@@ -125,7 +125,7 @@
 	if p, ok := b.PartialText("a"); !ok || mustUnpack(t, p.Text) != "one two " {
 		t.Errorf("stored text of a carried over item: %q", mustUnpack(t, p.Text))
 	}
-	if !b.Finish("j2", 8, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
+	if !b.Finish("j2", Prefix{Len: 8}, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
 		t.Fatal("a result that continues the stored text was rejected")
 	}
 	if p, _ := b.Read("j2", 0, 100); mustUnpack(t, p.Results[0].Text) != "one two end" {
--- a/jobs/scoring_test.go
+++ b/jobs/scoring_test.go
@@ -17,16 +17,16 @@
 func TestCompletedResultNeedsScore(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	if !b.AppendText("j", "a", 0, completeText("text", 1)) {
+	if !b.AppendText("j", "a", Prefix{}, completeText("text", 1)) {
 		t.Fatal("the complete text was rejected")
 	}
-	if b.Finish("j", 4, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
+	if b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
 		t.Fatal("a result without a score was recorded")
 	}
 	if body, err := b.Body("j", "a"); err != nil || len(body) == 0 {
 		t.Errorf("body of an item that waits for its score: %q, %v", body, err)
 	}
-	if !b.Finish("j", 4, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
+	if !b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
 		t.Fatal("the scored result was rejected")
 	}
 	page, _ := b.Read("j", 0, 100)
@@ -40,8 +40,8 @@
 func TestCarriedOverItemIsScoredByItsOwnRequest(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j1", "a", "c1", 1))
-	b.AppendText("j1", "a", 0, completeText("text", 2))
-	b.Finish("j1", 4, Result{ID: "a", State: Completed, Versions: []uint64{2}, Score: "s1"})
+	b.AppendText("j1", "a", Prefix{}, completeText("text", 2))
+	b.Finish("j1", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{2}, Score: "s1"})
 	b.End("j1")
 	b.Submit(scoredJob("j2", "a", "c2", 2))
 	if p, _ := b.Read("j2", 0, 100); len(p.Results) != 0 {
@@ -65,19 +65,19 @@
 func TestCompleteTextIsKept(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	b.AppendText("j", "a", 0, completeText("text", 1))
-	if b.AppendText("j", "a", 0, PartialText{Text: NewText([]byte("te")), Versions: []uint64{1}}) {
+	b.AppendText("j", "a", Prefix{}, completeText("text", 1))
+	if b.AppendText("j", "a", Prefix{}, PartialText{Text: NewText([]byte("te")), Versions: []uint64{1}}) {
 		t.Error("a part replaced the complete text")
 	}
-	if !b.AppendText("j", "a", 0, completeText("text", 1)) {
+	if !b.AppendText("j", "a", Prefix{}, completeText("text", 1)) {
 		t.Error("the repeated command is reported as rejected")
 	}
-	if b.AppendText("j", "a", 0, completeText("text", 2)) {
+	if b.AppendText("j", "a", Prefix{}, completeText("text", 2)) {
 		t.Error("the same text of another version is reported as stored")
 	}
 	b.End("j")
 	b.Submit(scoredJob("j2", "a", "c2", 3))
-	if !b.AppendText("j2", "a", 0, PartialText{Text: NewText([]byte("te")), Versions: []uint64{3}}) {
+	if !b.AppendText("j2", "a", Prefix{}, PartialText{Text: NewText([]byte("te")), Versions: []uint64{3}}) {
 		t.Error("a text that the job does not accept blocks a new run")
 	}
 }
@@ -86,12 +86,12 @@
 func TestRestoreKeepsScoring(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	b.AppendText("j", "a", 0, completeText("text", 1))
+	b.AppendText("j", "a", Prefix{}, completeText("text", 1))
 	b = Restore(b.Snapshot())
-	if b.Finish("j", 4, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
+	if b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
 		t.Error("the restored item needs no score")
 	}
-	if !b.Finish("j", 4, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
+	if !b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
 		t.Error("the restored text is not complete")
 	}
 }
--- a/jobs/text_test.go
+++ b/jobs/text_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-func mustUnpack(t *testing.T, text Text) string {
+func mustUnpack(t rapid.TB, text Text) string {
 	t.Helper()
 	data, err := text.Bytes()
 	if err != nil {
