store, fleet: an acknowledged departure of a target outlives restarts

Trainers' items ran on an engine 6.5 s after a store host had acknowledged that it is gone: all store hosts had been killed and were back 0.7 s later, and a heartbeat that the engine had sent before arrived. What hosts know of targets was in memory only, so the promise of the acknowledgement ended with the process.

Ruled out: the order of reports (the late one has the highest sequence, and the record rejected it while it was there); the entry hosts (they ran on and have no second "target changed" line; the leader runs the items).

Change: a departure (target and incarnation) is a command of the state group. Within an incarnation the state only advances. Same cause: a draining target came back by a late ready heartbeat. A target that lost its address is "superseded", no longer "gone": that is an inference of a host and no departure.

Without the command TestAcknowledgedDepartureSurvivesRestart fails for a deregistration and for a drain: "serving after the late heartbeat: [{ID:t ...".

Without a leader a departure is not acknowledged, so the target tries the next host.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,6 +1,7 @@
 // Package fleet maintains a host's registry of targets: which exist, where they are, and whether they
 // accept new work. Reports arrive from targets and from other hosts in any order. The newest report of
-// a target about itself wins, so that hosts with the same reports converge to the same state.
+// a target about itself wins, so that hosts with the same reports converge to the same state. Within an
+// incarnation the state only advances: a target that has announced that it leaves is never Ready again.
 //
 // The package is deterministic and does no I/O: time is an argument.
 package fleet
@@ -22,8 +23,13 @@
 	Draining State = "draining"
 	// Gone targets have terminated or are about to.
 	Gone State = "gone"
+	// Superseded targets have lost their address to a target that was started later.
+	Superseded State = "superseded"
 )
 
+// announcesDeparture reports whether a target in the state has announced that it leaves.
+func (s State) announcesDeparture() bool { return s == Draining || s == Gone }
+
 // Target is a report of a target about itself.
 type Target struct {
 	ID          string `cbor:"1,keyasint"`
@@ -70,16 +76,18 @@
 	// receives only relayed reports needs a RelayRefresh below Refresh.
 	Refresh, RelayRefresh time.Duration
 
-	records   map[string]*record
-	byAddress map[string]string // address to ID of the target that uses it now
-	revision  uint64
+	records    map[string]*record
+	byAddress  map[string]string // address to ID of the target that uses it now
+	departures *Departures       // kept longer than the records of the targets
+	revision   uint64
 	// urgentRevision is the revision of the last change that other hosts must learn at once.
 	urgentRevision uint64
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(expiry, refresh, relayRefresh time.Duration) *Registry {
-	return &Registry{Expiry: expiry, Refresh: refresh, RelayRefresh: relayRefresh, records: make(map[string]*record), byAddress: make(map[string]string)}
+	return &Registry{Expiry: expiry, Refresh: refresh, RelayRefresh: relayRefresh, records: make(map[string]*record), byAddress: make(map[string]string),
+		departures: NewDepartures(nil)}
 }
 
 // Update records a report that a target sent to this host. It returns whether the report was accepted as
@@ -90,22 +98,23 @@
 // than the known one.
 func (r *Registry) Merge(now time.Time, t Target) bool { return r.merge(now, t, r.RelayRefresh, false) }
 
-// merge implements Update and Merge. A report of the state Gone is accepted for the current incarnation
-// whatever its sequence number. Urgent changes get a new revision at once, a change of weights only if
-// the report is direct, and anything else only if the last revision is at least refresh old.
+// merge implements Update and Merge. Within an incarnation, a report that the target leaves is accepted
+// whatever its sequence number, and a report that it is ready does not undo that. Urgent changes get a new
+// revision at once, a change of weights only if the report is direct, and anything else only if the last
+// revision is at least refresh old.
 func (r *Registry) merge(now time.Time, t Target, refresh time.Duration, direct bool) bool {
 	reportedAt := now.Add(-t.Age)
+	if t.State.announcesDeparture() {
+		r.departures.Add(Departure{t.ID, t.Incarnation})
+	} else if r.departures.Covers(t.ID, t.Incarnation) {
+		t.State = Draining
+	}
 	old := r.records[t.ID]
-	if old != nil {
-		if old.State == Gone && t.Incarnation == old.Incarnation {
-			return false // late report of an incarnation that has terminated
-		}
-		if !t.newerThan(&old.Target) && !(t.State == Gone && t.Incarnation == old.Incarnation) {
-			return false
-		}
+	if old != nil && !acceptsReport(&old.Target, &t) {
+		return false
 	}
 	if !r.claimAddress(now, &t) {
-		t.State = Gone
+		t.State = Superseded
 	}
 	rec := &record{Target: t, reportedAt: reportedAt}
 	if old != nil {
@@ -121,18 +130,32 @@
 	return true
 }
 
+// acceptsReport reports whether t replaces the known report old of the same target.
+func acceptsReport(old, t *Target) bool {
+	if t.Incarnation != old.Incarnation {
+		return t.Incarnation > old.Incarnation
+	}
+	if old.State.hasEnded() {
+		return false // late report of an incarnation that has terminated
+	}
+	return t.newerThan(old) || t.State == Gone || t.State == Draining && old.State == Ready
+}
+
+// hasEnded reports whether a target in the state serves no requests any more.
+func (s State) hasEnded() bool { return s == Gone || s == Superseded }
+
 // claimAddress makes t the user of its address. The previous user must have terminated and is marked as
-// Gone. It returns false, without a change, if a target that was started later uses the address.
+// Superseded. It returns false, without a change, if a target that was started later uses the address.
 func (r *Registry) claimAddress(now time.Time, t *Target) bool {
-	if t.State == Gone {
+	if t.State.hasEnded() {
 		return true
 	}
 	id := r.byAddress[t.Address]
-	if other := r.records[id]; other != nil && id != t.ID && other.Address == t.Address && other.State != Gone {
+	if other := r.records[id]; other != nil && id != t.ID && other.Address == t.Address && !other.State.hasEnded() {
 		if other.Incarnation > t.Incarnation {
 			return false
 		}
-		other.State = Gone
+		other.State = Superseded
 		r.bumpUrgentRevision(now, other)
 	}
 	r.byAddress[t.Address] = t.ID
@@ -158,22 +181,38 @@
 
 func weightsDiffer(a, b *Target) bool { return !maps.Equal(a.Weights, b.Weights) }
 
-// MarkGone records that a target has terminated or is about to. It returns whether the target is known.
-func (r *Registry) MarkGone(now time.Time, id string) bool {
+// MarkGone records that a target has terminated or is about to, and returns its departure. known is false,
+// without a change, if there is no report of the target.
+func (r *Registry) MarkGone(now time.Time, id string) (d Departure, known bool) {
 	rec := r.records[id]
 	if rec == nil {
-		return false
+		return Departure{}, false
 	}
+	d = Departure{id, rec.Incarnation}
+	r.departures.Add(d)
 	if rec.State != Gone {
 		rec.State = Gone
 		rec.reportedAt = now
 		r.bumpUrgentRevision(now, rec)
 	}
+	return d, true
+}
+
+// Depart records a departure that did not come with a report of the target. It returns whether the target
+// was Ready until now.
+func (r *Registry) Depart(now time.Time, d Departure) bool {
+	r.departures.Add(d)
+	rec := r.records[d.Target]
+	if rec == nil || rec.State != Ready || rec.Incarnation > d.Incarnation {
+		return false
+	}
+	rec.State = Draining
+	r.bumpUrgentRevision(now, rec)
 	return true
 }
 
 // Expire drops the targets whose last report is at least Expiry old, and returns the IDs of those that
-// were not Gone, sorted.
+// had not ended, sorted.
 func (r *Registry) Expire(now time.Time) (dropped []string) {
 	for id, rec := range r.records {
 		if now.Sub(rec.reportedAt) < r.Expiry {
@@ -183,7 +222,7 @@
 		if r.byAddress[rec.Address] == id {
 			delete(r.byAddress, rec.Address)
 		}
-		if rec.State != Gone {
+		if !rec.State.hasEnded() {
 			dropped = append(dropped, id)
 		}
 	}
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -171,17 +171,29 @@
 	}
 }
 
-// MarkTargetGone records that a target is terminating. It reports whether the target is known.
-func (v *View) MarkTargetGone(id string) bool {
+// MarkTargetGone records that a target is terminating, and returns its departure. known is false if there is
+// no report of the target.
+func (v *View) MarkTargetGone(id string) (d fleet.Departure, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before := v.registry.Revision()
-	known := v.registry.MarkGone(bootclock.Now(), id)
+	d, known = v.registry.MarkGone(bootclock.Now(), id)
 	if v.registry.Revision() != before {
-		v.log.Info("target changed", "target", id, "state", fleet.Gone, "from", "itself")
+		v.log.Info("target changed", "target", id, "incarnation", d.Incarnation, "state", fleet.Gone, "from", "itself")
+		v.notify()
+	}
+	return d, known
+}
+
+// RecordDeparture records that a target has announced that it leaves. The parameter from names the source in
+// the log.
+func (v *View) RecordDeparture(d fleet.Departure, from string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.registry.Depart(bootclock.Now(), d) {
+		v.log.Info("target changed", "target", d.Target, "incarnation", d.Incarnation, "state", fleet.Draining, "previous", fleet.Ready, "from", from)
 		v.notify()
 	}
-	return known
 }
 
 // Expire removes targets and store hosts that have not been reported within their expiry time.
--- a/internal/rolehost/rolehost.go
+++ b/internal/rolehost/rolehost.go
@@ -91,7 +91,7 @@
 
 // RegisterViewMetrics adds gauges of a host's view of the cluster.
 func RegisterViewMetrics(m *observe.Metrics, v *clusterview.View) {
-	for _, state := range []fleet.State{fleet.Ready, fleet.Draining, fleet.Gone} {
+	for _, state := range []fleet.State{fleet.Ready, fleet.Draining, fleet.Gone, fleet.Superseded} {
 		m.GaugeFunc("targets_"+string(state), "Known targets in the state "+string(state)+".", func() float64 { return float64(v.CountTargets(state)) })
 	}
 	m.GaugeFunc("leader_age_seconds", "Time since a store host last reported that it knows the leader of the state group.",
--- a/internal/runner/scoring_test.go
+++ b/internal/runner/scoring_test.go
@@ -60,7 +60,7 @@
 func newScoringCluster(t *testing.T) *scoringCluster {
 	log := slog.New(slog.DiscardHandler)
 	c := &scoringCluster{t: t, view: clusterview.NewView(log, nil), afterText: func() {}, onCall: func(int, http.ResponseWriter) bool { return false }}
-	c.stateMachine = NewStateMachine(func(clusterview.Config) {})
+	c.stateMachine = NewStateMachine(func(clusterview.Config) {}, func(fleet.Departure) {})
 	var err error
 	c.group, err = group.Open(group.Options{Group: storestate.Group, ID: "127.0.0.1", Voters: []string{"127.0.0.1"}, Start: storage.Bootstrap, FS: storage.OS{}, Dir: t.TempDir(),
 		StateMachine: c.stateMachine, Rand: rand.New(rand.NewPCG(1, 1)), Logger: log, HeartbeatInterval: 10 * time.Millisecond})
--- a/internal/runner/statemachine.go
+++ b/internal/runner/statemachine.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/storestate"
 )
@@ -12,8 +13,10 @@
 // StateMachine is the replicated state machine of the state group. It notifies its readers of changes
 // and implements group.StateMachine. It is safe for concurrent use.
 type StateMachine struct {
-	// OnConfig is called with each new committed configuration while the machine is locked.
-	OnConfig func(clusterview.Config)
+	// OnConfig is called with each new committed configuration, and OnDeparture with each new departure of a
+	// target, while the machine is locked.
+	OnConfig    func(clusterview.Config)
+	OnDeparture func(fleet.Departure)
 
 	mu             sync.Mutex
 	state          *storestate.State
@@ -22,11 +25,13 @@
 	newJobs        []string // jobs that TakeNewJobs has not returned yet
 	newestSequence uint64   // sequence number of the newest job seen
 	configVersion  uint64   // newest version passed to OnConfig
+	// departureRevision is the revision of the departures up to which all were passed to OnDeparture.
+	departureRevision uint64
 }
 
 // NewStateMachine returns an empty state machine.
-func NewStateMachine(onConfig func(clusterview.Config)) *StateMachine {
-	return &StateMachine{OnConfig: onConfig, state: storestate.New(), changed: make(chan struct{})}
+func NewStateMachine(onConfig func(clusterview.Config), onDeparture func(fleet.Departure)) *StateMachine {
+	return &StateMachine{OnConfig: onConfig, OnDeparture: onDeparture, state: storestate.New(), changed: make(chan struct{})}
 }
 
 // Apply implements group.StateMachine.
@@ -38,8 +43,8 @@
 	return out
 }
 
-// publishChange increments the revision, records new jobs, reports a new configuration and wakes the
-// readers. The caller holds mu.
+// publishChange increments the revision, records new jobs, reports a new configuration and new departures,
+// and wakes the readers. The caller holds mu.
 func (m *StateMachine) publishChange() {
 	m.revision++
 	entries := m.state.Jobs().Entries()
@@ -53,6 +58,11 @@
 		m.configVersion = c.Version
 		m.OnConfig(clusterview.Config{Version: c.Version, Body: c.Body})
 	}
+	departures := m.state.Departures()
+	for _, d := range departures.AddedAfter(m.departureRevision) {
+		m.OnDeparture(d)
+	}
+	m.departureRevision = departures.Revision()
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -81,6 +91,7 @@
 	if err := m.state.ReadSnapshot(r); err != nil {
 		return err
 	}
+	m.departureRevision = 0 // revisions of the replaced state do not apply to the snapshot
 	m.publishChange()
 	return nil
 }
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/leader"
 	"fuchsiaflow/internal/rpc"
@@ -126,6 +127,15 @@
 	return err
 }
 
+// DepartTarget records that a target has announced that it leaves.
+func (c *Client) DepartTarget(ctx context.Context, d fleet.Departure) error {
+	r, err := c.propose(ctx, &storestate.Command{DepartTarget: &d})
+	if err == nil && r.NotFound {
+		err = &errs.Unavailable{Resource: "departure of target " + d.Target, Reason: "the leader does not know the command", Outcome: errs.NotRun}
+	}
+	return err
+}
+
 // SubmitJob stores a batch job and reports whether the job is new.
 func (c *Client) SubmitJob(ctx context.Context, j jobs.Job) (bool, error) {
 	r, err := c.propose(ctx, &storestate.Command{SubmitJob: &j})
--- a/internal/store/control.go
+++ b/internal/store/control.go
@@ -80,30 +80,42 @@
 	return c.st.leaderClient.Retired(ctx, host)
 }
 
-// HandleHeartbeat processes a heartbeat of a target. If the target is draining and this host cannot tell the
-// others, it returns errs.Unavailable, so that the target also tells another host.
-func (c *Control) HandleHeartbeat(t fleet.Target) error {
+// HandleHeartbeat processes a heartbeat of a target. If the target is draining, it returns errs.Unavailable
+// unless the departure is stored and reaches the other hosts, so that the target also tells another host.
+func (c *Control) HandleHeartbeat(ctx context.Context, t fleet.Target) error {
 	c.st.view.UpdateTarget(t)
 	if t.State == fleet.Ready {
 		return nil
 	}
-	return c.checkPublishes(t.ID)
+	return c.storeDeparture(ctx, fleet.Departure{Target: t.ID, Incarnation: t.Incarnation})
 }
 
-// checkPublishes returns errs.Unavailable if the departure of a target would not reach other hosts.
-func (c *Control) checkPublishes(target string) error {
-	if c.st.view.Publishes(c.st.opts.Settings.IP) {
-		return nil
+// DeregisterTarget processes the deregistration of a target. It returns errs.Unavailable for an unknown target, so
+// that the target tries a host that knows it, and if the departure is not stored or does not reach the other hosts.
+func (c *Control) DeregisterTarget(ctx context.Context, id string) error {
+	d, known := c.st.view.MarkTargetGone(id)
+	if !known {
+		return &errs.Unavailable{Resource: "target " + id, Reason: "it is not registered on this host", Outcome: errs.NotRun}
 	}
-	c.st.opts.Log.Warn("departure of a target not acknowledged", "target", target, "majority_age_ms", c.st.view.MajorityAge().Milliseconds())
-	return &errs.Unavailable{Resource: "departure of target " + target, Reason: "this host reaches no voter", Outcome: errs.NotRun}
+	return c.storeDeparture(ctx, d)
 }
 
-// DeregisterTarget processes the deregistration of a target. It returns errs.Unavailable for an unknown target, so
-// that the target tries a host that knows it, and if the host cannot tell the others.
-func (c *Control) DeregisterTarget(id string) error {
-	if !c.st.view.MarkTargetGone(id) {
-		return &errs.Unavailable{Resource: "target " + id, Reason: "it is not registered on this host", Outcome: errs.NotRun}
+// storeDeparture stores a departure in the state group. What is acknowledged to the target must outlive a
+// restart of all hosts: a late heartbeat would bring the target back.
+func (c *Control) storeDeparture(ctx context.Context, d fleet.Departure) error {
+	if !c.st.view.Publishes(c.st.opts.Settings.IP) {
+		c.st.opts.Log.Warn("departure of a target not acknowledged", "target", d.Target, "majority_age_ms", c.st.view.MajorityAge().Milliseconds())
+		return &errs.Unavailable{Resource: "departure of target " + d.Target, Reason: "this host reaches no voter", Outcome: errs.NotRun}
 	}
-	return c.checkPublishes(id)
+	if c.st.departures.covers(d) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := c.st.leaderClient.DepartTarget(ctx, d)
+	if err == nil {
+		c.st.departures.add(d)
+	}
+	c.logOutcome("target departure stored", err, "target", d.Target, "incarnation", d.Incarnation)
+	return err
 }
--- /dev/null
+++ b/internal/store/departures_test.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/storage"
+)
+
+// startSingleStore starts the only store host of a system. It returns the calls of operators and targets, and a
+// function that stops the host.
+func startSingleStore(t *testing.T, dir string, peerPort int) (c *Control, stop func()) {
+	t.Helper()
+	s := &settings.Role{Host: "h", IP: "127.0.0.1", PeerPort: peerPort, Seeds: []string{"127.0.0.1"}, Bootstrap: true, DataDir: dir,
+		Listen: settings.RoleListen{Control: "127.0.0.1:0"}, Timing: settings.RoleTiming{Grace: time.Second}}
+	st, err := New(Options{Settings: s, Control: func(*Control) http.Handler { return http.NotFoundHandler() },
+		Log: slog.New(slog.DiscardHandler), Metrics: observe.NewMetrics(), Tracing: observe.NewNoopTracing(), FS: storage.OS{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	stop = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = st.Shutdown(ctx)
+	}
+	return &Control{st: st}, stop
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// awaitNil waits until a call succeeds, as when the group has elected a leader.
+func awaitNil(t *testing.T, what string, call func() error) {
+	t.Helper()
+	var err error
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if err = call(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: %v", what, err)
+}
+
+// Guards against a target that is used again after its departure was acknowledged: all store hosts restart, and
+// a heartbeat that the target sent before arrives late.
+func TestAcknowledgedDepartureSurvivesRestart(t *testing.T) {
+	ready := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 7, Sequence: 5}
+	draining := ready
+	draining.State, draining.Sequence = fleet.Draining, 6
+	departures := map[string]func(c *Control) error{
+		"deregistered": func(c *Control) error { return c.DeregisterTarget(t.Context(), "t") },
+		"draining":     func(c *Control) error { return c.HandleHeartbeat(t.Context(), draining) },
+	}
+	for name, depart := range departures {
+		t.Run(name, func(t *testing.T) {
+			dir, port := t.TempDir(), freePort(t)
+			c, stop := startSingleStore(t, dir, port)
+			awaitNil(t, "first heartbeat", func() error { return c.HandleHeartbeat(t.Context(), ready) })
+			awaitNil(t, "departure", func() error { return depart(c) })
+			stop()
+			c, stop = startSingleStore(t, dir, port)
+			defer stop()
+			awaitNil(t, "weight version", func() error { return c.PutVersion(t.Context(), "m", 2) }) // the log is applied
+			late := ready
+			late.Sequence = 9
+			awaitNil(t, "late heartbeat", func() error { return c.HandleHeartbeat(t.Context(), late) })
+			if list := c.st.view.Serving("s"); len(list) != 0 {
+				t.Errorf("serving after the late heartbeat: %+v", list)
+			}
+			next := ready
+			next.Incarnation = 8
+			awaitNil(t, "heartbeat of the next incarnation", func() error { return c.HandleHeartbeat(t.Context(), next) })
+			if list := c.st.view.Serving("s"); len(list) != 1 {
+				t.Errorf("serving after a new start of the target: %+v, want it", list)
+			}
+		})
+	}
+}
+
+// Guards against a departure that is acknowledged although no restart would keep it.
+func TestDepartureIsNotAcknowledgedWithoutLeader(t *testing.T) {
+	c := &Control{st: mustNewStore(t, t.TempDir(), observe.NewMetrics())}
+	target := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Draining, Incarnation: 7, Sequence: 5}
+	if err := c.HandleHeartbeat(t.Context(), target); errs.CodeOf(err) != errs.CodeUnavailable {
+		t.Errorf("got error %v, want errs.Unavailable", err)
+	}
+	target.State = fleet.Ready
+	if err := c.HandleHeartbeat(t.Context(), target); err != nil {
+		t.Errorf("a heartbeat of a target that stays needs no leader: %v", err)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
@@ -73,6 +74,7 @@
 	stateMachine *runner.StateMachine
 	leaderClient *stateclient.Client
 	stores       *storeRegistry
+	departures   *storedDepartures
 	grpc         *grpc.Server
 	control      *http.Server
 	runner       *runner.Runner
@@ -88,13 +90,13 @@
 // New opens or creates the replica in the data directory. The host takes part after Start.
 func New(o Options) (*Store, error) {
 	s := o.Settings
-	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), admission: newAdmission(s.MemoryBytes)}
+	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: newStoredDepartures(), admission: newAdmission(s.MemoryBytes)}
 	st.view = clusterview.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
 	fs := instrumentedFS{FS: o.FS, syncSeconds: o.Metrics.Histogram("storage_sync_seconds", "Duration of a file sync of the state group, in seconds.", observe.SecondsBuckets)}
 	var err error
 	st.replica, st.group, err = openReplica(fs, s, o.Log, func(record *replicaRecord) (*group.Group, error) {
-		st.stateMachine = runner.NewStateMachine(func(c clusterview.Config) { st.view.ApplyConfig(c, "own replica") })
+		st.stateMachine = runner.NewStateMachine(func(c clusterview.Config) { st.view.ApplyConfig(c, "own replica") }, st.handleStoredDeparture)
 		return group.Open(group.Options{Group: storestate.Group, ID: record.ID, Voters: record.Voters, Start: record.startMode(), FS: fs, Dir: s.DataDir,
 			StateMachine: st.stateMachine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			Logger: o.Log, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery, SegmentBytes: segmentBytes})
@@ -134,6 +136,12 @@
 	return st, nil
 }
 
+// handleStoredDeparture processes a departure that the state group has stored.
+func (st *Store) handleStoredDeparture(d fleet.Departure) {
+	st.departures.add(d)
+	st.view.RecordDeparture(d, "own replica")
+}
+
 // peer returns a client of a host, which is given by its address or by the ID of a replica on it.
 func (st *Store) peer(host string) (rpc.PeerClient, error) {
 	return st.pool.Peer(clusterview.ReplicaIP(host))
--- a/internal/storestate/snapshot.go
+++ b/internal/storestate/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
 )
 
@@ -29,6 +30,8 @@
 	Index    uint64            `cbor:"5,keyasint"`
 	// EntryCount is the number of batch jobs that follow.
 	EntryCount int `cbor:"6,keyasint"`
+	// Departures holds the departures of targets, the oldest first.
+	Departures []fleet.Departure `cbor:"7,keyasint,omitempty"`
 }
 
 // entryHeader is the entry of a batch job without its results.
@@ -98,7 +101,7 @@
 
 // WriteSnapshot writes a snapshot of the state.
 func (s *State) WriteSnapshot(w io.Writer) error {
-	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index}
+	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All()}
 	entries := header.Jobs.Entries
 	header.Jobs.Entries = nil
 	header.EntryCount = len(entries)
@@ -143,6 +146,7 @@
 	maps.Copy(restored.versions, header.Versions)
 	maps.Copy(restored.retiring, header.Retiring)
 	restored.jobs = jobs.Restore(header.Jobs)
+	restored.departures = fleet.NewDepartures(header.Departures)
 	*s = *restored
 	return nil
 }
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
 )
 
@@ -25,6 +26,8 @@
 	DropJob    *DropJob    `cbor:"6,keyasint,omitempty"`
 	RetireHost *RetireHost `cbor:"7,keyasint,omitempty"`
 	Progress   *Progress   `cbor:"8,keyasint,omitempty"`
+	// DepartTarget stores the departure of a target, so that it outlives a restart of all hosts.
+	DepartTarget *fleet.Departure `cbor:"9,keyasint,omitempty"`
 }
 
 // PutConfig stores a configuration unless one with the same or a higher version is stored.
@@ -114,16 +117,17 @@
 
 // State is the state of one replica. It is not safe for concurrent use.
 type State struct {
-	config   PutConfig
-	versions map[string]uint64
-	retiring map[string]string // address by host
-	jobs     *jobs.Table
-	index    uint64 // log index of the last command
+	config     PutConfig
+	versions   map[string]uint64
+	retiring   map[string]string // address by host
+	jobs       *jobs.Table
+	departures *fleet.Departures
+	index      uint64 // log index of the last command
 }
 
 // New returns the state before the first command.
 func New() *State {
-	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable()}
+	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil)}
 }
 
 // Encode returns the encoding of a reply, query or answer. Commands are encoded by EncodeCommand.
@@ -186,6 +190,8 @@
 		}
 		s.retiring[c.RetireHost.Host] = c.RetireHost.Address
 		return Reply{Changed: true}
+	case c.DepartTarget != nil:
+		return Reply{Changed: s.departures.Add(*c.DepartTarget)}
 	}
 	return Reply{NotFound: true}
 }
@@ -207,6 +213,9 @@
 // Retiring returns the addresses of the store hosts that are being retired, by host.
 func (s *State) Retiring() map[string]string { return maps.Clone(s.retiring) }
 
+// Departures returns the departures of targets. The caller must not change them.
+func (s *State) Departures() *fleet.Departures { return s.departures }
+
 // Jobs returns the batch jobs, which the caller must not change.
 func (s *State) Jobs() *jobs.Table { return s.jobs }
 
