fleet, jobs: what cannot be encoded or cannot exist is refused where it arrives

A heartbeat for an ID that is not UTF-8 was accepted and passed on; no host can decode a watch event with it, and each watch that is opened anew begins with all targets, so that all hosts stop following the store hosts. Addresses that cannot exist (ports 0, 99999 and -1, host names), negative and huge numbers named targets to use. On the same path a batch job whose id, host or path is not UTF-8 was answered with 202 and then ignored by all replicas, because none can decode its command: LOST.

Ruled out: deep nesting and numbers over all types, which encoding/json refuses (in the test as well).

Change: fleet.Target.Validate, used where a heartbeat arrives and where a relayed report is merged; messages between hosts are decoded in spite of such a string; jobs.Job.Validate; a command that the state group ignores is an error for its sender, with the outcome not run.

--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -116,10 +116,22 @@
 	return b
 }
 
+// decMode accepts strings that are not UTF-8: a single name that a foreign sender chose must not make a whole
+// message unreadable.
+var decMode = newDecMode()
+
+func newDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant and valid
+	}
+	return mode
+}
+
 // Decode decodes the result of Encode. The error names what was decoded.
 func Decode[T any](what string, b []byte) (T, error) {
 	var v T
-	if err := cbor.Unmarshal(b, &v); err != nil {
+	if err := decMode.Unmarshal(b, &v); err != nil {
 		return v, &errs.Corrupt{What: what, Detail: err.Error()}
 	}
 	return v, nil
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -149,6 +149,10 @@
 // whether there is something to pass on at once; ages wait for the next heartbeat of a watch. The caller
 // holds the lock.
 func (v *View) mergeTarget(now time.Time, t fleet.Target, from string, merge func(time.Time, fleet.Target) bool) bool {
+	if err := t.Validate(); err != nil {
+		v.log.Warn("target report ignored", "target", t.ID, "from", from, "error", err.Error())
+		return false
+	}
 	old, known := v.registry.Get(t.ID)
 	before := v.registry.UrgentRevision()
 	if !merge(now, t) {
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -60,7 +60,7 @@
 	return c.local != nil && clusterview.ReplicaIP(host) == c.selfIP
 }
 
-// propose executes a command on the leader.
+// propose executes a command on the leader. It returns errs.Unavailable if the state group ignored the command.
 func (c *Client) propose(ctx context.Context, cmd *storestate.Command) (storestate.Reply, error) {
 	data := storestate.EncodeCommand(cmd)
 	out, err := c.requests.Do(ctx, storestate.Group, true, func(ctx context.Context, host string) ([]byte, error) {
@@ -80,7 +80,11 @@
 	if err != nil {
 		return storestate.Reply{}, err
 	}
-	return storestate.DecodeReply(out)
+	reply, err := storestate.DecodeReply(out)
+	if err == nil && reply.Ignored() {
+		err = &errs.Unavailable{Resource: "command", Reason: "the state group cannot decode it", Outcome: errs.NotRun}
+	}
+	return reply, err
 }
 
 // read executes a query on the leader.
@@ -129,10 +133,7 @@
 
 // DepartTarget records that a target has announced that it leaves.
 func (c *Client) DepartTarget(ctx context.Context, d fleet.Departure) error {
-	r, err := c.propose(ctx, &storestate.Command{DepartTarget: &d})
-	if err == nil && r.NotFound {
-		err = &errs.Unavailable{Resource: "departure of target " + d.Target, Reason: "the leader does not know the command", Outcome: errs.NotRun}
-	}
+	_, err := c.propose(ctx, &storestate.Command{DepartTarget: &d})
 	return err
 }
 
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -213,6 +213,10 @@
 // Retiring returns the addresses of the store hosts that are being retired, by host.
 func (s *State) Retiring() map[string]string { return maps.Clone(s.retiring) }
 
+// Ignored reports whether the command was ignored because it cannot be decoded or is not known, so that
+// nothing was stored.
+func (r *Reply) Ignored() bool { return r.NotFound && !r.Changed }
+
 // Departures returns the departures of targets. The caller must not change them.
 func (s *State) Departures() *fleet.Departures { return s.departures }
 
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -12,6 +12,8 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
+	"unicode/utf8"
 
 	"fuchsiaflow/errs"
 )
@@ -76,6 +78,11 @@
 	if j.ID == "" {
 		return &errs.Invalid{Path: "$.id", Want: "an id", Got: "an empty string"}
 	}
+	for _, s := range []string{j.ID, j.Host, j.Path} {
+		if !utf8.ValidString(s) {
+			return &errs.Invalid{Path: "$", Want: "an id, host and path in UTF-8", Got: strconv.Quote(s)}
+		}
+	}
 	seen := make(map[string]bool, len(j.Items))
 	for _, it := range j.Items {
 		if it.ID == "" || seen[it.ID] {
