forward: a stream is resumed only with events that follow

After a stream broke off, an answer of the next target with status 200 was copied to the caller whatever its body: the text or head of an error, events without an ID, event 3 after event 1. Items of batch jobs check the order of events; streams of callers did not.

Ruled out, each with a case in the test: answers with status 204, 206, 302, 404, 422, 500 and 502, for another request, without a signature, refusals, hangs and resets. None of them reached the stream, and none ended it as complete.

Change: events of a resumed stream must follow the last event that the caller has, comments aside; else the attempt fails.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -100,13 +101,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.handleNonOK(cand, resp, begin)
 	}
+	resumes := s.headerSent
 	if !s.headerSent {
 		s.headerSent, s.target = true, cand.ID
 		copyResponseHeader(s.w.Header(), resp.Header)
 		s.w.WriteHeader(resp.StatusCode)
 		s.flush()
 	}
-	err = s.copyEvents(resp)
+	err = s.copyEvents(resp, resumes)
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
 		s.finish("answered", resp.StatusCode, cand.ID, nil)
@@ -150,9 +152,10 @@
 	return true, s.writeResponse(&attemptResult{target: cand.ID, resp: resp, data: data, cancel: func() {}})
 }
 
-// copyEvents passes on the events of one response, except those that the caller already has. Unless the
-// response is framed, the end of the connection does not prove that the stream is complete.
-func (s *eventStream) copyEvents(resp *httpconn.Response) error {
+// copyEvents passes on the events of one response, except those that the caller already has. If the response
+// resumes that of another target, its events must follow. Unless the response is framed, the end of the
+// connection does not prove that the stream is complete.
+func (s *eventStream) copyEvents(resp *httpconn.Response, resumes bool) error {
 	events := sse.NewReader(resp.Body, "")
 	for {
 		e, err := events.Next()
@@ -168,6 +171,9 @@
 		if e.ID > 0 && e.ID <= s.lastEventID {
 			continue // already passed on
 		}
+		if resumes && !e.IsComment() && !s.follows(e.ID) {
+			return &errs.Corrupt{What: "resumed stream", Detail: fmt.Sprintf("event %d follows event %d", e.ID, s.lastEventID)}
+		}
 		if _, err := s.w.Write(e.Raw); err != nil {
 			return &errs.Interrupted{Operation: "stream to the caller", Reason: err.Error()}
 		}
@@ -178,6 +184,12 @@
 	}
 }
 
+// follows reports whether the event of an ID, 0 if it has none, is the one after the last event. A caller without
+// an event yet may get a first event of any ID.
+func (s *eventStream) follows(id uint64) bool {
+	return id == s.lastEventID+1 || s.lastEventID == 0 && id > 0
+}
+
 func (s *eventStream) flush() { _ = http.NewResponseController(s.w).Flush() }
 
 // finishAttempt ends the span of an attempt and reports its outcome to the balancer.
--- /dev/null
+++ b/internal/forward/stream_test.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiaflow/routes"
+)
+
+const firstEvent = "id: 1\ndata: one\n\n"
+
+// interruptedStream sends one event and breaks off within the second one.
+func interruptedStream(w http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	writeStream(w, r.Header.Get("Id"), "s", http.StatusOK, firstEvent+"id: 2\nda")
+	panic(http.ErrAbortHandler)
+}
+
+func writeStream(w http.ResponseWriter, id, stamp string, status int, body string) {
+	w.Header().Set("Id", id)
+	if stamp != "" {
+		w.Header().Set("Stamp", stamp)
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// readStream sends a request and returns what the caller gets until the end of the answer, and the error with
+// which that ends.
+func readStream(t *testing.T, f *Forwarder, r *routes.Route) (body string, err error) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1) }))
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "q1")
+	req.Header.Set("Deadline-Ms", "700")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// Guards, when a stream breaks off and the next target has no continuation, against the text of an error in the
+// stream, against events that do not follow, and against a stream that ends as if it were complete.
+func TestFailedResumptionAbortsTheStream(t *testing.T) {
+	second := func(id, stamp string, status int, body string) targetBehavior {
+		return func(w http.ResponseWriter, _ *http.Request, run func()) {
+			run()
+			writeStream(w, id, stamp, status, body)
+		}
+	}
+	for name, next := range map[string]targetBehavior{
+		"status 500":          second("q1", "s", 500, "Internal Server Error\n\n"),
+		"status 502":          second("q1", "s", 502, "data: Bad Gateway\n\n"),
+		"status 404":          second("q1", "s", 404, "not found\n\n"),
+		"status 422":          second("q1", "s", 422, "id: 2\ndata: unprocessable\n\n"),
+		"status 204":          second("q1", "s", 204, ""),
+		"status 206":          second("q1", "s", 206, "id: 2\ndata: two\n\n"),
+		"status 302":          second("q1", "s", 302, "moved\n\n"),
+		"full":                full,
+		"another request":     second("another", "s", 200, "id: 2\ndata: two\n\n"),
+		"no signature":        second("q1", "", 200, "id: 2\ndata: two\n\n"),
+		"text in place of it": second("q1", "s", 200, "HTTP/1.1 500 Internal Server Error\nServer: x\n\noverloaded\n\n"),
+		"event without ID":    second("q1", "s", 200, "data: overloaded\n\n"),
+		"missing event":       second("q1", "s", 200, "id: 3\ndata: three\n\n"),
+		"missing event later": second("q1", "s", 200, "id: 4\ndata: four\n\nid: 5\ndata: five\n\n"),
+		"hang":                hang,
+		"abort":               abortConnection,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := newForwarder(t, interruptedStream, next)
+			r := newRoute(routes.Stream, 2)
+			r.Resumable = true
+			// The balancer may pick the second target first: what it answers to the whole request is its own.
+			interrupted := 0
+			for range 8 {
+				body, err := readStream(t, f, r)
+				if !strings.HasPrefix(body, firstEvent) {
+					continue
+				}
+				interrupted++
+				if body != firstEvent {
+					t.Fatalf("the caller gets %q, want only %q", body, firstEvent)
+				}
+				if err == nil {
+					t.Fatal("the stream ends as if it were complete")
+				}
+			}
+			if interrupted == 0 {
+				t.Error("no stream was interrupted")
+			}
+		})
+	}
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -27,6 +27,10 @@
 	Extra string
 }
 
+// IsComment reports whether the event begins with a comment and has no ID and no data, as one that keeps the
+// connection alive.
+func (e *Event) IsComment() bool { return e.Raw[0] == ':' && e.ID == 0 && len(e.Data) == 0 }
+
 // Reader reads events from a stream.
 type Reader struct {
 	buffered   *bufio.Reader
