forward, runner: one place decides whether a response is the answer

A stream that may run once ran at two targets: a late second answer to an earlier request, a refusal, was taken for that of the stream, since the reader of streams looked at the refusal before the request ID. The readers of plain requests and of items compare the ID first; all but the last recorded the load in the response before any check.

Change: dialect.Headers.CheckResponse, which all three readers call first. Items now reject a response without an ID that is no refusal. The names of the header by which a target announces its departure come with it, and are not read yet.

Orders and reports carry no ID and are as before.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -28,6 +28,8 @@
 	NotRun string
 	// Load carries the load of a target as "running,waiting,slots".
 	Load string
+	// Leaving are the names of the header with which a target announces in its answers that it leaves.
+	Leaving []string
 	// WeightVersion carries the weight version with which an answer begins.
 	WeightVersion string
 	// WeightVersionField is the name of the event field that carries the new weight version when the
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -6,19 +6,6 @@
 	"fuchsiaflow/errs"
 )
 
-// MismatchedResponse reports a response whose request ID is that of another request, or missing.
-type MismatchedResponse struct{ Address, Want, Got string }
-
-func (e *MismatchedResponse) Error() string {
-	return fmt.Sprintf("response from %s has request ID %q, want %q", e.Address, e.Got, e.Want)
-}
-
-// FailureCode implements errs.Failure.
-func (e *MismatchedResponse) FailureCode() errs.Code { return errs.CodeCorrupt }
-
-// FailureOutcome implements errs.Failure.
-func (e *MismatchedResponse) FailureOutcome() errs.Outcome { return errs.Unknown }
-
 // AbortedResponse reports that the caller got no response to a request or an incomplete one.
 type AbortedResponse struct{ Request, Reason string }
 
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -231,24 +231,32 @@
 	c.forwarder.log.Info("attempt failed", args...)
 }
 
-// readResponse classifies the response of a target and reads up to maxBufferedBody bytes of its body, and
-// one more to detect a longer body. Only a rejection may lack the request ID.
-func (c *call) readResponse(res *attemptResult, cand balance.Candidate) error {
-	h, resp := c.forwarder.headers, res.resp
-	c.reportLoad(cand.ID, resp.Header.Get(h.Load))
+// checkHeader classifies the response of a target by its status and headers. The error says that it is not a
+// response to the request, or not one of a target.
+func (c *call) checkHeader(res *attemptResult, cand balance.Candidate) error {
+	h, resp := &c.forwarder.headers, res.resp
 	res.kind = resultUnknown
-	if got := resp.Header.Get(h.RequestID); c.id != "" && got != c.id {
-		if resp.Header.Get(h.NotRun) == "" && resp.StatusCode != http.StatusMisdirectedRequest || got != "" {
-			return &MismatchedResponse{Address: cand.Address, Want: c.id, Got: got}
-		}
+	if err := h.CheckResponse(cand.Address, c.id, resp.StatusCode, resp.Header); err != nil {
+		return err
 	}
-	if resp.Header.Get(h.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+	c.reportLoad(cand.ID, resp.Header.Get(h.Load))
+	if h.IsRejection(resp.StatusCode, resp.Header) {
 		res.kind = resultNotRun
 		return nil
 	}
 	if resp.Header.Get(h.ServerStamp) == "" {
 		return &UnsignedResponse{Address: cand.Address, Status: resp.StatusCode}
 	}
+	return nil
+}
+
+// readResponse classifies the response of a target and reads up to maxBufferedBody bytes of its body, and
+// one more to detect a longer body.
+func (c *call) readResponse(res *attemptResult, cand balance.Candidate) error {
+	if err := c.checkHeader(res, cand); err != nil || res.kind == resultNotRun {
+		return err
+	}
+	resp := res.resp
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
 	if err != nil {
 		return err
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -118,22 +118,6 @@
 	return false, nil
 }
 
-// checkHeader classifies the response of a target by its status and headers.
-func (s *eventStream) checkHeader(res *attemptResult, cand balance.Candidate) error {
-	h := s.forwarder.headers
-	s.reportLoad(cand.ID, res.resp.Header.Get(h.Load))
-	switch {
-	case res.resp.Header.Get(h.NotRun) != "" || res.resp.StatusCode == http.StatusMisdirectedRequest:
-		res.kind = resultNotRun
-		return nil
-	case res.resp.Header.Get(h.RequestID) != s.id:
-		return &MismatchedResponse{Address: cand.Address, Want: s.id, Got: res.resp.Header.Get(h.RequestID)}
-	case res.resp.Header.Get(h.ServerStamp) == "":
-		return &UnsignedResponse{Address: cand.Address, Status: res.resp.StatusCode}
-	}
-	return nil
-}
-
 // handleNonOK passes on a response whose status is not 200, unless it is a failure and another attempt
 // is allowed. If the header of an earlier response was already sent, the status cannot be passed on and
 // the attempt fails. Its results are those of attempt.
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -106,3 +106,25 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice, or is refused as not run while it runs, because a late second answer to
+// another request is taken for its rejection.
+func TestRejectionOfAnotherRequestIsNotBelieved(t *testing.T) {
+	late := func(status int) targetBehavior {
+		return func(w http.ResponseWriter, _ *http.Request, run func()) {
+			run()
+			w.Header().Set("Id", "earlier request")
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(status)
+		}
+	}
+	for _, kind := range []routes.Kind{routes.Unsafe, routes.Stream} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest, http.StatusTooManyRequests} {
+			f, runs := newForwarder(t, late(status), late(status))
+			got, _, _ := send(t, f, newRoute(kind, 2))
+			if got != http.StatusBadGateway || runs.Load() != 1 {
+				t.Errorf("%s, late answer %d: status %d after %d runs, want 502 after 1", kind, status, got, runs.Load())
+			}
+		}
+	}
+}
--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -98,8 +98,7 @@
 // checkHeader checks the status and headers of the response. ok is false if there is no stream to read.
 func (ir *itemRun) checkHeader(resp *httpconn.Response) (res runResult, ok bool) {
 	res = runResult{status: resp.StatusCode, outcome: schedule.Broken}
-	if got := resp.Header.Get(ir.headers.RequestID); got != "" && got != ir.item.ID {
-		res.err = &errs.Corrupt{What: "response from engine " + ir.target, Detail: "request ID is " + got}
+	if res.err = ir.headers.CheckResponse(ir.address, ir.item.ID, resp.StatusCode, resp.Header); res.err != nil {
 		return res, false
 	}
 	switch {
