runner: a refused text is stored again if the one that stood in its way is gone

An item that is to be scored and is in two open jobs could stay without a result: its complete text was refused since the other job's was stored, and when the runner looked for that one, the other job had its result and the state machine had dropped the text.

Ruled out: the end of the job (open in the line); a lost scoring call (none began).

Change: the text is proposed again while the item is open.

TestRefusedTextIsStoredAgain fails without the second proposal ("no result within 10s").

--- a/internal/runner/scoring.go
+++ b/internal/runner/scoring.go
@@ -56,22 +56,27 @@
 		case prefix.Len > 0:
 			r.storeCompleteText(j, it, p, jobs.Prefix{})
 		default:
-			r.scoreStoredText(j, it)
+			r.scoreStoredText(j, it, p)
 		}
 	})
 }
 
-// scoreStoredText queues the scoring call of an item of which another job has stored the complete text.
-func (r *Runner) scoreStoredText(j *openJob, it *openItem) {
-	var p *partialText
+// scoreStoredText queues the scoring call of an item whose text p was refused because another job has stored a
+// complete text of the item. If that is gone meanwhile, since the other job has its result, p is stored again.
+func (r *Runner) scoreStoredText(j *openJob, it *openItem, p *partialText) {
+	if !r.isOpen(j, it.ID) {
+		return
+	}
+	var stored *partialText
 	var err error
-	r.opts.StateMachine.View(func(s *storestate.State) { p, err = committedPartial(s.Jobs(), it.ID) })
-	if err != nil || p == nil || !p.complete || !j.AllowsVersions(p.versions) {
-		r.opts.Log.Info("complete text not stored", "job", j.ID, "item", it.ID, "open", r.isOpen(j, it.ID), "error", err)
+	r.opts.StateMachine.View(func(s *storestate.State) { stored, err = committedPartial(s.Jobs(), it.ID) })
+	if err != nil || stored == nil || !stored.complete || !j.AllowsVersions(stored.versions) {
+		r.opts.Log.Info("complete text refused, stored again", "job", j.ID, "item", it.ID, "events", p.eventCount, "error", err)
+		r.storeCompleteText(j, it, p, jobs.Prefix{})
 		return
 	}
-	r.opts.Log.Info("complete text of another job is scored", "job", j.ID, "item", it.ID, "events", p.eventCount, "versions", p.versions)
-	r.queueScoring(j, it, p)
+	r.opts.Log.Info("complete text of another job is scored", "job", j.ID, "item", it.ID, "events", stored.eventCount, "versions", stored.versions)
+	r.queueScoring(j, it, stored)
 }
 
 // isOpen reports whether the item of a job still needs a result.
--- a/internal/runner/scoring_test.go
+++ b/internal/runner/scoring_test.go
@@ -26,7 +26,7 @@
 )
 
 var scoringHeaders = dialect.Headers{RequestID: "Id", Deadline: "Deadline-Ms", ExpectedInstance: "Expect-Instance", NotRun: "Not-Run", WeightVersion: "Versions",
-	WeightVersionField: "versions", LastEventID: "Last-Event-Id", ServerStamp: "Stamp", RetryAfter: "Retry-After", Load: "Load"}
+	WeightVersionField: "versions", LastEventID: "Last-Event-Id", ServerStamp: "Stamp", RetryAfter: "Retry-After", Load: "Load", Leaving: []string{"Leaving"}}
 
 // scoringCluster is a group of one replica with an engine and a scoring target. crash replaces the runner
 // by a new one with the committed state, as after an election.
@@ -36,6 +36,7 @@
 	group        *group.Group
 	stateMachine *StateMachine
 	kernel       *kernel.Kernel
+	runner       *Runner
 
 	mu          sync.Mutex
 	generations int // complete runs of the item at the engine
@@ -127,9 +128,9 @@
 	log := slog.New(slog.DiscardHandler)
 	c.kernel = kernel.New(log)
 	f := forward.New(scoringHeaders, c.view, "d", log, observe.NewMetrics(), observe.NewNoopTracing())
-	r := New(Options{Group: c.group, StateMachine: c.stateMachine, View: c.view, EngineClient: noOrders{}, Headers: scoringHeaders, Forwarder: f, Holder: "h",
+	c.runner = New(Options{Group: c.group, StateMachine: c.stateMachine, View: c.view, EngineClient: noOrders{}, Headers: scoringHeaders, Forwarder: f, Holder: "h",
 		KeepResults: time.Minute, Log: log, Metrics: observe.NewMetrics(), Tracing: observe.NewNoopTracing()})
-	if err := c.kernel.Register("runner", r); err != nil {
+	if err := c.kernel.Register("runner", c.runner); err != nil {
 		c.t.Fatal(err)
 	}
 	if err := c.kernel.Start(context.Background()); err != nil {
@@ -384,3 +385,23 @@
 		}
 	}
 }
+
+// Guards against an item that is never scored because the complete text that kept its own from being stored was the
+// one of another job, and that job got its result before this one used the text.
+func TestRefusedTextIsStoredAgain(t *testing.T) {
+	c := newScoringCluster(t)
+	c.addTarget("s", "scoring", c.serveScoring)
+	running, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	signal := once(running)
+	c.hooks(func() { signal(); <-release }, nil)
+	c.submit()
+	<-running
+	_, term, _ := c.group.Leader()
+	c.runner.enqueue(term, func(time.Time) {
+		j := c.runner.jobs["j"]
+		text := &partialText{text: []byte("e1\ne2\ne3"), eventCount: 3, lastEventID: 3, versions: []uint64{1}}
+		c.runner.scoreStoredText(j, j.items["item"], text)
+	})
+	c.checkResult(1)
+}
