Targets that announce in an answer that they leave get nothing new

Nothing read the header Server-Leaving.

The answer to a request (checked by its ID, signed unless it is a refusal, not from another instance) with the value 1 is a notice about the incarnation that the request was sent to. The host keeps it apart from what it hears: choices of targets, retries, streams and their resumption, items, scoring calls, load orders and connections being opened leave the incarnation out at once; heartbeats, relays and configurations do not bring it back, a new incarnation is used. Nothing of it is passed on as a departure. An assignment of an item to an engine that has just left is put back instead of dropped (a reading of the review).

Not done: the product's own interface, its fakes and the demo do not play it; answers to orders and reports are not read for notices (they carry no ID).

--- a/fleet/departures_test.go
+++ b/fleet/departures_test.go
@@ -12,21 +12,27 @@
 
 // registryModel states which targets a registry must serve. All targets have addresses of their own.
 type registryModel struct {
-	left  map[string]int64 // latest incarnation that has announced that it leaves
-	known map[string]int64 // newest incarnation in the reports since the last restart or expiry
+	left    map[string]int64 // latest incarnation that has announced that it leaves
+	noticed map[string]int64 // latest incarnation of which this host has seen that since its last restart
+	known   map[string]int64 // newest incarnation in the reports since the last restart or expiry
 }
 
-func (m *registryModel) leave(id string, incarnation int64) {
-	if last, ok := m.left[id]; !ok || incarnation > last {
-		m.left[id] = incarnation
+// raise records an incarnation as the latest one of a target.
+func raise(latest map[string]int64, id string, incarnation int64) {
+	if last, ok := latest[id]; !ok || incarnation > last {
+		latest[id] = incarnation
 	}
 }
 
+func (m *registryModel) leave(id string, incarnation int64) { raise(m.left, id, incarnation) }
+
 // serving returns the IDs of the targets that accept new work, sorted.
 func (m *registryModel) serving() []string {
 	var ids []string
 	for id, incarnation := range m.known {
-		if last, ok := m.left[id]; !ok || incarnation > last {
+		left, hasLeft := m.left[id]
+		noticed, hasNotice := m.noticed[id]
+		if (!hasLeft || incarnation > left) && (!hasNotice || incarnation > noticed) {
 			ids = append(ids, id)
 		}
 	}
@@ -34,11 +40,12 @@
 	return ids
 }
 
-// Guards, for reports, departures, deregistrations, expiry and restarts in any order, against an incarnation
-// that is used again after it announced that it leaves, and against a sound target that is not used.
+// Guards, for reports, departures, deregistrations, notices, expiry and restarts in any order, against an incarnation
+// that is used again after it announced that it leaves, against a sound target that is not used, and against a
+// notice of this host that others take for a departure.
 func TestDeparturesAreFinal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		model := registryModel{left: make(map[string]int64), known: make(map[string]int64)}
+		model := registryModel{left: make(map[string]int64), noticed: make(map[string]int64), known: make(map[string]int64)}
 		now := t0
 		newRegistry := func() *Registry { return NewRegistry(time.Minute, time.Second, time.Second) }
 		r := newRegistry()
@@ -46,11 +53,11 @@
 			now = now.Add(time.Millisecond)
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "target")
 			incarnation := rapid.Int64Range(0, 3).Draw(t, "incarnation")
-			switch action := rapid.IntRange(0, 9).Draw(t, "action"); action {
+			switch action := rapid.IntRange(0, 11).Draw(t, "action"); action {
 			case 0: // restart: the stored departures are known again
 				stored := r.departures.All()
 				r = newRegistry()
-				model.known = make(map[string]int64)
+				model.known, model.noticed = make(map[string]int64), make(map[string]int64)
 				for _, d := range stored {
 					r.Depart(now, d)
 				}
@@ -65,6 +72,9 @@
 			case 3:
 				r.Depart(now, Departure{id, incarnation})
 				model.leave(id, incarnation)
+			case 10, 11:
+				r.Notice(Departure{id, incarnation})
+				raise(model.noticed, id, incarnation)
 			default:
 				state := Ready
 				if action == 4 {
@@ -87,6 +97,12 @@
 			if d := cmp.Diff(model.serving(), got); d != "" {
 				t.Fatalf("step %d: serving targets differ: %s", step, d)
 			}
+			relayed, _ := r.ChangesSince(now, 0)
+			for _, target := range relayed {
+				if last, ok := model.left[target.ID]; target.State != Ready && (!ok || target.Incarnation > last) {
+					t.Fatalf("step %d: others are told that %s has left", step, target.ID)
+				}
+			}
 		}
 	})
 }
@@ -128,3 +144,29 @@
 		t.Errorf("added last: %v", added)
 	}
 }
+
+// Guards against a single host that takes a sound target out of use everywhere, and against notices of a target
+// that leaves which no number of hosts confirms.
+func TestNoticesNeedTwoHosts(t *testing.T) {
+	n := NewNotices(nil)
+	d := Departure{"a", 1}
+	for range 3 {
+		if n.Add(d, "h1") {
+			t.Fatal("one host confirms its own notice")
+		}
+	}
+	n.Add(Departure{"a", 2}, "h2")
+	n.Add(Departure{"b", 1}, "h2")
+	if !n.Add(d, "h2") {
+		t.Error("two hosts do not confirm a notice")
+	}
+	if len(n.All()) != 2 {
+		t.Errorf("left are %+v, want the notices of a, incarnation 2, and b", n.All())
+	}
+	for i := range maxNotices + 5 {
+		n.Add(Departure{"t", int64(i)}, "h1")
+	}
+	if len(n.All()) != maxNotices {
+		t.Errorf("%d notices, want %d", len(n.All()), maxNotices)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -79,6 +79,7 @@
 	records    map[string]*record
 	byAddress  map[string]string // address to ID of the target that uses it now
 	departures *Departures       // kept longer than the records of the targets
+	noticed    *Departures       // departures that only this host has seen; they are not passed on
 	revision   uint64
 	// urgentRevision is the revision of the last change that other hosts must learn at once.
 	urgentRevision uint64
@@ -87,7 +88,7 @@
 // NewRegistry returns an empty registry.
 func NewRegistry(expiry, refresh, relayRefresh time.Duration) *Registry {
 	return &Registry{Expiry: expiry, Refresh: refresh, RelayRefresh: relayRefresh, records: make(map[string]*record), byAddress: make(map[string]string),
-		departures: NewDepartures(nil)}
+		departures: NewDepartures(nil), noticed: NewDepartures(nil)}
 }
 
 // Update records a report that a target sent to this host. It returns whether the report was accepted as
@@ -211,6 +212,22 @@
 	return true
 }
 
+// Notice records that this host has seen in an answer that a target leaves. The host does not use the incarnation
+// any more, whatever is reported of it, but it passes nothing on: it may be wrong. Notice returns false if the host
+// knew it already.
+func (r *Registry) Notice(d Departure) bool {
+	return !r.departures.Covers(d.Target, d.Incarnation) && r.noticed.Add(d)
+}
+
+// Accepts reports whether an incarnation of a target may get new work as far as this host knows. Unlike Serving
+// it does not require a report of the target.
+func (r *Registry) Accepts(id string, incarnation int64) bool {
+	return !r.departures.Covers(id, incarnation) && !r.noticed.Covers(id, incarnation)
+}
+
+// HasDeparted reports whether the departure of an incarnation of a target is known to more than this host.
+func (r *Registry) HasDeparted(d Departure) bool { return r.departures.Covers(d.Target, d.Incarnation) }
+
 // Expire drops the targets whose last report is at least Expiry old, and returns the IDs of those that
 // had not ended, sorted.
 func (r *Registry) Expire(now time.Time) (dropped []string) {
@@ -244,7 +261,7 @@
 func (r *Registry) Serving(service string) []Target {
 	var list []Target
 	for _, rec := range r.records {
-		if rec.State == Ready && (service == "" || rec.Service == service) {
+		if rec.State == Ready && (service == "" || rec.Service == service) && !r.noticed.Covers(rec.ID, rec.Incarnation) {
 			list = append(list, rec.Target)
 		}
 	}
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -33,6 +33,10 @@
 
 // View is the state of the system as known to one host. It is safe for concurrent use.
 type View struct {
+	// OnNotice is called with each new notice that RecordNotice records; nil if nobody needs them. It must be set
+	// before the view is used.
+	OnNotice func(d fleet.Departure, source string)
+
 	log   *slog.Logger
 	seeds []string
 	table atomic.Pointer[routes.Table]
@@ -200,6 +204,35 @@
 	}
 }
 
+// RecordNotice records that a target has announced in an answer to this host that it leaves. The parameter source
+// names the kind of the answer. It is for this host alone; OnNotice is called for each new notice.
+func (v *View) RecordNotice(d fleet.Departure, source string) {
+	v.mu.Lock()
+	isNew := v.registry.Notice(d)
+	if isNew {
+		v.log.Info("target announced that it leaves", "target", d.Target, "incarnation", d.Incarnation, "source", source)
+		v.notify()
+	}
+	v.mu.Unlock()
+	if isNew && v.OnNotice != nil {
+		v.OnNotice(d, source)
+	}
+}
+
+// Accepts reports whether an incarnation of a target may get new work as far as this host knows.
+func (v *View) Accepts(id string, incarnation int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.Accepts(id, incarnation)
+}
+
+// HasDeparted reports whether the departure of an incarnation of a target is known to more than this host.
+func (v *View) HasDeparted(d fleet.Departure) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.HasDeparted(d)
+}
+
 // Expire removes targets and store hosts that have not been reported within their expiry time.
 func (v *View) Expire() {
 	now := bootclock.Now()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/rolehost"
 	"fuchsiaflow/internal/rpc"
@@ -96,6 +97,7 @@
 		{"trace", o.Tracing},
 		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
 		{"forwarder", e.forwarder},
+		{"notices", notice.NewReporter(e.view, e.stateClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"http", httpService{e}},
 	}
 	for _, v := range services {
--- a/internal/forward/do.go
+++ b/internal/forward/do.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/routes"
 )
 
@@ -47,6 +48,7 @@
 	idempotent.Kind = routes.Idempotent
 	w := &discardingWriter{header: make(http.Header)}
 	c := f.newCall(w, r, &idempotent, version)
+	c.source = notice.SourceScoring
 	err = c.run()
 	reply := Reply{Status: w.status, Attempts: c.attempts, ServerErrors: c.serverErrors}
 	if err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,11 +20,13 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"fuchsiaflow/balance"
+	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/routes"
 )
@@ -118,6 +120,7 @@
 	req           *http.Request
 	w             http.ResponseWriter
 	id            string
+	source        string // kind of the call, named with a departure notice in its answer
 	startedAt     time.Time
 	deadline      time.Time
 	body          *bufferedBody
@@ -141,6 +144,10 @@
 func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) *call {
 	c := &call{forwarder: f, route: route, configVersion: version, req: r, w: w, id: r.Header.Get(f.headers.RequestID), startedAt: bootclock.Now()}
 	c.service = route.ChooseService(hashString(c.id))
+	c.source = notice.SourceRequest
+	if route.Kind == routes.Stream {
+		c.source = notice.SourceStream
+	}
 	timeout := route.Timeout
 	if ms, err := strconv.ParseInt(r.Header.Get(f.headers.Deadline), 10, 64); err == nil && ms > 0 {
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
@@ -235,14 +242,23 @@
 }
 
 // newRequest builds the request for a target with the remaining time as its deadline. The header
-// named by headers.Expect makes any instance other than the target reject the request.
-func (c *call) newRequest(target string) *httpconn.Request {
+// named by headers.ExpectedInstance makes any instance other than the target reject the request. The request is not
+// sent if the target announces its departure while the connection is opened.
+func (c *call) newRequest(cand balance.Candidate) *httpconn.Request {
 	h := endToEndHeaders(c.req.Header)
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
-	h.Set(c.forwarder.headers.ExpectedInstance, target)
+	h.Set(c.forwarder.headers.ExpectedInstance, cand.ID)
 	return &httpconn.Request{Method: c.req.Method, RequestURI: c.req.RequestURI, Host: c.req.Host, Header: h,
-		Body: c.body.reader(), ContentLength: c.body.length}
+		Body: c.body.reader(), ContentLength: c.body.length, BeforeSend: func() error { return c.forwarder.checkAccepts(cand) }}
+}
+
+// checkAccepts returns errs.Unavailable if the target has announced its departure.
+func (f *Forwarder) checkAccepts(cand balance.Candidate) error {
+	if f.view.Accepts(cand.ID, cand.Incarnation) {
+		return nil
+	}
+	return &errs.Unavailable{Resource: "target " + cand.ID, Reason: "it leaves", Outcome: errs.NotRun}
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -20,7 +20,8 @@
 )
 
 var headers = dialect.Headers{RequestID: "Id", Deadline: "Deadline-Ms", ExpectedInstance: "Expect-Instance", Instance: "Instance", ServerStamp: "Stamp",
-	NotRun: "Not-Run", Load: "Load", WeightVersion: "Versions", LastEventID: "Last-Event-Id", RetryAfter: "Retry-After"}
+	NotRun: "Not-Run", Load: "Load", WeightVersion: "Versions", LastEventID: "Last-Event-Id", RetryAfter: "Retry-After",
+	Leaving: []string{"Leaving"}}
 
 // targetBehavior handles a request at a test target. It calls run if the request runs.
 type targetBehavior func(w http.ResponseWriter, r *http.Request, run func())
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -16,6 +16,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
 )
 
@@ -191,7 +192,7 @@
 func (c *call) attempt(ctx context.Context, cancel context.CancelFunc, cand balance.Candidate) *attemptResult {
 	begin := bootclock.Now()
 	res := &attemptResult{target: cand.ID, cancel: cancel}
-	resp, err := c.forwarder.pool.Do(ctx, cand.Address, c.newRequest(cand.ID))
+	resp, err := c.forwarder.pool.Do(ctx, cand.Address, c.newRequest(cand))
 	if err == nil {
 		res.resp = resp
 		err = c.readResponse(res, cand)
@@ -239,13 +240,15 @@
 	if err := h.CheckResponse(cand.Address, c.id, resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
+	rejected := h.IsRejection(resp.StatusCode, resp.Header)
+	if !rejected && resp.Header.Get(h.ServerStamp) == "" {
+		return &UnsignedResponse{Address: cand.Address, Status: resp.StatusCode}
+	}
 	c.reportLoad(cand.ID, resp.Header.Get(h.Load))
-	if h.IsRejection(resp.StatusCode, resp.Header) {
+	notice.Record(h, c.forwarder.view, c.forwarder.log, &notice.Answer{Source: c.source, Target: cand.ID, Incarnation: cand.Incarnation, RequestID: c.id,
+		Status: resp.StatusCode, Header: resp.Header})
+	if rejected {
 		res.kind = resultNotRun
-		return nil
-	}
-	if resp.Header.Get(h.ServerStamp) == "" {
-		return &UnsignedResponse{Address: cand.Address, Status: resp.StatusCode}
 	}
 	return nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -73,7 +73,7 @@
 func (s *eventStream) attempt(ctx context.Context, cand balance.Candidate) (finished bool, err error) {
 	begin := bootclock.Now()
 	ctx, s.span = s.startSpan(ctx, cand.ID)
-	req := s.newRequest(cand.ID)
+	req := s.newRequest(cand)
 	if s.lastEventID > 0 {
 		req.Header.Set(s.forwarder.headers.LastEventID, strconv.FormatUint(s.lastEventID, 10))
 	}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -52,12 +52,15 @@
 	Body       io.Reader
 	// ContentLength is the length of Body in bytes; -1 selects chunked encoding.
 	ContentLength int64
+	// BeforeSend is called when the connection is open; nil if it is not needed. If it returns an error, the
+	// request is not sent.
+	BeforeSend func() error
 }
 
 // RequestError reports a request without a usable response.
 type RequestError struct {
 	Address string
-	Phase   string // dial, send, head or body
+	Phase   string // dial, open, send, head or body
 	Cause   string
 	// Sent reports whether any part of the request may have reached the target.
 	Sent bool
@@ -275,6 +278,12 @@
 			return nil, err
 		}
 	}
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
+			_ = c.Close()
+			return nil, &RequestError{Address: addr, Phase: "open", Cause: err.Error(), Reused: c.reused}
+		}
+	}
 	// A deadline in the past unblocks pending reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	x := &exchange{pool: p, conn: c, stop: stop, writeDone: make(chan error, 1)}
--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -35,12 +35,16 @@
 // itemRun streams one item from one engine. While it runs, output.mu guards output and the fields
 // from eventCount on; all other fields belong to its goroutine.
 type itemRun struct {
-	headers      dialect.Headers
-	pool         *httpconn.Pool
-	job          *openJob
-	item         jobs.Item
-	target       string
-	address      string
+	headers dialect.Headers
+	pool    *httpconn.Pool
+	job     *openJob
+	item    jobs.Item
+	target  string
+	address string
+	// beforeSend returns an error if the target announced its departure while the connection was opened, and
+	// onAnswer is called with each answer of the target to this run. Both may be nil.
+	beforeSend   func() error
+	onAnswer     func(status int, header http.Header)
 	deadline     time.Duration
 	output       *partialText
 	version      uint64 // weight version of the next event
@@ -66,7 +70,7 @@
 		h.Set(ir.headers.LastEventID, strconv.FormatUint(ir.output.lastEventID, 10))
 	}
 	return &httpconn.Request{Method: http.MethodPost, RequestURI: ir.item.Path, Host: ir.job.Host, Header: h,
-		Body: bytes.NewReader(ir.item.Body), ContentLength: int64(len(ir.item.Body))}
+		Body: bytes.NewReader(ir.item.Body), ContentLength: int64(len(ir.item.Body)), BeforeSend: ir.beforeSend}
 }
 
 // run streams the item until it is complete, the stream is interrupted or ctx is done.
@@ -101,6 +105,9 @@
 	if res.err = ir.headers.CheckResponse(ir.address, ir.item.ID, resp.StatusCode, resp.Header); res.err != nil {
 		return res, false
 	}
+	if ir.onAnswer != nil {
+		ir.onAnswer(resp.StatusCode, resp.Header)
+	}
 	switch {
 	// 421 means that another instance uses the address now, so the run counts as broken even if the
 	// response says that the item was not run.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -41,7 +41,7 @@
 			st = &orderState{incarnation: t.Incarnation}
 			r.orderStates[load.Engine] = st
 		}
-		if !known || st.fenced {
+		if !known || st.fenced || !r.opts.View.Accepts(t.ID, t.Incarnation) {
 			r.sched.RecordLoadOrder(now, load, false)
 			continue
 		}
@@ -57,9 +57,10 @@
 func (r *Runner) issueOrder(load schedule.LoadOrder, address string, st orderState) {
 	o := dialect.Order{Instance: load.Engine, Model: load.Model, Version: load.Version, KeepRuns: r.allowsMixedVersions(load.Model), Holder: r.opts.Holder, Fence: r.term}
 	ctx, term := r.ctx, r.term
+	accepts := func() bool { return r.opts.View.Accepts(load.Engine, st.incarnation) }
 	r.kernel.Go("runner/order", func(context.Context) error {
 		weights := make(map[string]uint64)
-		answer, err := r.sendOrder(ctx, address, &o, &st, weights)
+		answer, err := r.sendOrder(ctx, address, &o, &st, weights, accepts)
 		r.enqueue(term, func(now time.Time) { r.handleOrderReply(now, load, o, st, answer, weights, err) })
 		return nil
 	})
@@ -79,9 +80,9 @@
 // sendOrder sends an order. If the engine's order count is unknown, it requests a report first. It
 // checks the leader lease immediately before sending, so that two hosts never send orders at once.
 // It adds the versions that the engine reports to weights. It returns Changed without sending the order
-// if the engine is executing another order or the lease is too short; the order count is then handled
-// as unknown.
-func (r *Runner) sendOrder(ctx context.Context, address string, o *dialect.Order, st *orderState, weights map[string]uint64) (dialect.OrderResult, error) {
+// if the engine is executing another order, no longer accepts work or the lease is too short; the order count is
+// then handled as unknown.
+func (r *Runner) sendOrder(ctx context.Context, address string, o *dialect.Order, st *orderState, weights map[string]uint64, accepts func() bool) (dialect.OrderResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if !st.countKnown {
@@ -102,7 +103,7 @@
 		}
 	}
 	now := bootclock.Now()
-	if until, ok := r.opts.Group.Lease(now); !ok || until.Sub(now) < minLeaseRemaining {
+	if until, ok := r.opts.Group.Lease(now); !ok || until.Sub(now) < minLeaseRemaining || !accepts() {
 		return dialect.OrderConflict, nil
 	}
 	o.ExpectedOrders = st.accepted
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -10,6 +10,9 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
@@ -61,16 +64,21 @@
 func (r *Runner) startRun(now time.Time, a schedule.Assignment) {
 	key := a.Task.Key()
 	j := r.jobs[key.Job]
-	t, known := r.opts.View.Target(a.Engine)
-	if j == nil || j.items[key.Item] == nil || !known {
+	if j == nil || j.items[key.Item] == nil {
 		r.sched.RemoveTask(key)
 		return
 	}
+	t, known := r.opts.View.Target(a.Engine)
+	if !known || t.State != fleet.Ready || !r.opts.View.Accepts(t.ID, t.Incarnation) {
+		r.returnTask(now, a)
+		return
+	}
 	p := r.partialFor(j, &a.Task)
 	delete(r.partials, key.Item)
 	r.metrics.itemWaitTime.Observe(now.Sub(j.items[key.Item].waitingSince).Seconds())
 	ctx, cancel := context.WithCancel(r.ctx)
 	ir := &itemRun{headers: r.opts.Headers, pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, output: p,
+		beforeSend: func() error { return r.checkAccepts(&t) }, onAnswer: func(status int, header http.Header) { r.recordNotice(&t, key, status, header) },
 		deadline: max(j.deadline.Sub(now), minRunDeadline)}
 	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir}
 	r.runs[key] = rn
@@ -88,6 +96,28 @@
 	})
 }
 
+// returnTask puts a task back that was assigned to an engine that takes no more work, and has the list of engines
+// updated before the next assignment.
+func (r *Runner) returnTask(now time.Time, a schedule.Assignment) {
+	r.sched.EndRun(now, a.Task.Key(), schedule.Stopped, 0, a.Task.PinnedVersion)
+	r.reviewedAt = time.Time{}
+	r.opts.Log.Info("assignment withdrawn", "job", a.Task.Job, "item", a.Task.Item, "engine", a.Engine)
+}
+
+// checkAccepts returns errs.Unavailable if the engine has announced its departure.
+func (r *Runner) checkAccepts(t *fleet.Target) error {
+	if r.opts.View.Accepts(t.ID, t.Incarnation) {
+		return nil
+	}
+	return &errs.Unavailable{Resource: "engine " + t.ID, Reason: "it leaves", Outcome: errs.NotRun}
+}
+
+// recordNotice records the departure notice in the answer to a run, if there is one.
+func (r *Runner) recordNotice(t *fleet.Target, key schedule.Key, status int, header http.Header) {
+	notice.Record(&r.opts.Headers, r.opts.View, r.opts.Log, &notice.Answer{Source: notice.SourceItem, Target: t.ID, Incarnation: t.Incarnation,
+		RequestID: key.Item, Status: status, Header: header})
+}
+
 // stopRun cancels a run. The first reason is kept for the log.
 func (r *Runner) stopRun(key schedule.Key, reason string) {
 	if rn := r.runs[key]; rn != nil && rn.stopReason == "" {
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -137,6 +137,12 @@
 	return err
 }
 
+// NoticeDeparture records that this host has seen the departure of a target in an answer.
+func (c *Client) NoticeDeparture(ctx context.Context, d fleet.Departure) error {
+	_, err := c.propose(ctx, &storestate.Command{NoticeDeparture: &storestate.NoticeDeparture{Departure: d, Host: c.selfIP}})
+	return err
+}
+
 // SubmitJob stores a batch job and reports whether the job is new.
 func (c *Client) SubmitJob(ctx context.Context, j jobs.Job) (bool, error) {
 	r, err := c.propose(ctx, &storestate.Command{SubmitJob: &j})
--- a/internal/store/departures_test.go
+++ b/internal/store/departures_test.go
@@ -12,6 +12,7 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/settings"
+	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/storage"
 )
 
@@ -107,3 +108,40 @@
 		t.Errorf("a heartbeat of a target that stays needs no leader: %v", err)
 	}
 }
+
+// Guards against a target that one host takes out of use for all, against one that stays in use though two hosts have
+// seen that it leaves, and against notices that a restart of the store hosts loses.
+func TestNoticesOfTwoHostsAreADeparture(t *testing.T) {
+	dir, port := t.TempDir(), freePort(t)
+	ready := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 7, Sequence: 5}
+	notice := func(c *Control, host string) {
+		command := storestate.EncodeCommand(&storestate.Command{NoticeDeparture: &storestate.NoticeDeparture{
+			Departure: fleet.Departure{Target: "t", Incarnation: 7}, Host: host}})
+		awaitNil(t, "notice of "+host, func() error {
+			_, err := c.st.Propose(t.Context(), command)
+			return err
+		})
+	}
+	checkServing := func(c *Control, want int, when string) {
+		t.Helper()
+		awaitNil(t, "heartbeat", func() error { return c.HandleHeartbeat(t.Context(), ready) })
+		if got := len(c.st.view.Serving("s")); got != want {
+			t.Errorf("%s: %d targets serve, want %d", when, got, want)
+		}
+	}
+	c, stop := startSingleStore(t, dir, port)
+	notice(c, "10.0.0.1")
+	notice(c, "10.0.0.1")
+	checkServing(c, 1, "two notices of one host")
+	stop()
+	c, stop = startSingleStore(t, dir, port)
+	awaitNil(t, "weight version", func() error { return c.PutVersion(t.Context(), "m", 2) }) // the log is applied
+	checkServing(c, 1, "a restart")
+	notice(c, "10.0.0.2")
+	checkServing(c, 0, "the notice of a second host")
+	stop()
+	c, stop = startSingleStore(t, dir, port)
+	defer stop()
+	awaitNil(t, "weight version", func() error { return c.PutVersion(t.Context(), "m", 3) })
+	checkServing(c, 0, "another restart")
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,6 +23,7 @@
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/rolehost"
 	"fuchsiaflow/internal/rpc"
@@ -121,6 +122,7 @@
 		{"watch", &clusterview.Watcher{View: st.view, Self: s.IP, Domain: s.FailureDomain, Peer: st.peer, IsStoreHost: true, Log: o.Log}},
 		{"keeper", &membershipController{st: st}}, // the name is used in metrics and logs
 		{"forwarder", st.forwarder},
+		{"notices", notice.NewReporter(st.view, st.leaderClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"runner", st.runner},
 		{"control", controlService{st}},
 		{"trace", o.Tracing},
--- a/internal/storestate/snapshot.go
+++ b/internal/storestate/snapshot.go
@@ -32,6 +32,7 @@
 	EntryCount int `cbor:"6,keyasint"`
 	// Departures holds the departures of targets, the oldest first.
 	Departures []fleet.Departure `cbor:"7,keyasint,omitempty"`
+	Notices    []fleet.Notice    `cbor:"8,keyasint,omitempty"`
 }
 
 // entryHeader is the entry of a batch job without its results.
@@ -101,7 +102,7 @@
 
 // WriteSnapshot writes a snapshot of the state.
 func (s *State) WriteSnapshot(w io.Writer) error {
-	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All()}
+	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All()}
 	entries := header.Jobs.Entries
 	header.Jobs.Entries = nil
 	header.EntryCount = len(entries)
@@ -147,6 +148,7 @@
 	maps.Copy(restored.retiring, header.Retiring)
 	restored.jobs = jobs.Restore(header.Jobs)
 	restored.departures = fleet.NewDepartures(header.Departures)
+	restored.notices = fleet.NewNotices(header.Notices)
 	*s = *restored
 	return nil
 }
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -28,6 +28,14 @@
 	Progress   *Progress   `cbor:"8,keyasint,omitempty"`
 	// DepartTarget stores the departure of a target, so that it outlives a restart of all hosts.
 	DepartTarget *fleet.Departure `cbor:"9,keyasint,omitempty"`
+	// NoticeDeparture stores that a host has seen the departure of a target in an answer.
+	NoticeDeparture *NoticeDeparture `cbor:"10,keyasint,omitempty"`
+}
+
+// NoticeDeparture is the notice of a departure that a host has seen; see fleet.Notices.
+type NoticeDeparture struct {
+	Departure fleet.Departure `cbor:"1,keyasint"`
+	Host      string          `cbor:"2,keyasint"`
 }
 
 // PutConfig stores a configuration unless one with the same or a higher version is stored.
@@ -122,12 +130,13 @@
 	retiring   map[string]string // address by host
 	jobs       *jobs.Table
 	departures *fleet.Departures
-	index      uint64 // log index of the last command
+	notices    *fleet.Notices // notices that too few hosts have seen
+	index      uint64         // log index of the last command
 }
 
 // New returns the state before the first command.
 func New() *State {
-	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil)}
+	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil), notices: fleet.NewNotices(nil)}
 }
 
 // Encode returns the encoding of a reply, query or answer. Commands are encoded by EncodeCommand.
@@ -192,6 +201,12 @@
 		return Reply{Changed: true}
 	case c.DepartTarget != nil:
 		return Reply{Changed: s.departures.Add(*c.DepartTarget)}
+	case c.NoticeDeparture != nil:
+		n := c.NoticeDeparture
+		if s.departures.Covers(n.Departure.Target, n.Departure.Incarnation) || !s.notices.Add(n.Departure, n.Host) {
+			return Reply{}
+		}
+		return Reply{Changed: s.departures.Add(n.Departure)}
 	}
 	return Reply{NotFound: true}
 }
