schedule: a change of routes applies to what runs, for its next run

Items whose engine crashed after their route had moved were sent to no replica any more, or back to the old service. Scheduler.Reroute gave the new service to waiting tasks only; a running one was put back into the queue with the old one. Scoring calls in progress likewise.

Ruled out: load orders (engines of configured services only); plain requests (their service is chosen on arrival, and they end with the timeout of the route).

Change: Reroute covers running tasks and calls; the runner terminates an item that must run again and has no route; a scoring call counts at the service whose slot it takes.

--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -157,7 +157,7 @@
 }
 
 // rescheduleItem queues an item again whose run ended without the complete text, or terminates it if
-// the engine rejected it or it failed too often.
+// the engine rejected it, it failed too often, or its route was removed meanwhile.
 func (r *Runner) rescheduleItem(now time.Time, j *openJob, key schedule.Key, ir *itemRun, res runResult) {
 	it := j.items[key.Item]
 	switch {
@@ -171,6 +171,10 @@
 			return
 		}
 	}
+	if table := r.opts.View.Table(); table != nil && r.serviceOf(table, key) == "" {
+		r.terminate(key, "route was removed")
+		return
+	}
 	r.partials[key.Item] = ir.output
 	if mustRestart(it, ir, res) {
 		delete(r.partials, key.Item)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -453,12 +453,16 @@
 	}
 }
 
-// Reroute updates the service of each waiting task after the routes have changed. Tasks for which
-// service returns an empty string are removed and their keys returned.
+// Reroute updates the service of each task after the routes have changed. Waiting tasks for which service
+// returns an empty string are removed and their keys returned. A running task goes on where it runs; the service
+// applies if it must run again, and without one the caller removes it then.
 func (s *Scheduler) Reroute(service func(*Task) string) []Key {
 	var unrouted []Key
 	for _, id := range s.Jobs() {
 		j := s.jobs[id]
+		for _, r := range j.running {
+			r.task.Service = service(r.task)
+		}
 		for _, t := range slices.Clone(j.waiting) {
 			if t.Service = service(t); t.Service == "" {
 				unrouted = append(unrouted, t.Key())
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -271,3 +271,29 @@
 		}
 	}
 }
+
+// Guards against a task that waits for ever, or goes back to the service of an older configuration, because the
+// routes changed while it ran.
+func TestRunningTaskIsRerouted(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := New()
+	engines := newEngines(2, "m")
+	engines[1].Service = "next"
+	s.SetEngines(engines)
+	s.AddJob("j", newTasks("j", "m", 1, 1)[:1])
+	first := s.AssignTasks(now)
+	if len(first) != 1 || first[0].Engine != engines[0].ID {
+		t.Fatalf("assignments %+v, want one to the engine of the first service", first)
+	}
+	if unrouted := s.Reroute(func(*Task) string { return "next" }); len(unrouted) != 0 {
+		t.Fatalf("unrouted tasks %v, want none", unrouted)
+	}
+	if waiting, running := s.Counts(); waiting != 0 || running != 1 {
+		t.Fatalf("%d waiting, %d running; want the run to go on", waiting, running)
+	}
+	s.SetEngines(engines[1:])
+	s.EndRun(now, first[0].Task.Key(), Broken, 0, 0)
+	if again := s.AssignTasks(now); len(again) != 1 || again[0].Engine != engines[1].ID {
+		t.Errorf("assignments after the run broke off: %+v, want one to the engine of the next service", again)
+	}
+}
--- a/schedule/scoring.go
+++ b/schedule/scoring.go
@@ -46,6 +46,7 @@
 	failures     int // consecutive attempts without any answer of a target
 	notBefore    time.Time
 	running      bool
+	runningAt    string // service whose slot the call in progress takes
 }
 
 // ScoringQueue decides which scoring calls start when. It is built for a scoring service that people use
@@ -93,18 +94,17 @@
 		return
 	}
 	if c.running {
-		q.running[c.Service]--
+		q.running[c.runningAt]--
 	}
 	q.calls = slices.DeleteFunc(q.calls, func(o *scoringState) bool { return o == c })
 }
 
-// Reroute updates the service of the waiting calls after the routes have changed. A call for which
-// service returns an empty string waits until a later configuration has a route for it.
+// Reroute updates the service of the calls after the routes have changed; for a call in progress it applies to
+// the next attempt. A call for which service returns an empty string waits until a later configuration has a
+// route for it.
 func (q *ScoringQueue) Reroute(service func(Key) string) {
 	for _, c := range q.calls {
-		if !c.running {
-			c.Service = service(c.Key())
-		}
+		c.Service = service(c.Key())
 	}
 }
 
@@ -136,7 +136,7 @@
 		if q.running[c.Service] >= q.limit(c.Service) {
 			continue
 		}
-		c.running = true
+		c.running, c.runningAt = true, c.Service
 		q.running[c.Service]++
 		out = append(out, c.ScoringCall)
 	}
@@ -151,7 +151,7 @@
 		return false
 	}
 	c.running = false
-	q.running[c.Service]--
+	q.running[c.runningAt]--
 	c.serverErrors += end.ServerErrors
 	if end.ServerErrors > 0 {
 		c.failures, c.notBefore = 0, now
--- a/schedule/scoring_test.go
+++ b/schedule/scoring_test.go
@@ -107,6 +107,22 @@
 	}
 }
 
+// Guards against a call that waits for a service without a route, because that changed while an attempt was in
+// progress, and against slots that stay taken.
+func TestScoringCallInProgressIsRerouted(t *testing.T) {
+	q := NewScoringQueue()
+	q.Add(scoringCall("j", "a", "g", time.Second))
+	first := q.Start(scoringEpoch, noOpenItems)
+	q.Reroute(func(Key) string { return "other" })
+	q.Retry(scoringEpoch, first[0].Key(), ScoringEnd{})
+	if calls := q.Start(scoringEpoch.Add(time.Minute), noOpenItems); len(calls) != 1 || calls[0].Service != "other" {
+		t.Fatalf("next attempt: %+v, want one at the other service", calls)
+	}
+	if q.running[first[0].Service] != 0 || q.running["other"] != 1 {
+		t.Errorf("calls in progress: %v, want one at the other service", q.running)
+	}
+}
+
 // The load of the simulation: a service that loses a third of its targets, a scoring load that alone
 // needs twice the slots that are left, and short requests of people beside it.
 const (
