fleet: one statement of another sender takes no address away for good

One heartbeat of another writer for the address of each engine, under a service that no configuration names, took all of them out of use: a report with a later start takes over its address, and whatever the target there reported afterwards was ignored.

Ruled out: the sequence of the engines' heartbeats (rising, answered with 200).

Change: a target of a service that is not configured claims no address. Else the later start decides at first, as addresses are used again; a target that goes on reporting for 2 s without its address gets it back and keeps it until the other goes on in the same way. A host that relays its reports says so. A burst of late reports is no evidence.

Conclusion: fixed for services that are not configured; for a configured one the target is out of use for some 3 heartbeats.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,9 @@
 	// Age is the time since the target made the report. It is relative because the clocks of
 	// hosts are not synchronized.
 	Age time.Duration `cbor:"12,keyasint,omitempty"`
+	// HoldsAddress is set by a host that has seen the target go on reporting after another one, which claims to be
+	// started later, has claimed its address.
+	HoldsAddress bool `cbor:"13,keyasint,omitempty"`
 }
 
 // newerThan reports whether t is a later report of the same target than old.
@@ -63,7 +66,9 @@
 	Target
 	reportedAt time.Time // when the target made the report, by the clock of this host
 	revisedAt  time.Time // when revision was last set
-	revision   uint64    // Registry.revision at the last change to pass on
+	// contestedAt is when the first report after the loss of the address arrived; zero before it.
+	contestedAt time.Time
+	revision    uint64 // Registry.revision at the last change to pass on
 }
 
 // Registry is the set of targets that a host knows. It is not safe for concurrent use.
@@ -75,6 +80,9 @@
 	// weights while nothing else changes, and RelayRefresh how often other hosts relay them. A host that
 	// receives only relayed reports needs a RelayRefresh below Refresh.
 	Refresh, RelayRefresh time.Duration
+	// IsConfigured reports whether a service is configured; nil means all are. A target of another service claims
+	// no address: it may be the entry of a foreign sender.
+	IsConfigured func(service string) bool
 
 	records    map[string]*record
 	byAddress  map[string]string // address to ID of the target that uses it now
@@ -114,10 +122,8 @@
 	if old != nil && !acceptsReport(&old.Target, &t) {
 		return false
 	}
-	if !r.claimAddress(now, &t) {
-		t.State = Superseded
-	}
-	rec := &record{Target: t, reportedAt: reportedAt}
+	contestedAt := r.resolveAddress(now, old, &t)
+	rec := &record{Target: t, reportedAt: reportedAt, contestedAt: contestedAt}
 	if old != nil {
 		rec.revisedAt, rec.revision = old.revisedAt, old.revision
 	}
@@ -136,27 +142,51 @@
 	if t.Incarnation != old.Incarnation {
 		return t.Incarnation > old.Incarnation
 	}
-	if old.State.hasEnded() {
+	if old.State == Gone {
 		return false // late report of an incarnation that has terminated
 	}
 	return t.newerThan(old) || t.State == Gone || t.State == Draining && old.State == Ready
 }
 
-// hasEnded reports whether a target in the state serves no requests any more.
+// hasEnded reports whether a target in the state serves no requests as far as is known.
 func (s State) hasEnded() bool { return s == Gone || s == Superseded }
 
-// claimAddress makes t the user of its address. The previous user must have terminated and is marked as
-// Superseded. It returns false, without a change, if a target that was started later uses the address.
-func (r *Registry) claimAddress(now time.Time, t *Target) bool {
-	if t.State.hasEnded() {
-		return true
+// addressEvidence is how long a target must go on reporting to keep an address, or get one, that another target
+// holds or claims. It is longer than a heartbeat is late.
+const addressEvidence = 2 * time.Second
+
+// resolveAddress decides whether t, whose known report is old, uses its address, and sets its state to Superseded if
+// not. A later start decides at first, since addresses are used again; then the target that goes on reporting
+// does, since one statement of a foreign sender must not end the use of a target. It returns since when t reports
+// without having the address; zero if it has it.
+func (r *Registry) resolveAddress(now time.Time, old *record, t *Target) (contestedAt time.Time) {
+	if t.State.hasEnded() || r.IsConfigured != nil && !r.IsConfigured(t.Service) {
+		return time.Time{}
+	}
+	contested := old != nil && old.State == Superseded && old.Incarnation == t.Incarnation && old.Address == t.Address
+	t.HoldsAddress = t.HoldsAddress || old != nil && old.HoldsAddress && old.Incarnation == t.Incarnation && old.Address == t.Address && !contested
+	if contested && !t.HoldsAddress {
+		if contestedAt = old.contestedAt; contestedAt.IsZero() {
+			contestedAt = now
+		}
+		t.HoldsAddress = now.Sub(contestedAt) >= addressEvidence
 	}
+	if r.claimAddress(now, t) {
+		return time.Time{}
+	}
+	t.State = Superseded
+	return contestedAt
+}
+
+// claimAddress makes t the user of its address, and marks the previous user as Superseded. It returns false,
+// without a change, if the previous user was started later or has kept the address against a claim before.
+func (r *Registry) claimAddress(now time.Time, t *Target) bool {
 	id := r.byAddress[t.Address]
 	if other := r.records[id]; other != nil && id != t.ID && other.Address == t.Address && !other.State.hasEnded() {
-		if other.Incarnation > t.Incarnation {
+		if !t.HoldsAddress && (other.HoldsAddress || other.Incarnation > t.Incarnation) {
 			return false
 		}
-		other.State = Superseded
+		other.State, other.HoldsAddress, other.contestedAt = Superseded, false, time.Time{}
 		r.bumpUrgentRevision(now, other)
 	}
 	r.byAddress[t.Address] = t.ID
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -60,8 +60,20 @@
 
 // NewView returns a view that knows only the IP addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
-	return &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
+	v := &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
 		stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
+	v.registry.IsConfigured = v.isConfigured
+	return v
+}
+
+// isConfigured reports whether the configuration in force has a service.
+func (v *View) isConfigured(service string) bool {
+	table := v.table.Load()
+	if table == nil {
+		return false
+	}
+	_, ok := table.Service(service)
+	return ok
 }
 
 // notify wakes all waiters; the caller holds the lock.
