runner: failures of an item are stored, so that a new leader goes on counting

Each leader counted the failed runs of an item from zero, so that an item which always fails ran MaxAttempts times under each of them, above three times MaxAttempts after enough changes.

Ruled out: items that no engine can process (422), terminated at their first run.

Change: a failed run is a command with the count so far; a new leader starts from it. A higher count wins, so that a repeated command changes nothing.

TestFailuresAreCountedAcrossLeaders: 4 runs without the stored count, 3 with it (one of them cut off with the leader).

Conclusion: fixed.

--- a/internal/runner/notice_test.go
+++ b/internal/runner/notice_test.go
@@ -48,3 +48,35 @@
 		t.Errorf("target %+v accepts work: %t; want one that others take for ready", known, c.view.Accepts("a", known.Incarnation))
 	}
 }
+
+// Guards against an item that fails at each run and runs MaxAttempts times under each new leader.
+func TestFailuresAreCountedAcrossLeaders(t *testing.T) {
+	c := newScoringCluster(t)
+	var runs atomic.Int64
+	lost := make(chan struct{})
+	c.view.MarkTargetGone("e")
+	c.addTarget("f", "engines", func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 2 {
+			<-lost
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	c.submit() // the route allows two attempts
+	c.await("stored failure", func() bool {
+		stored := 0
+		c.stateMachine.View(func(s *storestate.State) {
+			e, _ := s.Jobs().Entry("j")
+			stored = e.Failures["item"]
+		})
+		return stored > 0
+	})
+	c.crash()
+	close(lost)
+	c.await("result", func() bool { return len(c.results()) == 1 })
+	// The second run was cut off with the leader and has not failed.
+	if r := c.results()[0]; r.State != jobs.Terminated || runs.Load() > 3 {
+		t.Errorf("state %s after %d runs, want terminated after 3", r.State, runs.Load())
+	}
+}
--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -26,7 +26,7 @@
 // openItem is an item without a result.
 type openItem struct {
 	jobs.Item
-	failures int // runs that an engine reported as failed
+	failures int // runs that an engine reported as failed, under this and earlier leaders
 	// fruitlessResumes is the number of successive runs that resumed the text and ended without an event.
 	fruitlessResumes int
 	waitingSince     time.Time // start of the current wait for an engine
@@ -118,7 +118,7 @@
 	j := &openJob{Job: &job, items: make(map[string]*openItem), openInGroup: make(map[string]int)}
 	for _, it := range e.Items {
 		if !e.HasResult(it.ID) {
-			j.items[it.ID] = &openItem{Item: it}
+			j.items[it.ID] = &openItem{Item: it, failures: e.Failures[it.ID]}
 			j.openInGroup[it.Group]++
 		}
 	}
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -170,6 +170,8 @@
 			r.terminate(key, "too many failed runs")
 			return
 		}
+		r.propose(&storestate.Command{ItemFailures: &storestate.ItemFailures{Job: key.Job, Item: key.Item, Count: it.failures}},
+			func(time.Time, storestate.Reply) {})
 	}
 	if table := r.opts.View.Table(); table != nil && r.serviceOf(table, key) == "" {
 		r.terminate(key, "route was removed")
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -30,6 +30,15 @@
 	DepartTarget *fleet.Departure `cbor:"9,keyasint,omitempty"`
 	// NoticeDeparture stores that a host has seen the departure of a target in an answer.
 	NoticeDeparture *NoticeDeparture `cbor:"10,keyasint,omitempty"`
+	ItemFailures    *ItemFailures    `cbor:"11,keyasint,omitempty"`
+}
+
+// ItemFailures stores how often runs of an item have failed, so that a new leader goes on counting; see
+// jobs.Table.RecordFailures.
+type ItemFailures struct {
+	Job   string `cbor:"1,keyasint"`
+	Item  string `cbor:"2,keyasint"`
+	Count int    `cbor:"3,keyasint"`
 }
 
 // NoticeDeparture is the notice of a departure that a host has seen; see fleet.Notices.
@@ -207,6 +216,8 @@
 			return Reply{}
 		}
 		return Reply{Changed: s.departures.Add(n.Departure)}
+	case c.ItemFailures != nil:
+		return Reply{Changed: s.jobs.RecordFailures(c.ItemFailures.Job, c.ItemFailures.Item, c.ItemFailures.Count)}
 	}
 	return Reply{NotFound: true}
 }
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -159,6 +159,8 @@
 	Ended   bool     `cbor:"3,keyasint"`
 	// Sequence is the sequence number of the job in the order of acceptance, starting at 1.
 	Sequence uint64 `cbor:"4,keyasint"`
+	// Failures is the number of failed runs of each item without a result that has any.
+	Failures map[string]int `cbor:"5,keyasint,omitempty"`
 
 	resultIndex map[string]int // position in Results by item ID
 }
@@ -237,6 +239,7 @@
 func (b *Table) addResult(e *Entry, r Result) {
 	e.resultIndex[r.ID] = len(e.Results)
 	e.Results = append(e.Results, r)
+	delete(e.Failures, r.ID)
 	if r.State == Completed {
 		b.completedIn[r.ID] = e.ID
 	}
@@ -319,6 +322,19 @@
 	return true
 }
 
+// RecordFailures records that runs of an item have failed n times in all. It reports whether that is news.
+func (b *Table) RecordFailures(job, item string, n int) bool {
+	e := b.entries[job]
+	if !e.acceptsResult(item) || n <= e.Failures[item] {
+		return false
+	}
+	if e.Failures == nil {
+		e.Failures = make(map[string]int)
+	}
+	e.Failures[item] = n
+	return true
+}
+
 // End ends a job, which keeps its results. It reports whether the job exists.
 func (b *Table) End(job string) bool {
 	e := b.entries[job]
