fleet, store: a deregistration just after a new start is not acknowledged

A deregistration names no incarnation. One that was held up until its target had started anew under the same ID ended the new incarnation, for good since departures are stored.

Ruled out: telling the two apart by later heartbeats, which may be late as well.

Change: within 5 s of the first report of a new incarnation the call gets 503, so that the target tries again; an incarnation that does leave so early is told later or exits.

TestLateDeregistrationDoesNotEndTheNextIncarnation failed before ("serving: [], want the next incarnation").

Conclusion: a call that is held up for longer than 5 s after the new start still ends it; the protocol would need the birth time in the call.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -68,6 +68,8 @@
 	revisedAt  time.Time // when revision was last set
 	// contestedAt is when the first report after the loss of the address arrived; zero before it.
 	contestedAt time.Time
+	// restartedAt is when this incarnation took the place of an earlier one in the registry; zero if it did not.
+	restartedAt time.Time
 	revision    uint64 // Registry.revision at the last change to pass on
 }
 
@@ -125,7 +127,10 @@
 	contestedAt := r.resolveAddress(now, old, &t)
 	rec := &record{Target: t, reportedAt: reportedAt, contestedAt: contestedAt}
 	if old != nil {
-		rec.revisedAt, rec.revision = old.revisedAt, old.revision
+		rec.revisedAt, rec.revision, rec.restartedAt = old.revisedAt, old.revision, old.restartedAt
+		if old.Incarnation != t.Incarnation {
+			rec.restartedAt = now
+		}
 	}
 	r.records[t.ID] = rec
 	switch {
@@ -229,6 +234,16 @@
 	return d, true
 }
 
+// JustRestarted reports whether a target has started anew within lateDeregistration. A deregistration, which names no
+// incarnation, may then be a late one of the incarnation before.
+func (r *Registry) JustRestarted(now time.Time, id string) bool {
+	rec := r.records[id]
+	return rec != nil && !rec.restartedAt.IsZero() && now.Sub(rec.restartedAt) < lateDeregistration
+}
+
+// lateDeregistration is how late a deregistration may arrive after the next start of its target was reported.
+const lateDeregistration = 5 * time.Second
+
 // Depart records a departure that did not come with a report of the target. It returns whether the target
 // was Ready until now.
 func (r *Registry) Depart(now time.Time, d Departure) bool {
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -205,6 +205,13 @@
 	return d, known
 }
 
+// JustRestarted reports whether a deregistration of the target may be a late one of its earlier incarnation.
+func (v *View) JustRestarted(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.JustRestarted(bootclock.Now(), id)
+}
+
 // RecordDeparture records that a target has announced that it leaves. The parameter from names the source in
 // the log.
 func (v *View) RecordDeparture(d fleet.Departure, from string) {
--- a/internal/store/control.go
+++ b/internal/store/control.go
@@ -92,7 +92,12 @@
 
 // DeregisterTarget processes the deregistration of a target. It returns errs.Unavailable for an unknown target, so
 // that the target tries a host that knows it, and if the departure is not stored or does not reach the other hosts.
+// The same holds for a target that has just started anew, since the call may be a late one of its earlier incarnation.
 func (c *Control) DeregisterTarget(ctx context.Context, id string) error {
+	if c.st.view.JustRestarted(id) {
+		c.st.opts.Log.Warn("deregistration refused", "target", id, "reason", "the target has just started anew")
+		return &errs.Unavailable{Resource: "departure of target " + id, Reason: "its earlier incarnation may have sent the call", Outcome: errs.NotRun}
+	}
 	d, known := c.st.view.MarkTargetGone(id)
 	if !known {
 		return &errs.Unavailable{Resource: "target " + id, Reason: "it is not registered on this host", Outcome: errs.NotRun}
--- a/internal/store/departures_test.go
+++ b/internal/store/departures_test.go
@@ -145,3 +145,20 @@
 	awaitNil(t, "weight version", func() error { return c.PutVersion(t.Context(), "m", 3) })
 	checkServing(c, 0, "another restart")
 }
+
+// Guards against a target that is out of use after a new start, because the deregistration of its earlier incarnation
+// was held up.
+func TestLateDeregistrationDoesNotEndTheNextIncarnation(t *testing.T) {
+	c, stop := startSingleStore(t, t.TempDir(), freePort(t))
+	defer stop()
+	target := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 7, Sequence: 5}
+	awaitNil(t, "heartbeat", func() error { return c.HandleHeartbeat(t.Context(), target) })
+	target.Incarnation, target.Sequence = 8, 1
+	awaitNil(t, "heartbeat of the next incarnation", func() error { return c.HandleHeartbeat(t.Context(), target) })
+	if err := c.DeregisterTarget(t.Context(), "t"); errs.CodeOf(err) != errs.CodeUnavailable {
+		t.Errorf("late deregistration: error %v, want errs.Unavailable", err)
+	}
+	if list := c.st.view.Serving("s"); len(list) != 1 || list[0].Incarnation != 8 {
+		t.Errorf("serving: %+v, want the next incarnation", list)
+	}
+}
