--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -79,6 +79,16 @@
 
 // send forwards one request through a real server, so that aborted connections are detected.
 func send(t *testing.T, f *Forwarder, r *routes.Route) (status int, body, retryAfter string) {
+	t.Helper()
+	resp, body, err := exchange(t, f, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, body, resp.Header.Get("Retry-After")
+}
+
+// exchange is send for a response that may be incomplete: err is that of its body.
+func exchange(t *testing.T, f *Forwarder, r *routes.Route) (resp *http.Response, body string, err error) {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1) }))
 	defer s.Close()
@@ -90,16 +100,12 @@
 	}
 	req.Header.Set("Id", "q1")
 	req.Header.Set("Deadline-Ms", "700")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
+	if resp, err = http.DefaultClient.Do(req); err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp.StatusCode, string(b), resp.Header.Get("Retry-After")
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
 }
 
 // Guards against retries of an unsafe request that may have run, a 503 for a request that ran, a failure
--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -77,7 +77,7 @@
 		"idempotent, retry":   {answer, abortConnection, func(f *Forwarder) { send(t, f, newRoute(routes.Idempotent, 2)) }},
 		"unsafe":              {answer, answer, func(f *Forwarder) { send(t, f, newRoute(routes.Unsafe, 2)) }},
 		"stream":              {wholeStream, wholeStream, func(f *Forwarder) { send(t, f, streamRoute) }},
-		"stream, resumed":     {wholeStream, interruptedStream, func(f *Forwarder) { _, _ = readStream(t, f, streamRoute) }},
+		"stream, resumed":     {wholeStream, interruptedStream, func(f *Forwarder) { _, _, _ = exchange(t, f, streamRoute) }},
 		"scoring call":        {answer, answer, func(f *Forwarder) { doCall(t, f, newRoute(routes.Idempotent, 2)) }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -1,13 +1,10 @@
 package forward
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"fuchsiaflow/routes"
 )
@@ -31,29 +28,6 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-// readStream sends a request and returns what the caller gets until the end of the answer, and the error with
-// which that ends.
-func readStream(t *testing.T, f *Forwarder, r *routes.Route) (body string, err error) {
-	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1) }))
-	defer s.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/x", strings.NewReader("body"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Id", "q1")
-	req.Header.Set("Deadline-Ms", "700")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return string(data), err
-}
-
 // Guards, when a stream breaks off and the next target has no continuation, against the text of an error in the
 // stream, against events that do not follow, and against a stream that ends as if it were complete.
 func TestFailedResumptionAbortsTheStream(t *testing.T) {
@@ -88,7 +62,7 @@
 			// The balancer may pick the second target first: what it answers to the whole request is its own.
 			interrupted := 0
 			for range 8 {
-				body, err := readStream(t, f, r)
+				_, body, err := exchange(t, f, r)
 				if !strings.HasPrefix(body, firstEvent) {
 					continue
 				}
