runner: cluster_test.go holds the group that tests of items share

Change: the cluster moves to a file of its own as testCluster; no test changes.

Measured: tests of the package pass with the race detector.

Conclusion: test code only.

--- a/internal/runner/notice_test.go
+++ b/internal/runner/notice_test.go
@@ -25,7 +25,7 @@
 // Guards against items that are sent to an engine, from their start or to resume, after it announced in an answer
 // that it leaves, and against items that are lost when an engine has left between its choice and the start of a run.
 func TestNoItemAfterNotice(t *testing.T) {
-	c := newScoringCluster(t) // with engine "e"
+	c := newTestCluster(t) // with engine "e"
 	leaving := new(leavingEngine)
 	c.addTarget("a", "engines", leaving.serve)
 	for n := range 6 {
@@ -51,7 +51,7 @@
 
 // Guards against an item that fails at each run and runs MaxAttempts times under each new leader.
 func TestFailuresAreCountedAcrossLeaders(t *testing.T) {
-	c := newScoringCluster(t)
+	c := newTestCluster(t)
 	var runs atomic.Int64
 	lost := make(chan struct{})
 	c.view.MarkTargetGone("e")
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -193,7 +193,7 @@
 	} {
 		text := &partialText{text: []byte("e1\ne2"), lastEventID: c.lastEventID, eventCount: int(c.lastEventID), versions: []uint64{1}}
 		ir := newItemRun(t, answerAfterEnd(c.stamp, c.extra), &jobs.Job{ID: "j", Model: "m"}, text)
-		ir.headers = scoringHeaders
+		ir.headers = clusterHeaders
 		if res := ir.run(t.Context()); res.complete != c.complete || c.complete && res.outcome != schedule.Finished {
 			t.Errorf("%s: %+v, want complete %v", c.name, res, c.complete)
 		}
