forward, clusterview: log lines tell what the choice of a target rested on

Change: both lines carry chosen_ms, report_from, report_sequence and report_age_ms; 'target changed' carries the incarnation. No decision changes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,10 @@
 	// HoldsAddress is set by a host that has seen the target go on reporting after another one, which claims to be
 	// started later, has claimed its address.
 	HoldsAddress bool `cbor:"13,keyasint,omitempty"`
+	// Source names where this host has the report from, and ReportedAt is when the target made it, by the clock of
+	// this host. Both are local.
+	Source     string    `cbor:"-"`
+	ReportedAt time.Time `cbor:"-"`
 }
 
 // newerThan reports whether t is a later report of the same target than old.
@@ -64,8 +68,7 @@
 // record is the newest report of a target with its local bookkeeping.
 type record struct {
 	Target
-	reportedAt time.Time // when the target made the report, by the clock of this host
-	revisedAt  time.Time // when revision was last set
+	revisedAt time.Time // when revision was last set
 	// contestedAt is when the first report after the loss of the address arrived; zero before it.
 	contestedAt time.Time
 	// restartedAt is when this incarnation took the place of an earlier one in the registry; zero if it did not.
@@ -114,7 +117,7 @@
 // revision at once, a change of weights only if the report is direct, and anything else only if the last
 // revision is at least refresh old.
 func (r *Registry) merge(now time.Time, t Target, refresh time.Duration, direct bool) bool {
-	reportedAt := now.Add(-t.Age)
+	t.ReportedAt = now.Add(-t.Age)
 	if t.State.announcesDeparture() {
 		r.departures.Add(Departure{t.ID, t.Incarnation})
 	} else if r.departures.Covers(t.ID, t.Incarnation) {
@@ -125,7 +128,7 @@
 		return false
 	}
 	contestedAt := r.resolveAddress(now, old, &t)
-	rec := &record{Target: t, reportedAt: reportedAt, contestedAt: contestedAt}
+	rec := &record{Target: t, contestedAt: contestedAt}
 	if old != nil {
 		rec.revisedAt, rec.revision, rec.restartedAt = old.revisedAt, old.revision, old.restartedAt
 		if old.Incarnation != t.Incarnation {
@@ -186,7 +189,7 @@
 	r.departures.Add(d)
 	if rec.State != Gone {
 		rec.State = Gone
-		rec.reportedAt = now
+		rec.ReportedAt = now
 		r.bumpUrgentRevision(now, rec)
 	}
 	return d, true
@@ -235,7 +238,7 @@
 // had not ended, sorted.
 func (r *Registry) Expire(now time.Time) (dropped []string) {
 	for id, rec := range r.records {
-		if now.Sub(rec.reportedAt) < r.Expiry {
+		if now.Sub(rec.ReportedAt) < r.Expiry {
 			continue
 		}
 		delete(r.records, id)
@@ -292,7 +295,7 @@
 			continue
 		}
 		t := rec.Target
-		t.Age = max(now.Sub(rec.reportedAt), 0)
+		t.Age = max(now.Sub(rec.ReportedAt), 0)
 		list = append(list, t)
 	}
 	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -169,6 +169,7 @@
 		v.log.Warn("target report ignored", "target", t.ID, "from", from, "error", err.Error())
 		return false
 	}
+	t.Source = from
 	old, known := v.registry.Get(t.ID)
 	before := v.registry.UrgentRevision()
 	if !merge(now, t) {
@@ -177,7 +178,7 @@
 	current, _ := v.registry.Get(t.ID)
 	if !known || old.State != current.State || old.Incarnation != current.Incarnation {
 		v.log.Info("target changed", "target", t.ID, "service", t.Service, "address", t.Address, "state", current.State,
-			"previous", old.State, "sequence", t.Sequence, "age_ms", t.Age.Milliseconds(), "from", from)
+			"previous", old.State, "incarnation", t.Incarnation, "sequence", t.Sequence, "age_ms", t.Age.Milliseconds(), "from", from)
 	}
 	return v.registry.UrgentRevision() != before
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -163,7 +163,7 @@
 	defer cancel()
 	body, err := readBody(c.req)
 	if err != nil {
-		return c.abort("client gone", 0, "", err)
+		return c.abort("client gone", 0, nil, err)
 	}
 	c.body = body
 	if c.route.Kind == routes.Stream {
@@ -173,7 +173,7 @@
 }
 
 // pickTarget selects a target that is not in tried and reports the start of an attempt to the balancer.
-func (c *call) pickTarget() (balance.Candidate, bool) {
+func (c *call) pickTarget() (choice, bool) {
 	var list []balance.Candidate
 	for _, t := range c.forwarder.view.Serving(c.service) {
 		list = append(list, balance.Candidate{Target: t, Connected: c.forwarder.pool.HasIdle(t.Address)})
@@ -186,12 +186,12 @@
 		c.tried = append(c.tried, cand.ID)
 		c.forwarder.balancer.Started(cand.ID)
 	}
-	return cand, ok
+	return newChoice(cand), ok
 }
 
 // pickFirstTarget selects the first target. If no target is known during the warmup period, it waits for
 // one, because existing targets may not have announced themselves to this host yet.
-func (c *call) pickFirstTarget(ctx context.Context) (balance.Candidate, bool) {
+func (c *call) pickFirstTarget(ctx context.Context) (choice, bool) {
 	until := c.startedAt.Add(time.Duration(warmupFraction * float64(c.deadline.Sub(c.startedAt))))
 	if end := c.forwarder.started.Add(warmupPeriod); end.Before(until) {
 		until = end
@@ -244,7 +244,7 @@
 // newRequest builds the request for a target with the remaining time as its deadline. The header
 // named by headers.ExpectedInstance makes any instance other than the target reject the request. The request is not
 // sent if the target announces its departure while the connection is opened.
-func (c *call) newRequest(cand balance.Candidate) *httpconn.Request {
+func (c *call) newRequest(cand choice) *httpconn.Request {
 	h := endToEndHeaders(c.req.Header)
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
@@ -254,7 +254,7 @@
 }
 
 // checkAccepts returns errs.Unavailable if the target has announced its departure.
-func (f *Forwarder) checkAccepts(cand balance.Candidate) error {
+func (f *Forwarder) checkAccepts(cand choice) error {
 	if f.view.Accepts(cand.ID, cand.Incarnation) {
 		return nil
 	}
@@ -304,7 +304,7 @@
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write([]byte(reason + "\n")) // a caller that has disconnected needs no response
-	c.finish(reason, status, "", nil)
+	c.finish(reason, status, nil, nil)
 }
 
 // failExhausted responds to a request for which no more attempts are possible.
@@ -328,7 +328,7 @@
 func (c *call) failTimeout() error {
 	switch {
 	case c.req.Context().Err() != nil:
-		return c.abort("client gone", 0, "", nil)
+		return c.abort("client gone", 0, nil, nil)
 	case c.possibleRuns > 0:
 		c.fail(http.StatusGatewayTimeout, "no answer in time")
 	default:
@@ -339,18 +339,19 @@
 
 // abort ends a request whose response cannot be completed. The caller of the forwarder must close the
 // connection, so that the response does not look complete.
-func (c *call) abort(outcome string, status int, target string, err error) error {
-	c.finish(outcome, status, target, err)
+func (c *call) abort(outcome string, status int, by *choice, err error) error {
+	c.finish(outcome, status, by, err)
 	return &AbortedResponse{Request: c.id, Reason: outcome}
 }
 
-// finish logs the end of the request and updates the metrics.
-func (c *call) finish(outcome string, status int, target string, err error) {
+// finish logs the end of the request and updates the metrics. by is the target that answered, nil if none did.
+func (c *call) finish(outcome string, status int, by *choice, err error) {
 	took := bootclock.Now().Sub(c.startedAt)
 	c.forwarder.metrics.requestFinished(string(c.route.Kind), status, took)
 	args := []any{"request", c.id, "route", c.route.Name, "service", c.service, "config", c.configVersion, "status", status,
-		"outcome", outcome, "attempts", c.attempts, "sent", c.possibleRuns, "target", target, "took_ms", took.Milliseconds(),
+		"outcome", outcome, "attempts", c.attempts, "sent", c.possibleRuns, "took_ms", took.Milliseconds(),
 		"left_ms", c.deadline.Sub(bootclock.Now()).Milliseconds()}
+	args = append(args, by.logArgs(c.startedAt)...)
 	if err != nil {
 		args = append(args, "error", err.Error())
 	}
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -71,7 +71,7 @@
 // attemptResult is the result of one attempt at a target.
 type attemptResult struct {
 	kind      resultKind
-	target    string
+	by        *choice
 	resp      *httpconn.Response
 	data      []byte // the body, or its first bytes if truncated
 	truncated bool   // resp.Body has the bytes after data
@@ -93,7 +93,7 @@
 	results := make(chan *attemptResult, c.route.AttemptLimit()+1)
 	pending := 0
 	var fallback *attemptResult
-	send := func(cand balance.Candidate) {
+	send := func(cand choice) {
 		c.attempts++
 		c.possibleRuns++ // decremented if the target reports that it did not run the request
 		pending++
@@ -189,9 +189,9 @@
 }
 
 // attempt sends the request to one target, reads the response and reports the outcome to the balancer.
-func (c *call) attempt(ctx context.Context, cancel context.CancelFunc, cand balance.Candidate) *attemptResult {
+func (c *call) attempt(ctx context.Context, cancel context.CancelFunc, cand choice) *attemptResult {
 	begin := bootclock.Now()
-	res := &attemptResult{target: cand.ID, cancel: cancel}
+	res := &attemptResult{by: &cand, cancel: cancel}
 	resp, err := c.forwarder.pool.Do(ctx, cand.Address, c.newRequest(cand))
 	if err == nil {
 		res.resp = resp
@@ -220,9 +220,9 @@
 }
 
 // logFailedAttempt logs an attempt that did not succeed.
-func (c *call) logFailedAttempt(res *attemptResult, cand balance.Candidate, took time.Duration) {
-	args := []any{"request", c.id, "target", cand.ID, "address", cand.Address, "warm", cand.Connected, "took_ms", took.Milliseconds(),
-		"not_run", res.kind == resultNotRun}
+func (c *call) logFailedAttempt(res *attemptResult, cand choice, took time.Duration) {
+	args := []any{"request", c.id, "address", cand.Address, "warm", cand.Connected, "took_ms", took.Milliseconds(), "not_run", res.kind == resultNotRun}
+	args = append(args, cand.logArgs(c.startedAt)...)
 	if res.resp != nil {
 		args = append(args, "status", res.resp.StatusCode)
 	}
@@ -234,7 +234,7 @@
 
 // checkHeader classifies the response of a target by its status and headers. The error says that it is not a
 // response to the request, or not one of a target.
-func (c *call) checkHeader(res *attemptResult, cand balance.Candidate) error {
+func (c *call) checkHeader(res *attemptResult, cand choice) error {
 	h, resp := &c.forwarder.headers, res.resp
 	res.kind = resultUnknown
 	if err := h.CheckResponse(cand.Address, c.id, resp.StatusCode, resp.Header); err != nil {
@@ -255,7 +255,7 @@
 
 // readResponse classifies the response of a target and reads up to maxBufferedBody bytes of its body, and
 // one more to detect a longer body.
-func (c *call) readResponse(res *attemptResult, cand balance.Candidate) error {
+func (c *call) readResponse(res *attemptResult, cand choice) error {
 	if err := c.checkHeader(res, cand); err != nil || res.kind == resultNotRun {
 		return err
 	}
@@ -308,9 +308,9 @@
 		_, err = io.Copy(c.w, res.resp.Body)
 	}
 	if err != nil {
-		return c.abort("interrupted", res.resp.StatusCode, res.target, err)
+		return c.abort("interrupted", res.resp.StatusCode, res.by, err)
 	}
-	c.finish("answered", res.resp.StatusCode, res.target, nil)
+	c.finish("answered", res.resp.StatusCode, res.by, nil)
 	return nil
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,7 +23,7 @@
 	*call
 	lastEventID uint64     // ID of the last event passed on or already held by the caller
 	headerSent  bool       // the response header was sent to the caller
-	target      string     // target whose response header was sent
+	by          *choice    // target whose response header was sent
 	span        trace.Span // span of the current attempt
 }
 
@@ -35,7 +35,7 @@
 		s.lastEventID = id
 	}
 	// Only the first attempt waits for a target during the warmup period.
-	pick := func() (balance.Candidate, bool) { return c.pickFirstTarget(ctx) }
+	pick := func() (choice, bool) { return c.pickFirstTarget(ctx) }
 	for {
 		cand, ok := pick()
 		pick = c.pickTarget
@@ -60,7 +60,7 @@
 func (s *eventStream) failStream(ctx context.Context) error {
 	switch {
 	case s.headerSent:
-		return s.abort("interrupted", http.StatusOK, s.target, nil)
+		return s.abort("interrupted", http.StatusOK, s.by, nil)
 	case ctx.Err() != nil:
 		return s.failTimeout()
 	}
@@ -70,7 +70,7 @@
 
 // attempt streams from one target. It reports whether the request is finished; err is AbortedResponse if
 // its response is incomplete.
-func (s *eventStream) attempt(ctx context.Context, cand balance.Candidate) (finished bool, err error) {
+func (s *eventStream) attempt(ctx context.Context, cand choice) (finished bool, err error) {
 	begin := bootclock.Now()
 	ctx, s.span = s.startSpan(ctx, cand.ID)
 	req := s.newRequest(cand)
@@ -86,7 +86,7 @@
 		return false, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	res := &attemptResult{target: cand.ID, resp: resp}
+	res := &attemptResult{by: &cand, resp: resp}
 	if err := s.checkHeader(res, cand); err != nil || res.kind == resultNotRun {
 		outcome := balance.Shed
 		s.sawRejection = s.sawRejection || err == nil
@@ -103,7 +103,7 @@
 	}
 	resumes := s.headerSent
 	if !s.headerSent {
-		s.headerSent, s.target = true, cand.ID
+		s.headerSent, s.by = true, &cand
 		copyResponseHeader(s.w.Header(), resp.Header)
 		s.w.WriteHeader(resp.StatusCode)
 		s.flush()
@@ -111,7 +111,7 @@
 	err = s.copyEvents(resp, resumes)
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
-		s.finish("answered", resp.StatusCode, cand.ID, nil)
+		s.finish("answered", resp.StatusCode, &cand, nil)
 		return true, nil
 	}
 	s.finishAttempt(cand, balance.Failed, begin, err)
@@ -121,7 +121,7 @@
 // handleNonOK passes on a response whose status is not 200, unless it is a failure and another attempt
 // is allowed. If the header of an earlier response was already sent, the status cannot be passed on and
 // the attempt fails. Its results are those of attempt.
-func (s *eventStream) handleNonOK(cand balance.Candidate, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
+func (s *eventStream) handleNonOK(cand choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	failure := resp.StatusCode >= http.StatusInternalServerError
 	if err != nil || failure && s.retryable() {
@@ -133,7 +133,7 @@
 		return false, nil
 	}
 	s.finishAttempt(cand, balance.OK, begin, nil)
-	return true, s.writeResponse(&attemptResult{target: cand.ID, resp: resp, data: data, cancel: func() {}})
+	return true, s.writeResponse(&attemptResult{by: &cand, resp: resp, data: data, cancel: func() {}})
 }
 
 // copyEvents passes on the events of one response, except those that the caller already has. If the response
@@ -177,7 +177,7 @@
 func (s *eventStream) flush() { _ = http.NewResponseController(s.w).Flush() }
 
 // finishAttempt ends the span of an attempt and reports its outcome to the balancer.
-func (s *eventStream) finishAttempt(cand balance.Candidate, o balance.Outcome, begin time.Time, err error) {
+func (s *eventStream) finishAttempt(cand choice, o balance.Outcome, begin time.Time, err error) {
 	observe.EndSpan(s.span, err)
 	took := bootclock.Now().Sub(begin)
 	s.attemptFinished(cand.ID, o, took)
