clusterview: departures are sent to all hosts, also without a report of the target

Callers saw requests go to a target for up to 20 s after its departure had been acknowledged, as long as it still served.

Cause: the state group stores departures, but they reached entry hosts only inside the record of the target. After a restart of all stores no store has a record of a target that has deregistered, so that none told the hosts which had missed the news (they stood still, or their streams were silent) and still had a ready report.

Ruled out: the commit itself (each store applied the departure after its restart, and would not have taken a late heartbeat); the watches (the entry hosts had new streams within a second and got everything else).

Change: an event carries the departures that its stream has not carried before, the newest 1024 when it starts. Store hosts pass on what they learn. Hosts of an older build ignore the field.

TestDeparturesAreSentWithoutReports fails without the line in Serve.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -205,6 +205,13 @@
 // lateDeregistration is how late a deregistration may arrive after the next start of its target was reported.
 const lateDeregistration = 5 * time.Second
 
+// DeparturesSince returns the newest departures, at most limit, that were recorded after a revision, the oldest first,
+// and the revision to pass to the next call. Unlike ChangesSince it includes targets of which there is no report.
+func (r *Registry) DeparturesSince(revision uint64, limit int) ([]Departure, uint64) {
+	added := r.departures.AddedAfter(revision)
+	return slices.Clone(added[max(len(added)-limit, 0):]), r.departures.Revision()
+}
+
 // Depart records a departure that did not come with a report of the target. It returns whether the target
 // was Ready until now.
 func (r *Registry) Depart(now time.Time, d Departure) bool {
--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -62,6 +62,9 @@
 	// Config is set if it is newer than the configuration last sent in the stream.
 	Config  *Config        `cbor:"5,keyasint,omitempty"`
 	Targets []fleet.Target `cbor:"6,keyasint,omitempty"`
+	// Departures are those that were not sent in the stream before. They stand apart from Targets, because a host may
+	// still use a target of which the sender has no report.
+	Departures []fleet.Departure `cbor:"9,keyasint,omitempty"`
 }
 
 // omitUnchanged returns the event to send after previous, without the header if it is unchanged.
@@ -70,7 +73,7 @@
 		!slices.Equal(e.Stores, previous.Stores) {
 		return *e
 	}
-	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets}
+	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures}
 }
 
 // header returns the fields that later events may omit.
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -26,6 +26,9 @@
 	// targetRefresh, so that each refresh is passed on: most hosts of a large system receive only
 	// relayed reports.
 	relayRefresh = 4 * time.Second
+	// maxSentDepartures is the number of departures sent when a watch starts. Older ones concern targets that every
+	// host has forgotten.
+	maxSentDepartures = 1024
 	// storeExpiry is the time for which a store host that is not a seed is watched after it was
 	// last reported.
 	storeExpiry = 30 * time.Second
@@ -144,6 +147,9 @@
 	for _, t := range e.Targets {
 		changed = v.mergeTarget(now, t, e.From.ReplicaID, v.registry.Merge) || changed
 	}
+	for _, d := range e.Departures {
+		changed = v.recordDeparture(now, d, e.From.ReplicaID) || changed
+	}
 	if changed {
 		v.notify()
 	}
@@ -218,12 +224,28 @@
 func (v *View) RecordDeparture(d fleet.Departure, from string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.registry.Depart(bootclock.Now(), d) {
-		v.log.Info("target changed", "target", d.Target, "incarnation", d.Incarnation, "state", fleet.Draining, "previous", fleet.Ready, "from", from)
+	if v.recordDeparture(bootclock.Now(), d, from) {
 		v.notify()
 	}
 }
 
+// recordDeparture implements RecordDeparture and reports whether the departure is news to pass on. The caller holds
+// the lock.
+func (v *View) recordDeparture(now time.Time, d fleet.Departure, from string) (isNew bool) {
+	isNew = !v.registry.HasDeparted(d)
+	if v.registry.Depart(now, d) {
+		v.log.Info("target changed", "target", d.Target, "incarnation", d.Incarnation, "state", fleet.Draining, "previous", fleet.Ready, "from", from)
+	}
+	return isNew
+}
+
+// DeparturesSince returns the departures to send in a watch stream; see fleet.Registry.DeparturesSince.
+func (v *View) DeparturesSince(revision uint64) ([]fleet.Departure, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.DeparturesSince(revision, maxSentDepartures)
+}
+
 // RecordNotice records that a target has announced in an answer to this host that it leaves. The parameter source
 // names the kind of the answer. It is for this host alone; OnNotice is called for each new notice.
 func (v *View) RecordNotice(d fleet.Departure, source string) {
--- a/internal/clusterview/watch.go
+++ b/internal/clusterview/watch.go
@@ -164,7 +164,7 @@
 	if sender, ok := rpc.SenderFromContext(stream.Context()); ok && r.Store {
 		v.RecordStore(StoreHost{ReplicaID: sender.Host})
 	}
-	var revision, version uint64
+	var revision, departureRevision, version uint64
 	var previous Event
 	for {
 		changed := v.Changed()
@@ -172,6 +172,7 @@
 		source.Describe(&e)
 		e.Leader, e.Term = v.Leader()
 		e.Targets, revision = v.TargetsSince(revision)
+		e.Departures, departureRevision = v.DeparturesSince(departureRevision)
 		if e.Config != nil {
 			version = e.Config.Version
 		}
--- a/internal/clusterview/watch_test.go
+++ b/internal/clusterview/watch_test.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/grpc"
 
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/rpc"
 )
@@ -123,3 +124,31 @@
 		t.Error("an entry host is watched")
 	}
 }
+
+// Guards against a host that goes on using a target whose departure its store hosts know, because they have no
+// report of the target.
+func TestDeparturesAreSentWithoutReports(t *testing.T) {
+	port, listeners := listenAll(t, "127.0.0.1")
+	store := startTestHost(t, "127.0.0.1", port, true, listeners[0], "127.0.0.1")
+	known := fleet.Departure{Target: "t1", Incarnation: 7}
+	store.view.RecordDeparture(known, "own replica")
+	host := startTestHost(t, "127.0.0.2", port, false, nil, "127.0.0.1")
+	for _, id := range []string{"t1", "t2"} {
+		host.view.UpdateTarget(fleet.Target{ID: id, Service: "s", Address: "10.0.0.9:" + id[1:], State: fleet.Ready, Incarnation: 7, Sequence: 1})
+	}
+	awaitDeparture := func(d fleet.Departure) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); !host.view.HasDeparted(d); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("the host does not learn of the departure of %s; it uses %v", d.Target, host.view.Serving(""))
+			}
+		}
+	}
+	awaitDeparture(known)
+	later := fleet.Departure{Target: "t2", Incarnation: 7}
+	store.view.RecordDeparture(later, "own replica") // while the watch is open
+	awaitDeparture(later)
+	if serving := host.view.Serving(""); len(serving) != 0 {
+		t.Errorf("the host uses %v", serving)
+	}
+}
