store: a departure that does not end the use of its target is not acknowledged

Callers saw requests go to a target that had been told that its departure is known: 240 of 240 until its old report expired.

Cause: a target that restarts under its ID with an earlier clock has a lower incarnation than the report that all hosts hold. Its reports are dropped as late ones, also the one that it drains, and the store acknowledged it without looking.

Ruled out: the order within an incarnation (a departure is taken whatever its sequence); a deregistration (it names no incarnation and ends the known one: 0 of 238).

Change: after it has recorded a report, a store checks that no later incarnation of the target is in use, and otherwise refuses to acknowledge. The target tries other stores and exits in the end, as the protocol says. All three refusals share one log line with its reason.

Conclusion: the promise is no longer false. Such a target still stays known under its old report for up to 20 s, and is not taken out of use by its own word.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -238,6 +238,13 @@
 	return !r.departures.Covers(id, incarnation) && !r.noticed.Covers(id, incarnation)
 }
 
+// UsesLater reports whether a later incarnation of the target than the one that leaves accepts new work as far as is
+// known. The departure then does not end the use of the target.
+func (r *Registry) UsesLater(d Departure) bool {
+	rec := r.records[d.Target]
+	return rec != nil && rec.State == Ready && rec.Incarnation > d.Incarnation
+}
+
 // HasDeparted reports whether the departure of an incarnation of a target is known to more than this host.
 func (r *Registry) HasDeparted(d Departure) bool { return r.departures.Covers(d.Target, d.Incarnation) }
 
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -268,6 +268,13 @@
 	return v.registry.Accepts(id, incarnation)
 }
 
+// UsesLater reports whether a later incarnation of the target than the one that leaves accepts new work.
+func (v *View) UsesLater(d fleet.Departure) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.registry.UsesLater(d)
+}
+
 // HasDeparted reports whether the departure of an incarnation of a target is known to more than this host.
 func (v *View) HasDeparted(d fleet.Departure) bool {
 	v.mu.Lock()
--- a/internal/store/control.go
+++ b/internal/store/control.go
@@ -95,8 +95,7 @@
 // The same holds for a target that has just started anew, since the call may be a late one of its earlier incarnation.
 func (c *Control) DeregisterTarget(ctx context.Context, id string) error {
 	if c.st.view.JustRestarted(id) {
-		c.st.opts.Log.Warn("deregistration refused", "target", id, "reason", "the target has just started anew")
-		return &errs.Unavailable{Resource: "departure of target " + id, Reason: "its earlier incarnation may have sent the call", Outcome: errs.NotRun}
+		return c.refuseDeparture(fleet.Departure{Target: id}, "the target has just started anew; its earlier incarnation may have sent the call")
 	}
 	d, known := c.st.view.MarkTargetGone(id)
 	if !known {
@@ -105,12 +104,21 @@
 	return c.storeDeparture(ctx, d)
 }
 
+// refuseDeparture logs why a departure is not acknowledged, and returns the error for the target.
+func (c *Control) refuseDeparture(d fleet.Departure, reason string) error {
+	c.st.opts.Log.Warn("departure of a target not acknowledged", "target", d.Target, "incarnation", d.Incarnation, "reason", reason,
+		"majority_age_ms", c.st.view.MajorityAge().Milliseconds())
+	return &errs.Unavailable{Resource: "departure of target " + d.Target, Reason: reason, Outcome: errs.NotRun}
+}
+
 // storeDeparture stores a departure in the state group. What is acknowledged to the target must outlive a
 // restart of all hosts: a late heartbeat would bring the target back.
 func (c *Control) storeDeparture(ctx context.Context, d fleet.Departure) error {
 	if !c.st.view.Publishes(c.st.opts.Settings.IP) {
-		c.st.opts.Log.Warn("departure of a target not acknowledged", "target", d.Target, "majority_age_ms", c.st.view.MajorityAge().Milliseconds())
-		return &errs.Unavailable{Resource: "departure of target " + d.Target, Reason: "this host reaches no voter", Outcome: errs.NotRun}
+		return c.refuseDeparture(d, "this host reaches no voter")
+	}
+	if c.st.view.UsesLater(d) {
+		return c.refuseDeparture(d, "a later start of the target is in use")
 	}
 	if c.st.departures.covers(d) {
 		return nil
--- a/internal/store/departures_test.go
+++ b/internal/store/departures_test.go
@@ -162,3 +162,16 @@
 		t.Errorf("serving: %+v, want the next incarnation", list)
 	}
 }
+
+// Guards against the acknowledgement of a departure that does not end the use of the target.
+func TestDepartureOfAnEarlierStartIsNotAcknowledged(t *testing.T) {
+	c, stop := startSingleStore(t, t.TempDir(), freePort(t))
+	defer stop()
+	target := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 9, Sequence: 5}
+	awaitNil(t, "heartbeat", func() error { return c.HandleHeartbeat(t.Context(), target) })
+	awaitNil(t, "weight version", func() error { return c.PutVersion(t.Context(), "m", 2) }) // there is a leader
+	target.Incarnation, target.State, target.Sequence = 7, fleet.Draining, 20
+	if err := c.HandleHeartbeat(t.Context(), target); errs.CodeOf(err) != errs.CodeUnavailable {
+		t.Errorf("got error %v while %+v serve, want errs.Unavailable", err, c.st.view.Serving("s"))
+	}
+}
