entry: a stopping host answers whatever it accepts

Cause: the stop went by connections. The host accepted them for 3.2 s, waited for what ran, and closed the rest when its time was up. Nothing asked whether a request can still be finished, at its head or once a slow body had come, and nothing answered what was left.

Ruled out: idle connections (closed at once; a request that crosses is not passed on); requests on routes with a short time limit.

Change: package shutdown decides, without a network. While it stops, a host accepts a request if its deadline lies before the end, or, until the balancer has removed the host, if the longest recent request of its route would still end in time.

A stream that began early may still be cut.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,10 @@
 	// shutdownNotice is how long a stopping host continues to accept connections. The load balancer
 	// checks readiness every second and removes a host after two failed checks.
 	shutdownNotice = 3200 * time.Millisecond
+	// balancerRemoval is the time after which the load balancer has seen two failed checks and removed a host.
+	balancerRemoval = 2500 * time.Millisecond
+	// answerReserve is the part of the grace period in which a stopping host answers the requests that have not ended.
+	answerReserve = 300 * time.Millisecond
 )
 
 // Options configures an Entry. All fields are required.
@@ -115,9 +119,12 @@
 func (e *Entry) Failed() <-chan error { return e.kernel.Failed() }
 
 // Shutdown reports the host as not ready, continues to serve for shutdownNotice so that the load
-// balancer removes it, completes the requests in progress, and stops.
+// balancer removes it, completes the requests in progress, answers those that do not end in time, and stops.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.stopping.Store(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		e.forwarder.Shutdown().Begin(balancerRemoval, time.Until(deadline)-answerReserve)
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(shutdownNotice):
@@ -190,7 +197,7 @@
 	if timeout <= 0 || timeout > submitTimeout {
 		timeout = submitTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := e.forwarder.Shutdown().Context(ctx, timeout)
 	defer cancel()
 	begin := time.Now()
 	fresh, err := e.stateClient.SubmitJob(ctx, j)
@@ -201,7 +208,7 @@
 // JobResults returns the results of a batch job after the given position. If there are none, it waits for
 // up to the given time.
 func (e *Entry) JobResults(ctx context.Context, job string, after int, wait time.Duration) (jobs.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := e.forwarder.Shutdown().Context(ctx, wait+readTimeout)
 	defer cancel()
 	begin := time.Now()
 	page, err := e.stateClient.JobResults(ctx, job, after, maxPageBytes, wait)
@@ -219,7 +226,7 @@
 
 // ItemBody returns the body of an item that has no result yet.
 func (e *Entry) ItemBody(ctx context.Context, job, item string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := e.forwarder.Shutdown().Context(ctx, readTimeout)
 	defer cancel()
 	begin := time.Now()
 	body, err := e.stateClient.ItemBody(ctx, job, item)
@@ -231,7 +238,7 @@
 
 // EndJob ends a batch job.
 func (e *Entry) EndJob(ctx context.Context, job string) error {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	ctx, cancel := e.forwarder.Shutdown().Context(ctx, submitTimeout)
 	defer cancel()
 	begin := time.Now()
 	err := e.stateClient.EndJob(ctx, job)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -28,6 +28,7 @@
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/shutdown"
 	"fuchsiaflow/routes"
 )
 
@@ -77,6 +78,8 @@
 	metrics *metrics
 	tracing *observe.Tracing
 	started time.Time
+	// shutdown is the stop of the host.
+	shutdown *shutdown.Shutdown
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -85,7 +88,7 @@
 // New returns a forwarder for a host in the failure domain.
 func New(h dialect.Headers, view *clusterview.View, failureDomain string, log *slog.Logger, m *observe.Metrics, tracing *observe.Tracing) *Forwarder {
 	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(failureDomain),
-		tracing: tracing, started: bootclock.Now()}
+		tracing: tracing, started: bootclock.Now(), shutdown: shutdown.New()}
 	f.metrics = newMetrics(m, f.pool)
 	return f
 }
@@ -99,6 +102,9 @@
 // Stop implements kernel.Service.
 func (f *Forwarder) Stop(context.Context) error { return nil }
 
+// Shutdown returns the stop of the host, which ends the requests.
+func (f *Forwarder) Shutdown() *shutdown.Shutdown { return f.shutdown }
+
 // sweep closes idle connections and removes the state of targets that no longer serve.
 func (f *Forwarder) sweep(context.Context) {
 	f.pool.CloseExpired()
@@ -159,13 +165,19 @@
 // run sends the request and responds to the caller. It returns AbortedResponse if the caller gets no
 // response or an incomplete one.
 func (c *call) run() error {
-	ctx, cancel := context.WithTimeout(c.req.Context(), c.deadline.Sub(c.startedAt))
+	ctx, cancel := c.forwarder.shutdown.Context(c.req.Context(), c.deadline.Sub(c.startedAt))
 	defer cancel()
 	body, err := readBody(c.req)
 	if err != nil {
 		return c.abort("client gone", 0, nil, err)
 	}
 	c.body = body
+	// Now and not before, because a body may arrive slowly.
+	if !c.forwarder.shutdown.Admits(c.route.Name, c.deadline) {
+		c.w.Header().Set("Connection", "close")
+		c.refuse(shutdown.RetryAfter, "this host stops")
+		return nil
+	}
 	if c.route.Kind == routes.Stream {
 		return c.stream(ctx)
 	}
@@ -323,12 +335,14 @@
 	}
 }
 
-// failTimeout ends a request whose context is done, because of its deadline or because the caller has
-// disconnected. In the latter case there is no response.
+// failTimeout ends a request whose context is done, because of its deadline, because the host stops or because the
+// caller has disconnected. In the last case there is no response.
 func (c *call) failTimeout() error {
 	switch {
 	case c.req.Context().Err() != nil:
 		return c.abort("client gone", 0, nil, nil)
+	case c.possibleRuns > 0 && c.forwarder.shutdown.Ended():
+		c.fail(http.StatusGatewayTimeout, "no answer before this host stops")
 	case c.possibleRuns > 0:
 		c.fail(http.StatusGatewayTimeout, "no answer in time")
 	default:
@@ -348,6 +362,9 @@
 func (c *call) finish(outcome string, status int, by *choice, err error) {
 	took := bootclock.Now().Sub(c.startedAt)
 	c.forwarder.metrics.requestFinished(string(c.route.Kind), status, took)
+	if by != nil {
+		c.forwarder.shutdown.Record(c.route.Name, took)
+	}
 	args := []any{"request", c.id, "route", c.route.Name, "service", c.service, "config", c.configVersion, "status", status,
 		"outcome", outcome, "attempts", c.attempts, "sent", c.possibleRuns, "took_ms", took.Milliseconds(),
 		"left_ms", c.deadline.Sub(bootclock.Now()).Milliseconds()}
