forward: a whole answer that is no stream of events passes through a streaming route

Cause: every answer on such a route was read as events, and a body that ends without an empty line was a broken stream, which counts against the target.

Ruled out: items of batch jobs (a text is made of events, so a plain body is no result) and scoring calls (they go the way of plain requests).

Change: an answer with a length and another type is read and passed on like that of a plain request, with a retry if it breaks off. An answer that ends within an event is whole if its length is reached, or if it is chunked, has no event, and does not say that it is a stream. A continuation still takes only events that follow.

--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -253,25 +253,31 @@
 	return nil
 }
 
-// readResponse classifies the response of a target and reads up to maxBufferedBody bytes of its body, and
-// one more to detect a longer body.
+// readResponse classifies the response of a target and reads its body.
 func (c *call) readResponse(res *attemptResult, cand choice) error {
 	if err := c.checkHeader(res, cand); err != nil || res.kind == resultNotRun {
 		return err
 	}
-	resp := res.resp
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err != nil {
+	if err := res.readBody(); err != nil {
 		return err
 	}
-	res.data, res.truncated = data, len(data) > maxBufferedBody
 	res.kind = resultAnswered
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if res.resp.StatusCode >= http.StatusInternalServerError {
 		res.kind = resultServerError
 	}
 	return nil
 }
 
+// readBody reads up to maxBufferedBody bytes of the body, and one more to detect a longer one.
+func (r *attemptResult) readBody() error {
+	data, err := io.ReadAll(io.LimitReader(r.resp.Body, maxBufferedBody+1))
+	if err != nil {
+		return err
+	}
+	r.data, r.truncated = data, len(data) > maxBufferedBody
+	return nil
+}
+
 // reportLoad reports the load header of a target to the balancer. The header has the form
 // "running,waiting,slots"; any other value is ignored.
 func (c *call) reportLoad(target, value string) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -18,6 +19,9 @@
 	"fuchsiaflow/internal/sse"
 )
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
 // eventStream is the state of a stream to a caller across all attempts.
 type eventStream struct {
 	*call
@@ -102,6 +106,9 @@
 		return s.handleNonOK(cand, resp, begin)
 	}
 	resumes := s.headerSent
+	if !resumes && resp.ContentLength >= 0 && !isEventStream(resp) {
+		return s.passOnWhole(&cand, resp, begin)
+	}
 	if !s.headerSent {
 		s.headerSent, s.by = true, &cand
 		copyResponseHeader(s.w.Header(), resp.Header)
@@ -118,6 +125,29 @@
 	return false, nil
 }
 
+// isEventStream reports whether a response states that it is a stream of events.
+func isEventStream(resp *httpconn.Response) bool {
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType)
+}
+
+// endsAsMeant reports whether a response that ends within an event is whole all the same: its length is reached, or
+// it states no stream of events, and has none. noEvent is true if it has no complete event.
+func endsAsMeant(resp *httpconn.Response, noEvent bool) bool {
+	return resp.ContentLength >= 0 || resp.Framed && noEvent && !isEventStream(resp)
+}
+
+// passOnWhole passes on a response whose length is known. Its results are those of attempt.
+func (s *eventStream) passOnWhole(by *choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
+	res := &attemptResult{by: by, resp: resp, cancel: func() {}}
+	if err := res.readBody(); err != nil {
+		s.finishAttempt(*by, balance.Failed, begin, err)
+		return false, nil
+	}
+	s.finishAttempt(*by, balance.OK, begin, nil)
+	return true, s.writeResponse(res)
+}
+
 // handleNonOK passes on a response whose status is not 200, unless it is a failure and another attempt
 // is allowed. If the header of an earlier response was already sent, the status cannot be passed on and
 // the attempt fails. Its results are those of attempt.
@@ -141,11 +171,14 @@
 // connection does not prove that the stream is complete.
 func (s *eventStream) copyEvents(resp *httpconn.Response, resumes bool) error {
 	events := sse.NewReader(resp.Body, "")
-	for {
+	for first := true; ; first = false {
 		e, err := events.Next()
 		if err == io.EOF && resp.Framed {
 			return nil
 		}
+		if err == io.ErrUnexpectedEOF && !resumes && endsAsMeant(resp, first) {
+			return s.write(e.Raw)
+		}
 		if err != nil {
 			if !isFailure(err) {
 				err = &errs.Interrupted{Operation: "stream", Reason: err.Error()}
@@ -158,16 +191,24 @@
 		if resumes && !e.IsComment() && !s.follows(e.ID) {
 			return &errs.Corrupt{What: "resumed stream", Detail: fmt.Sprintf("event %d follows event %d", e.ID, s.lastEventID)}
 		}
-		if _, err := s.w.Write(e.Raw); err != nil {
-			return &errs.Interrupted{Operation: "stream to the caller", Reason: err.Error()}
+		if err := s.write(e.Raw); err != nil {
+			return err
 		}
 		if e.ID > 0 {
 			s.lastEventID = e.ID
 		}
-		s.flush()
 	}
 }
 
+// write sends a part of the stream to the caller.
+func (s *eventStream) write(part []byte) error {
+	if _, err := s.w.Write(part); err != nil {
+		return &errs.Interrupted{Operation: "stream to the caller", Reason: err.Error()}
+	}
+	s.flush()
+	return nil
+}
+
 // follows reports whether the event of an ID, 0 if it has none, is the one after the last event. A caller without
 // an event yet may get a first event of any ID.
 func (s *eventStream) follows(id uint64) bool {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -45,7 +45,7 @@
 }
 
 // Next returns the next complete event. It returns io.EOF if the stream ended after an event,
-// io.ErrUnexpectedEOF if it ended within one, which is dropped, and errs.Corrupt if an event exceeds
+// io.ErrUnexpectedEOF if it ended within one, of which Raw has what there is, and errs.Corrupt if an event exceeds
 // maxEventBytes.
 func (r *Reader) Next() (Event, error) {
 	var e Event
@@ -57,7 +57,7 @@
 		line := raw[start:]
 		if err != nil {
 			if err == io.EOF && len(e.Raw) > 0 {
-				err = io.ErrUnexpectedEOF
+				return Event{Raw: e.Raw}, io.ErrUnexpectedEOF
 			}
 			return Event{}, err
 		}
