group, store: a restarted store host knows the departures in its log at once

Callers saw requests go to a departed target in the first second after a loss of all processes, when one of its late heartbeats arrived before there was a leader.

Cause: a replica applies its log only when it knows what is committed. Until then a store host took the heartbeat for that of a new target and passed it on.

Ruled out: a restart of stores alone (entry hosts know the departure).

Change: a state machine may look at the stored commands when its replica starts. The store host tells its view of the departures among them: a target has said that it leaves, whether or not that was committed. They do not count as committed for acknowledgements. Commands with a header above 1 KiB are not decoded.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -44,6 +44,12 @@
 	ReadSnapshot(r io.Reader) error
 }
 
+// LogReader is implemented by state machines that look at the stored commands of a replica when it starts, before
+// it is known which of them are committed.
+type LogReader interface {
+	ReadStored(cmd []byte)
+}
+
 // writeSnapshot writes a snapshot of sm to w, streaming it if sm supports that.
 func writeSnapshot(sm StateMachine, w io.Writer) error {
 	if s, ok := sm.(StreamingStateMachine); ok {
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -84,6 +84,7 @@
 		_ = log.Close()
 		return errors.WithMessage(err, "open group "+o.Group)
 	}
+	readStored(o.StateMachine, in.Entries)
 	g.log, g.nodeID, g.peerNodeIDs = log, recovered.NodeID, recovered.Peers
 	g.applied, g.nextSnapshot = in.Applied, in.Applied+snapshotInterval(o.SnapshotEvery, o.ID)
 	g.sender = newSnapshotSender(2 * o.ElectionTimeout)
@@ -91,6 +92,19 @@
 	return nil
 }
 
+// readStored shows the commands of the stored log to a state machine that wants them.
+func readStored(sm StateMachine, entries []consensus.Entry) {
+	reader, ok := sm.(LogReader)
+	if !ok {
+		return
+	}
+	for _, e := range entries {
+		if e.Type == consensus.EntryCommand {
+			reader.ReadStored(e.Data)
+		}
+	}
+}
+
 // iterate is one iteration of Run: it receives pending input up to a batch, then processes every
 // Ready of the node and completes the requests that are done.
 func (g *Group) iterate() error {
--- a/internal/runner/statemachine.go
+++ b/internal/runner/statemachine.go
@@ -17,6 +17,9 @@
 	// target, while the machine is locked.
 	OnConfig    func(clusterview.Config)
 	OnDeparture func(fleet.Departure)
+	// OnStoredDeparture is called when the replica starts with each departure in its log, which may not be committed;
+	// nil if nobody needs them.
+	OnStoredDeparture func(fleet.Departure)
 
 	mu             sync.Mutex
 	state          *storestate.State
@@ -43,6 +46,16 @@
 	return out
 }
 
+// ReadStored implements group.LogReader. A target has said that it leaves, whether or not that was committed.
+func (m *StateMachine) ReadStored(cmd []byte) {
+	if m.OnStoredDeparture == nil {
+		return
+	}
+	if d, ok := storestate.StoredDeparture(cmd); ok {
+		m.OnStoredDeparture(d)
+	}
+}
+
 // publishChange increments the revision, records new jobs, reports a new configuration and new departures,
 // and wakes the readers. The caller holds mu.
 func (m *StateMachine) publishChange() {
--- a/internal/store/departures_test.go
+++ b/internal/store/departures_test.go
@@ -175,3 +175,26 @@
 		t.Errorf("got error %v while %+v serve, want errs.Unavailable", err, c.st.view.Serving("s"))
 	}
 }
+
+// Guards against a store host that takes a late heartbeat for that of a new target after its restart, because it has
+// not applied its log yet.
+func TestRestartedStoreKnowsDeparturesBeforeThereIsALeader(t *testing.T) {
+	dir, port := t.TempDir(), freePort(t)
+	target := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 7, Sequence: 5}
+	c, stop := startSingleStore(t, dir, port)
+	awaitNil(t, "heartbeat", func() error { return c.HandleHeartbeat(t.Context(), target) })
+	awaitNil(t, "departure", func() error { return c.DeregisterTarget(t.Context(), "t") })
+	stop()
+	c, stop = startSingleStore(t, dir, port)
+	defer stop()
+	target.Sequence = 9
+	if err := c.HandleHeartbeat(t.Context(), target); err != nil {
+		t.Fatal(err)
+	}
+	if list := c.st.view.Serving("s"); len(list) != 0 {
+		t.Errorf("serving: %+v", list)
+	}
+	if c.st.departures.covers(fleet.Departure{Target: "t", Incarnation: 7}) {
+		t.Error("the departure counts as committed before there is a leader")
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -97,7 +97,8 @@
 	fs := instrumentedFS{FS: o.FS, syncSeconds: o.Metrics.Histogram("storage_sync_seconds", "Duration of a file sync of the state group, in seconds.", observe.SecondsBuckets)}
 	var err error
 	st.replica, st.group, err = openReplica(fs, s, o.Log, func(record *replicaRecord) (*group.Group, error) {
-		st.stateMachine = runner.NewStateMachine(func(c clusterview.Config) { st.view.ApplyConfig(c, "own replica") }, st.handleStoredDeparture)
+		st.stateMachine = runner.NewStateMachine(func(c clusterview.Config) { st.view.ApplyConfig(c, "own replica") }, st.handleCommittedDeparture)
+		st.stateMachine.OnStoredDeparture = func(d fleet.Departure) { st.view.RecordDeparture(d, "own log") }
 		return group.Open(group.Options{Group: storestate.Group, ID: record.ID, Voters: record.Voters, Start: record.startMode(), FS: fs, Dir: s.DataDir,
 			StateMachine: st.stateMachine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			Logger: o.Log, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery, SegmentBytes: segmentBytes})
@@ -138,8 +139,8 @@
 	return st, nil
 }
 
-// handleStoredDeparture processes a departure that the state group has stored.
-func (st *Store) handleStoredDeparture(d fleet.Departure) {
+// handleCommittedDeparture processes a departure that the state group has stored.
+func (st *Store) handleCommittedDeparture(d fleet.Departure) {
 	st.departures.add(d)
 	st.view.RecordDeparture(d, "own replica")
 }
--- a/internal/storestate/command.go
+++ b/internal/storestate/command.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
 )
 
@@ -68,11 +69,21 @@
 	return lengths
 }
 
+// splitCommand returns the header of an encoded command and what follows it. ok is false if the header is truncated.
+func splitCommand(data []byte) (header, rest []byte, ok bool) {
+	headerLen, prefixLen := binary.Uvarint(data)
+	if prefixLen <= 0 || headerLen > uint64(len(data)-prefixLen) {
+		return nil, nil, false
+	}
+	end := prefixLen + int(headerLen)
+	return data[prefixLen:end], data[end:], true
+}
+
 // SubmittedJobID returns the ID of the job that an encoded command submits. ok is false for other
 // commands and for those that cannot be decoded.
 func SubmittedJobID(data []byte) (id string, ok bool) {
-	headerLen, prefixLen := binary.Uvarint(data)
-	if prefixLen <= 0 || headerLen > uint64(len(data)-prefixLen) {
+	encodedHeader, _, ok := splitCommand(data)
+	if !ok {
 		return "", false
 	}
 	var header struct {
@@ -82,20 +93,41 @@
 			} `cbor:"3,keyasint"`
 		} `cbor:"1,keyasint"`
 	}
-	if err := cbor.Unmarshal(data[prefixLen:prefixLen+int(headerLen)], &header); err != nil || header.Command.Submit == nil {
+	if err := cbor.Unmarshal(encodedHeader, &header); err != nil || header.Command.Submit == nil {
 		return "", false // Apply ignores a command that cannot be decoded
 	}
 	return header.Command.Submit.ID, true
 }
 
+// maxDepartureHeader is the size in bytes that the header of a command with a departure cannot exceed. Larger ones
+// need not be decoded.
+const maxDepartureHeader = 1024
+
+// StoredDeparture returns the departure that an encoded command stores. ok is false for other commands and for those
+// that cannot be decoded.
+func StoredDeparture(data []byte) (d fleet.Departure, ok bool) {
+	encodedHeader, _, ok := splitCommand(data)
+	if !ok || len(encodedHeader) > maxDepartureHeader {
+		return d, false
+	}
+	var header struct {
+		Command struct {
+			DepartTarget *fleet.Departure `cbor:"9,keyasint"`
+		} `cbor:"1,keyasint"`
+	}
+	if err := cbor.Unmarshal(encodedHeader, &header); err != nil || header.Command.DepartTarget == nil {
+		return d, false // Apply ignores a command that cannot be decoded
+	}
+	return *header.Command.DepartTarget, true
+}
+
 // decodeCommand decodes a command. The texts of the result share memory with data.
 func decodeCommand(data []byte) (Command, error) {
-	headerLen, prefixLen := binary.Uvarint(data)
-	if prefixLen <= 0 || headerLen > uint64(len(data)-prefixLen) {
+	encodedHeader, rest, ok := splitCommand(data)
+	if !ok {
 		return Command{}, &errs.Corrupt{What: "command", Detail: "the header is truncated"}
 	}
 	var header commandHeader
-	encodedHeader, rest := data[prefixLen:prefixLen+int(headerLen)], data[prefixLen+int(headerLen):]
 	if err := cbor.Unmarshal(encodedHeader, &header); err != nil {
 		return Command{}, &errs.Corrupt{What: "command", Detail: err.Error()}
 	}
