httpconn: the bytes after an answer have come before the next request in their test

Traced: the target wrote the answer and the bytes that belong to no request in two writes. No host can tell in advance; the outcome of such a request is reported as unknown, as it must be.

Change: the test plays two cases in a fixed order, bytes that come with the answer and bytes that come after it was read but before the next request. It checks as much as before, and the second case always.

Without the checks of the pool both cases fail.

Conclusion: a race of the test, no fault of the pool.

--- a/internal/httpconn/endless_test.go
+++ b/internal/httpconn/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -87,27 +88,45 @@
 	}
 }
 
-// Guards against bytes without end after a complete answer that reach the next request.
+// Guards against bytes without end after a complete answer that reach the next request: they come together with the
+// answer, or after it has been read.
 func TestEndlessBytesAfterAnswer(t *testing.T) {
-	closed := make(chan struct{})
-	addr := startTarget(t, func(n int, _ *http.Request, conn net.Conn) {
-		if n == 1 {
-			writeForever(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "junk", closed)
-			return
-		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
-	})
-	p := NewPool(1)
-	if body, err := get(t, p, addr, "/"); err != nil || body != "ok" {
-		t.Errorf("body %q, error %v", body, err)
-	}
-	if body, err := get(t, p, addr, "/"); err != nil || body != "next" {
-		t.Errorf("body of the next request %q, error %v", body, err)
-	}
-	select {
-	case <-closed:
-	case <-time.After(2 * time.Second):
-		t.Error("the connection is still open")
+	const answer, junk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "junk"
+	for _, together := range []bool{true, false} {
+		t.Run(fmt.Sprintf("together %v", together), func(t *testing.T) {
+			answerRead, junkSent, closed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			addr := startTarget(t, func(n int, _ *http.Request, conn net.Conn) {
+				if n > 1 {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
+					return
+				}
+				first := answer
+				if together {
+					first += junk
+				}
+				_, _ = io.WriteString(conn, first)
+				if !together {
+					<-answerRead
+					_, _ = io.WriteString(conn, junk)
+				}
+				close(junkSent)
+				writeForever(conn, "", junk, closed)
+			})
+			p := NewPool(1)
+			if body, err := get(t, p, addr, "/"); err != nil || body != "ok" {
+				t.Errorf("body %q, error %v", body, err)
+			}
+			close(answerRead)
+			<-junkSent
+			if body, err := get(t, p, addr, "/"); err != nil || body != "next" {
+				t.Errorf("body of the next request %q, error %v", body, err)
+			}
+			select {
+			case <-closed:
+			case <-time.After(2 * time.Second):
+				t.Error("the connection is still open")
+			}
+		})
 	}
 }
 
