httpconn: errors quote at most 256 bytes of what a target has sent

Ruled out: the bound on lines a second; it holds, but not for bytes.

Change: the cause of a RequestError is shortened.

Conclusion: fixed for requests to targets.

--- a/internal/httpconn/endless_test.go
+++ b/internal/httpconn/endless_test.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// Guards against log lines of the size of what a target has sent in place of an answer.
+func TestErrorsOfJunkAreShort(t *testing.T) {
+	addr := startTarget(t, func(_ int, _ *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, strings.Repeat("junk", 10_000)+"\r\n\r\n")
+	})
+	if _, err := get(t, NewPool(1), addr, "/"); err == nil || len(err.Error()) > 2*maxCauseBytes {
+		t.Errorf("an error of %d bytes, want at most %d", len(err.Error()), 2*maxCauseBytes)
+	}
+}
+
 // Guards against memory that grows with the number of faulty targets: 100 requests at once must stay far
 // below the memory of an entry host.
 func TestEndlessHeadsMemory(t *testing.T) {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -72,6 +72,18 @@
 	return fmt.Sprintf("request to %s failed in phase %s: %s", e.Address, e.Phase, e.Cause)
 }
 
+// maxCauseBytes is the maximum length of the cause of a RequestError. Errors of net/http quote what a target has sent.
+const maxCauseBytes = 256
+
+// shortCause returns the message of an error, shortened to maxCauseBytes.
+func shortCause(err error) string {
+	cause := err.Error()
+	if len(cause) > maxCauseBytes {
+		cause = cause[:maxCauseBytes] + "..."
+	}
+	return strings.ToValidUTF8(cause, "?")
+}
+
 // FailureCode implements errs.Failure.
 func (e *RequestError) FailureCode() errs.Code { return errs.CodeUnavailable }
 
@@ -232,7 +244,7 @@
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, &RequestError{Address: addr, Phase: "dial", Cause: err.Error()}
+		return nil, &RequestError{Address: addr, Phase: "dial", Cause: shortCause(err)}
 	}
 	return newConn(nc, addr), nil
 }
@@ -281,7 +293,7 @@
 	if req.BeforeSend != nil {
 		if err := req.BeforeSend(); err != nil {
 			_ = c.Close()
-			return nil, &RequestError{Address: addr, Phase: "open", Cause: err.Error(), Reused: c.reused}
+			return nil, &RequestError{Address: addr, Phase: "open", Cause: shortCause(err), Reused: c.reused}
 		}
 	}
 	// A deadline in the past unblocks pending reads and writes.
@@ -299,7 +311,7 @@
 		if we, ok := x.writeResult(); ok && we != nil {
 			phase = "send"
 		}
-		return nil, &RequestError{Address: addr, Phase: phase, Cause: err.Error(), Sent: true, Reused: c.reused}
+		return nil, &RequestError{Address: addr, Phase: phase, Cause: shortCause(err), Sent: true, Reused: c.reused}
 	}
 	return resp, nil
 }
@@ -482,7 +494,7 @@
 		}
 	}
 	if err != nil && err != io.EOF {
-		err = &RequestError{Address: b.exchange.conn.addr, Phase: "body", Cause: err.Error(), Sent: true, Reused: b.exchange.conn.reused}
+		err = &RequestError{Address: b.exchange.conn.addr, Phase: "body", Cause: shortCause(err), Sent: true, Reused: b.exchange.conn.reused}
 	}
 	return n, err
 }
