--- a/internal/gctuner/gctuner.go
+++ b/internal/gctuner/gctuner.go
@@ -64,7 +64,7 @@
 	collector, total := processorSeconds()
 	spent, available := collector-t.collector, total-t.total
 	if available <= 0 {
-		return // the runtime updates the times at the end of a collection only
+		return // no time has passed
 	}
 	t.collector, t.total = collector, total
 	share := spent / available
