forward: the target of a test announces that it closes its connection

Traced: the test's target closed each connection after its answer without saying so. If the next request went out on it before the close arrived, it may have run, and the only target was used up: 502, as it must be.

Change: the answers of the test carry Connection: close in every framing; the checks are as they were.

Conclusion: a race of the test, no fault of the forwarder.

--- a/internal/forward/whole_test.go
+++ b/internal/forward/whole_test.go
@@ -18,7 +18,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		head := "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nStamp: s\r\n"
+		head := "HTTP/1.1 200 OK\r\nConnection: close\r\nId: " + r.Header.Get("Id") + "\r\nStamp: s\r\n"
 		if mediaType != "" {
 			head += "Content-Type: " + mediaType + "\r\n"
 		}
@@ -30,7 +30,7 @@
 			head += "Transfer-Encoding: chunked\r\n\r\n"
 			framed = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 		default: // the end of the connection
-			head += "Connection: close\r\n\r\n"
+			head += "\r\n"
 		}
 		_, _ = conn.Write([]byte(head + framed))
 	}
