fleet, clusterview, notice, dialect: limits that targets state are read and logged

No log line or metric told that a target states a limit, so that the hypotheses (nobody reads it; each host counts for itself; hosts learn of it late; requests on the way) could not be told apart.

Change: answers that carry the ID of their request and come from the instance that was asked are read for the limit, under both names of the header; the newest statement of an incarnation counts, an answer without the header ends the limit. A value that is no finite number of 0 or more says nothing; 0 and tiny values count as one request in 4 s, since only an answer can end a limit. View keeps the limits and sends them with its events; lines 'limit of target changed' and 'limit of target ignored'; 'request finished' and 'attempt failed' tell the limit that the host knew when it chose; gauge targets_limited. No decision uses the limit yet.

Ruled out: a quorum of hosts as for departures. A wrong statement ends with the next answer.

Conclusion: H1 to H4 can be told apart by the age, source and time of the first line on each host, and by the field limit of its requests.

--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -65,6 +65,8 @@
 	// Departures are those that were not sent in the stream before. They stand apart from Targets, because a host may
 	// still use a target of which the sender has no report.
 	Departures []fleet.Departure `cbor:"9,keyasint,omitempty"`
+	// RateLimits are statements of targets about the requests that they take, the same way as Targets.
+	RateLimits []fleet.RateLimit `cbor:"10,keyasint,omitempty"`
 }
 
 // omitUnchanged returns the event to send after previous, without the header if it is unchanged.
@@ -73,7 +75,7 @@
 		!slices.Equal(e.Stores, previous.Stores) {
 		return *e
 	}
-	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures}
+	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures, RateLimits: e.RateLimits}
 }
 
 // header returns the fields that later events may omit.
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -39,6 +39,9 @@
 	// OnNotice is called with each new notice that RecordNotice records; nil if nobody needs them. It must be set
 	// before the view is used.
 	OnNotice func(d fleet.Departure, source string)
+	// OnRateLimit is called with each change of a limit that RecordRateLimit records; nil if nobody needs them. It must
+	// be set before the view is used.
+	OnRateLimit func(l fleet.RateLimit, source string)
 
 	log   *slog.Logger
 	seeds []string
@@ -47,6 +50,7 @@
 	mu          sync.Mutex
 	config      Config
 	registry    *fleet.Registry
+	rateLimits  *fleet.RateLimits
 	stores      map[string]storeEntry // by IP
 	leader      string
 	term        uint64
@@ -64,7 +68,7 @@
 // NewView returns a view that knows only the IP addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
 	v := &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
-		stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
+		rateLimits: fleet.NewRateLimits(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
 	v.registry.IsConfigured = v.isConfigured
 	return v
 }
@@ -147,6 +151,9 @@
 	for _, t := range e.Targets {
 		changed = v.mergeTarget(now, t, e.From.ReplicaID, v.registry.Merge) || changed
 	}
+	for _, l := range e.RateLimits {
+		changed = v.mergeRateLimit(now, l, e.From.ReplicaID) || changed
+	}
 	for _, d := range e.Departures {
 		changed = v.recordDeparture(now, d, e.From.ReplicaID) || changed
 	}
@@ -290,6 +297,10 @@
 	for _, id := range v.registry.Expire(now) {
 		v.log.Info("target forgotten", "target", id, "silence_ms", targetExpiry.Milliseconds())
 	}
+	v.rateLimits.Expire(now, func(target string) bool {
+		_, known := v.registry.Get(target)
+		return known
+	})
 	maps.DeleteFunc(v.stores, func(_ string, s storeEntry) bool { return now.Sub(s.lastSeen) > storeExpiry })
 }
 
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -30,6 +30,9 @@
 	Load string
 	// Leaving are the names of the header with which a target announces in its answers that it leaves.
 	Leaving []string
+	// RateLimit are the names of the header with which a target states in its answers how many requests a second it
+	// takes from all hosts together, as a decimal number.
+	RateLimit []string
 	// WeightVersion carries the weight version with which an answer begins.
 	WeightVersion string
 	// WeightVersionField is the name of the event field that carries the new weight version when the
--- a/internal/dialect/response.go
+++ b/internal/dialect/response.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"fuchsiaflow/errs"
 )
@@ -41,6 +44,24 @@
 	return false, unknown
 }
 
+// StatedRate returns the limit that a response states, in requests a second. stated is false if it states none.
+// invalid is the value of the header if that is no finite number of 0 or more; the response then says nothing about
+// the limit. Of several values the smallest counts.
+func (h *Headers) StatedRate(header http.Header) (rate float64, stated bool, invalid string) {
+	for _, name := range h.RateLimit {
+		for _, value := range header.Values(name) {
+			v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+				return 0, false, strconv.Quote(value)
+			}
+			if !stated || v < rate {
+				rate, stated = v, true
+			}
+		}
+	}
+	return rate, stated, ""
+}
+
 // MismatchedResponse reports a response whose request ID is that of another request, or missing.
 type MismatchedResponse struct{ Address, Want, Got string }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -198,7 +198,8 @@
 		c.tried = append(c.tried, cand.ID)
 		c.forwarder.balancer.Started(cand.ID)
 	}
-	return newChoice(cand), ok
+	limit, _ := c.forwarder.view.RateLimit(cand.ID, cand.Incarnation)
+	return newChoice(cand, limit), ok
 }
 
 // pickFirstTarget selects the first target. If no target is known during the warmup period, it waits for
--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -146,7 +146,7 @@
 	var reached atomic.Int64
 	f, _ := newForwarder(t, func(http.ResponseWriter, *http.Request, func()) { reached.Add(1) })
 	target, _ := f.view.Target("a")
-	cand := newChoice(balance.Candidate{Target: target})
+	cand := newChoice(balance.Candidate{Target: target}, fleet.RateLimit{})
 	f.view.RecordNotice(fleet.Departure{Target: "a", Incarnation: target.Incarnation}, "test")
 	_, err := f.pool.Do(t.Context(), target.Address, &httpconn.Request{Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{},
 		Body: io.Reader(strings.NewReader("x")), ContentLength: 1, BeforeSend: func() error { return f.checkAccepts(cand) }})
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -1,5 +1,5 @@
-// Package notice handles the departures of targets that a host learns from their answers: it counts them and
-// tells the state group, which acts on what several hosts have seen.
+// Package notice records what targets state about themselves in their answers: that they leave, and how many requests
+// they take. It counts the departures and tells the state group, which acts on what several hosts have seen.
 package notice
 
 import (
@@ -41,18 +41,39 @@
 	Header      http.Header
 }
 
-// Record records the notice in an answer, if there is one. An answer that does not carry the ID of its request,
-// or that comes from another instance, says nothing about the target.
+// Record records what a target states in an answer. An answer that does not carry the ID of its request, or that
+// comes from another instance, says nothing about the target.
 func Record(h *dialect.Headers, v *clusterview.View, log *slog.Logger, a *Answer) {
+	if a.Status == http.StatusMisdirectedRequest || a.Header.Get(h.RequestID) != a.RequestID {
+		return
+	}
+	recordDeparture(h, v, log, a)
+	recordRateLimit(h, v, log, a)
+}
+
+func recordDeparture(h *dialect.Headers, v *clusterview.View, log *slog.Logger, a *Answer) {
 	leaving, unknown := h.AnnouncesDeparture(a.Header)
 	if unknown != "" {
 		log.Warn("departure notice ignored", "target", a.Target, "source", a.Source, "request", a.RequestID, "value", unknown)
 	}
-	if leaving && a.Status != http.StatusMisdirectedRequest && a.Header.Get(h.RequestID) == a.RequestID {
+	if leaving {
 		v.RecordNotice(fleet.Departure{Target: a.Target, Incarnation: a.Incarnation}, a.Source)
 	}
 }
 
+// recordRateLimit records the limit in an answer. An answer without one ends the limit.
+func recordRateLimit(h *dialect.Headers, v *clusterview.View, log *slog.Logger, a *Answer) {
+	rate, stated, invalid := h.StatedRate(a.Header)
+	switch {
+	case invalid != "":
+		log.Warn("limit of target ignored", "target", a.Target, "source", a.Source, "request", a.RequestID, "value", invalid)
+		return
+	case stated:
+		rate = max(rate, fleet.MinRate)
+	}
+	v.RecordRateLimit(fleet.RateLimit{Target: a.Target, Incarnation: a.Incarnation, Rate: rate}, a.Source)
+}
+
 // Reporter tells the state group of the notices that a host records. It implements kernel.Service.
 type Reporter struct {
 	view    *clusterview.View
--- a/internal/rolehost/rolehost.go
+++ b/internal/rolehost/rolehost.go
@@ -94,6 +94,7 @@
 	for _, state := range []fleet.State{fleet.Ready, fleet.Draining, fleet.Gone, fleet.Superseded} {
 		m.GaugeFunc("targets_"+string(state), "Known targets in the state "+string(state)+".", func() float64 { return float64(v.CountTargets(state)) })
 	}
+	m.GaugeFunc("targets_limited", "Known targets that state a limit of requests a second.", func() float64 { return float64(v.CountRateLimits()) })
 	m.GaugeFunc("leader_age_seconds", "Time since a store host last reported that it knows the leader of the state group.",
 		func() float64 { return v.LeaderAge().Seconds() })
 	m.GaugeFunc("config_version", "Version of the configuration in force.", func() float64 {
