--- a/internal/domainstate/quota.go
+++ b/internal/domainstate/quota.go
@@ -64,12 +64,12 @@
 // tenancy returns the state of the tenancy in c. If c has a newer configuration, it first replaces
 // the quota and keeps the leases.
 func (q *Quota) tenancy(c QuotaCommand) (*tenancyQuota, error) {
-	t := q.tenancies[c.Demand.Tenancy]
+	t := q.tenancies[c.Demand.Key]
 	if t != nil && c.ConfigVersion <= t.version {
 		return t, nil
 	}
 	config := limits.AllocatorConfig{
-		Quotas:      map[string]limits.Amount{c.Demand.Tenancy: c.Quota},
+		Quotas:      map[string]limits.Amount{c.Demand.Key: c.Quota},
 		CutOffShare: c.CutOffShare,
 		Domains:     c.Domains,
 	}
@@ -84,7 +84,7 @@
 			return nil, err
 		}
 	}
-	q.tenancies[c.Demand.Tenancy] = next
+	q.tenancies[c.Demand.Key] = next
 	return next, nil
 }
 
--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -144,10 +144,10 @@
 	due := q.limiter.Demands(time.Now())
 	q.mu.Unlock()
 	for _, d := range due {
-		t := cfg.Tenancy(d.Tenancy)
+		t := cfg.Tenancy(d.Key)
 		if t == nil || t.Limits == nil {
 			q.mu.Lock()
-			q.limiter.RemoveTenancy(d.Tenancy)
+			q.limiter.Remove(d.Key)
 			q.mu.Unlock()
 			continue
 		}
@@ -175,7 +175,7 @@
 		share, err = domainstate.DecodeShare(data)
 	}
 	if err != nil {
-		q.log.Debug("cannot get a quota share", "tenancy", command.Demand.Tenancy, "error", err)
+		q.log.Debug("cannot get a quota share", "tenancy", command.Demand.Key, "error", err)
 		return
 	}
 	q.mu.Lock()
--- a/internal/joined/simulation_test.go
+++ b/internal/joined/simulation_test.go
@@ -319,7 +319,7 @@
 // leaseQuota requests a quota share, so that snapshots and leader changes cover quota state.
 func (sim *simulation) leaseQuota(h *host) {
 	h.quotaSequence++
-	demand := limits.Demand{Tenancy: tenancy, Incarnation: h.incarnation, Seq: h.quotaSequence}
+	demand := limits.Demand{Key: tenancy, Incarnation: h.incarnation, Seq: h.quotaSequence}
 	sim.sendToLeader(h.name, trainerHome, func(g *domainGroup) func() {
 		g.apply(domainstate.EncodeQuota(domainstate.QuotaCommand{Host: h.name, Demand: demand, ConfigVersion: 1, Domains: len(domains)}))
 		return nil
--- a/limits/allocator.go
+++ b/limits/allocator.go
@@ -10,10 +10,12 @@
 	"fuchsiaflow/errs"
 )
 
-// AllocatorConfig holds the quotas of the tenancies of a home domain. The field names are part of
-// the encoding of stored snapshots.
+// AllocatorConfig holds quotas, such as those of the tenancies of a home domain. The field names are part
+// of the encoding of stored snapshots.
 type AllocatorConfig struct {
-	Quotas map[string]Amount // by tenancy, per minute
+	Quotas map[string]Amount // by key, per Window
+	// Window is the length of the sliding window over which the quotas apply; 0 means the constant Window.
+	Window time.Duration `cbor:",omitempty"`
 	// CutOffShare is the fraction of each quota that is reserved for each failure domain, to be
 	// spent while the domain cannot reach the home domain.
 	CutOffShare float64
@@ -49,10 +51,10 @@
 	Answer      Share
 }
 
-// tenancyState holds the leases and the recent spending of a tenancy. Leases are sorted by
+// quotaState holds the leases and the recent spending of a quota. Leases are sorted by
 // host, so that the snapshots of all replicas are equal. The field names are part of the
 // encoding.
-type tenancyState struct {
+type quotaState struct {
 	Leases []lease
 	Window slidingWindow
 }
@@ -60,8 +62,8 @@
 // Allocator grants shares of quotas to hosts. It is a deterministic state machine: the same sequence
 // of calls gives the same state and the same answers on every replica.
 type Allocator struct {
-	cfg       AllocatorConfig
-	tenancies map[string]*tenancyState
+	cfg    AllocatorConfig
+	quotas map[string]*quotaState
 }
 
 // NewAllocator returns an allocator without leases.
@@ -73,7 +75,7 @@
 	if cfg.DriftMargin <= 0 {
 		cfg.DriftMargin = defaultDriftMargin
 	}
-	return &Allocator{cfg: cfg, tenancies: make(map[string]*tenancyState)}
+	return &Allocator{cfg: cfg, quotas: make(map[string]*quotaState)}
 }
 
 // SetQuotas replaces the quotas, for example after a configuration change. Amounts already
@@ -106,24 +108,20 @@
 
 // Lease processes a host's demand and returns the host's share. A repeated demand gets the same
 // answer again; a demand older than the last one gets an answer without a grant. The error is
-// *errs.NotFound for a tenancy without a quota.
+// *errs.NotFound for a key without a quota.
 func (h *Allocator) Lease(now time.Time, host string, d Demand) (Share, error) {
-	quota, ok := h.cfg.Quotas[d.Tenancy]
+	quota, ok := h.cfg.Quotas[d.Key]
 	if !ok {
-		return Share{}, &errs.NotFound{Kind: "tenancy", ID: d.Tenancy}
-	}
-	state := h.tenancies[d.Tenancy]
-	if state == nil {
-		state = &tenancyState{}
-		h.tenancies[d.Tenancy] = state
+		return Share{}, &errs.NotFound{Kind: "quota", ID: d.Key}
 	}
+	state := h.state(d.Key)
 	state.reclaimExpired(now)
 	l, repeated := state.findOrCreateLease(host, d)
 	if repeated {
 		return l.Answer, nil
 	}
 	if l == nil {
-		return Share{Tenancy: d.Tenancy, Seq: d.Seq, Quota: quota}, nil
+		return Share{Key: d.Key, Seq: d.Seq, Quota: quota}, nil
 	}
 	state.applyReport(now, l, d)
 	pool := h.grantable(quota).Sub(state.Window.Sum).Max(Amount{})
@@ -132,40 +130,60 @@
 	l.Granted = state.fairGrant(l, d, pool, available)
 	l.Held = l.Held.Add(l.Granted)
 	l.Expires = now.Add(h.cfg.LeaseTTL + h.cfg.DriftMargin)
-	l.Answer = Share{Tenancy: d.Tenancy, Seq: d.Seq, Held: l.Held, TTL: h.cfg.LeaseTTL, Quota: quota}
+	l.Answer = Share{Key: d.Key, Seq: d.Seq, Held: l.Held, TTL: h.cfg.LeaseTTL, Quota: quota}
 	if missing := d.Want.Sub(l.Held).Max(Amount{}); missing != (Amount{}) {
 		l.Answer.RetryAfter = state.Window.timeUntilFree(now, d.Need.Max(Amount{1, 1}).Sub(available))
 	}
 	return l.Answer, nil
 }
 
+// state returns the state of a quota and creates it if necessary.
+func (h *Allocator) state(key string) *quotaState {
+	s := h.quotas[key]
+	if s == nil {
+		s = &quotaState{Window: slidingWindow{length: h.cfg.Window}}
+		h.quotas[key] = s
+	}
+	return s
+}
+
+// Charge counts an amount as spent at a time, for example because an earlier allocator may have granted it.
+func (h *Allocator) Charge(at time.Time, key string, a Amount) { h.state(key).Window.add(at, a) }
+
+// InUse returns the amount of a quota that counts as spent or that hosts may still spend.
+func (h *Allocator) InUse(now time.Time, key string) Amount {
+	s := h.state(key)
+	s.reclaimExpired(now)
+	return s.Window.Sum.Add(s.totalHeld())
+}
+
 // reclaimExpired removes expired leases. Their hosts may have spent the held amounts up to the
-// expiry, so these are charged to the window.
-func (t *tenancyState) reclaimExpired(now time.Time) {
-	t.Window.expire(now)
-	t.Leases = slices.DeleteFunc(t.Leases, func(l lease) bool {
+// expiry, so these are charged to the window as of then.
+func (s *quotaState) reclaimExpired(now time.Time) {
+	s.Leases = slices.DeleteFunc(s.Leases, func(l lease) bool {
 		if now.Before(l.Expires) {
 			return false
 		}
-		t.Window.add(now, l.Held.Max(Amount{}))
+		s.Window.add(l.Expires, l.Held.Max(Amount{}))
 		return true
 	})
+	s.Window.expire(now)
 }
 
 // findOrCreateLease returns the host's lease and whether the demand repeats the last one. It
 // returns nil for a demand that is older than the last one processed.
-func (t *tenancyState) findOrCreateLease(host string, d Demand) (l *lease, repeated bool) {
-	i, found := slices.BinarySearchFunc(t.Leases, host, func(l lease, host string) int {
+func (s *quotaState) findOrCreateLease(host string, d Demand) (l *lease, repeated bool) {
+	i, found := slices.BinarySearchFunc(s.Leases, host, func(l lease, host string) int {
 		return strings.Compare(l.Host, host)
 	})
 	if !found {
 		// The reported Held is ignored: an expired lease was charged in full, and a new lease
 		// starts empty.
 		created := lease{Host: host, Incarnation: d.Incarnation, Spent: d.Spent}
-		t.Leases = slices.Insert(t.Leases, i, created)
-		return &t.Leases[i], false
+		s.Leases = slices.Insert(s.Leases, i, created)
+		return &s.Leases[i], false
 	}
-	l = &t.Leases[i]
+	l = &s.Leases[i]
 	switch {
 	case d.Incarnation < l.Incarnation || (d.Incarnation == l.Incarnation && d.Seq < l.Seq):
 		return nil, false
@@ -176,10 +194,10 @@
 }
 
 // applyReport updates the lease and the window with the spending and refund that a demand reports.
-func (t *tenancyState) applyReport(now time.Time, l *lease, d Demand) {
+func (s *quotaState) applyReport(now time.Time, l *lease, d Demand) {
 	if d.Incarnation != l.Incarnation {
 		// The previous process of the host has ended and may have spent all that it held.
-		t.Window.add(now, l.Held.Max(Amount{}))
+		s.Window.add(now, l.Held.Max(Amount{}))
 		*l = lease{Host: l.Host, Incarnation: d.Incarnation, Seq: d.Seq, Spent: d.Spent}
 		return
 	}
@@ -190,20 +208,20 @@
 	}
 	spent := d.Spent.Sub(l.Spent).Max(Amount{})
 	l.Held = l.Held.Sub(spent).Min(d.Held)
-	t.Window.add(now, spent)
+	s.Window.add(now, spent)
 	if d.Applied == l.Seq {
 		// The demand was sent after the last answer, so it is at most one lease TTL old, and
 		// the refunded spending is still in the window (see maxRefundAge).
-		t.Window.refund(now, d.Refund)
+		s.Window.refund(now, d.Refund)
 	}
 	l.Seq, l.Spent = d.Seq, d.Spent
 }
 
 // totalHeld returns the sum of the amounts that hosts may still spend.
-func (t *tenancyState) totalHeld() Amount {
+func (s *quotaState) totalHeld() Amount {
 	var sum Amount
-	for i := range t.Leases {
-		sum = sum.Add(t.Leases[i].Held.Max(Amount{}))
+	for i := range s.Leases {
+		sum = sum.Add(s.Leases[i].Held.Max(Amount{}))
 	}
 	return sum
 }
@@ -212,10 +230,10 @@
 // quota neither spent nor reserved, in proportion to the amounts that hosts want. A host that had
 // to refuse a reservation gets at least the amount of that reservation if it is available,
 // because a quota split into parts smaller than one request would serve no request.
-func (t *tenancyState) fairGrant(l *lease, d Demand, pool, available Amount) Amount {
+func (s *quotaState) fairGrant(l *lease, d Demand, pool, available Amount) Amount {
 	var total Amount
-	for i := range t.Leases {
-		total = total.Add(t.Leases[i].Want)
+	for i := range s.Leases {
+		total = total.Add(s.Leases[i].Want)
 	}
 	fairShare := Amount{
 		Requests: proportionalShare(pool.Requests, d.Want.Requests, total.Requests),
@@ -235,13 +253,13 @@
 	return int64(float64(pool) * float64(want) / float64(total))
 }
 
-// Snapshot encodes the leases and windows of all tenancies. The quotas are not included.
+// Snapshot encodes the leases and windows of all quotas. The amounts of the quotas are not included.
 func (h *Allocator) Snapshot() ([]byte, error) {
 	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode()
 	if err != nil {
 		return nil, &errs.Corrupt{What: "limits snapshot", Detail: err.Error()}
 	}
-	data, err := mode.Marshal(h.tenancies)
+	data, err := mode.Marshal(h.quotas)
 	if err != nil {
 		return nil, &errs.Corrupt{What: "limits snapshot", Detail: err.Error()}
 	}
@@ -251,10 +269,13 @@
 // Restore replaces the leases and windows with those of a snapshot. The state is unchanged if
 // it returns an error.
 func (h *Allocator) Restore(data []byte) error {
-	tenancies := make(map[string]*tenancyState)
-	if err := cbor.Unmarshal(data, &tenancies); err != nil {
+	quotas := make(map[string]*quotaState)
+	if err := cbor.Unmarshal(data, &quotas); err != nil {
 		return &errs.Corrupt{What: "limits snapshot", Detail: err.Error()}
 	}
-	h.tenancies = tenancies
+	for _, s := range quotas {
+		s.Window.length = h.cfg.Window
+	}
+	h.quotas = quotas
 	return nil
 }
--- a/limits/doc.go
+++ b/limits/doc.go
@@ -1,5 +1,5 @@
-// Package limits enforces per-minute quotas of requests and tokens for tenancies that are
-// served by many hosts.
+// Package limits enforces quotas of requests and tokens that many hosts use together: those of tenancies, per
+// minute, and the requests a second that a target takes (package internal/ratelimit).
 //
 // The problem statement follows the article "Building Distributed AI Rate Limiting (RPM/TPM)
 // with Envoy, envoyproxy/ratelimit and Redis": counters kept by each instance multiply a
@@ -9,7 +9,7 @@
 // actual usage later.
 //
 // The article keeps the shared counter in an external store. Here the consensus group of the
-// tenancy's home domain replicates an allocator, which leases shares of the quota to hosts
+// tenancy's home domain replicates an allocator (for a target, the leader of the state group has one), which leases shares of the quota to hosts
 // according to their demand. Each host reserves requests and tokens together against its share,
 // without a message per request. An amount counts against the quota while a host may still spend
 // it, and for one window after the host reports it as spent, so reservations never exceed the
--- a/limits/host.go
+++ b/limits/host.go
@@ -9,7 +9,7 @@
 type LimiterConfig struct {
 	// Incarnation distinguishes the processes of a host; a restart must raise it.
 	Incarnation uint64
-	// CutOff is the amount per minute, by tenancy, that this host may spend without a lease;
+	// CutOff is the amount per window, by key, that this host may spend without a lease;
 	// see CutOffQuota.
 	CutOff map[string]Amount
 	// CutOffNotBefore is the time before which CutOff may not be spent. A process sets it to one
@@ -21,11 +21,17 @@
 	// DemandInterval is the time between demands. A demand asks for the estimated use of one
 	// interval times demandFactor.
 	DemandInterval time.Duration
+	// OnDemand limits demands to what was refused. It is for quotas of few requests, where a share that a host
+	// gets ahead and does not use is missing elsewhere.
+	OnDemand bool
+	// MinRetryAfter is the least time after which a refused reservation is worth another try.
+	MinRetryAfter time.Duration
 }
 
 const (
 	defaultMaxIDs         = 1 << 16
 	defaultDemandInterval = 2 * time.Second
+	defaultMinRetryAfter  = time.Second
 	refusedDemandInterval = 100 * time.Millisecond // after a refused reservation
 	// demandFactor is the ratio of the amount that a host asks for to its recent use.
 	demandFactor = 1.5
@@ -35,16 +41,16 @@
 
 // reservation is a reservation that was accepted for a request ID.
 type reservation struct {
-	tenancy string
+	key     string
 	tokens  int64
 	at      time.Time
 	leased  bool // charged to the lease, not to the cut-off share
 	settled bool
 }
 
-// hostTenancyState is a host's view of one tenancy's quota.
-type hostTenancyState struct {
-	tenancy       string
+// hostQuotaState is a host's view of one quota.
+type hostQuotaState struct {
+	key           string
 	quota         Amount
 	held          Amount
 	expires       time.Time
@@ -59,15 +65,16 @@
 	sentAt        time.Time
 	attempted     Amount // reservations requested since the last demand, refused ones included
 	averageUse    Amount // moving average of attempted per demand interval
+	refused       Amount // reservations refused since the last demand
 	need          Amount // largest reservation refused since the last demand
 	retryAt       time.Time
 }
 
-// Limiter enforces the quotas of tenancies on one host, within the shares leased to it.
+// Limiter enforces quotas on one host, within the shares leased to it.
 type Limiter struct {
 	cfg          LimiterConfig
-	tenancies    map[string]*hostTenancyState
-	tenancyNames []string // sorted, so that demands have a deterministic order
+	quotas       map[string]*hostQuotaState
+	keys         []string // sorted, so that demands have a deterministic order
 	reservations map[string]reservation
 	idRing       []string // ring buffer of the keys of reservations
 	oldestID     int      // index of the oldest ID in idRing once it is full
@@ -81,16 +88,19 @@
 	if cfg.DemandInterval <= 0 {
 		cfg.DemandInterval = defaultDemandInterval
 	}
-	return &Limiter{cfg: cfg, tenancies: make(map[string]*hostTenancyState), reservations: make(map[string]reservation)}
+	if cfg.MinRetryAfter <= 0 {
+		cfg.MinRetryAfter = defaultMinRetryAfter
+	}
+	return &Limiter{cfg: cfg, quotas: make(map[string]*hostQuotaState), reservations: make(map[string]reservation)}
 }
 
-func (h *Limiter) tenancyState(tenancy string) *hostTenancyState {
-	t := h.tenancies[tenancy]
+func (h *Limiter) quotaState(key string) *hostQuotaState {
+	t := h.quotas[key]
 	if t == nil {
-		t = &hostTenancyState{tenancy: tenancy, cutOffQuota: h.cfg.CutOff[tenancy]}
-		h.tenancies[tenancy] = t
-		i, _ := slices.BinarySearch(h.tenancyNames, tenancy)
-		h.tenancyNames = slices.Insert(h.tenancyNames, i, tenancy)
+		t = &hostQuotaState{key: key, cutOffQuota: h.cfg.CutOff[key]}
+		h.quotas[key] = t
+		i, _ := slices.BinarySearch(h.keys, key)
+		h.keys = slices.Insert(h.keys, i, key)
 	}
 	return t
 }
@@ -99,31 +109,30 @@
 // configuration change.
 func (h *Limiter) SetCutOff(cutOff map[string]Amount) {
 	h.cfg.CutOff = cutOff
-	for name, t := range h.tenancies {
+	for name, t := range h.quotas {
 		t.cutOffQuota = cutOff[name]
 	}
 }
 
-// RemoveTenancy removes the state of a tenancy that no longer exists.
-func (h *Limiter) RemoveTenancy(tenancy string) {
-	delete(h.tenancies, tenancy)
-	h.tenancyNames = slices.DeleteFunc(h.tenancyNames, func(n string) bool { return n == tenancy })
+// Remove removes the state of a quota that no longer exists.
+func (h *Limiter) Remove(key string) {
+	delete(h.quotas, key)
+	h.keys = slices.DeleteFunc(h.keys, func(n string) bool { return n == key })
 }
 
 // Reserve reserves requests and tokens together, or returns *Exceeded and reserves neither. It
 // does nothing for an ID that already has a reservation; the newest MaxIDs IDs are kept.
-func (h *Limiter) Reserve(now time.Time, id, tenancy string, requests, tokens int64) error {
+func (h *Limiter) Reserve(now time.Time, id, key string, requests, tokens int64) error {
 	if _, ok := h.reservations[id]; ok {
 		return nil
 	}
-	t := h.tenancyState(tenancy)
+	t := h.quotaState(key)
 	amount := Amount{requests, tokens}
 	t.attempted = t.attempted.Add(amount)
 	leased := now.Before(t.expires)
 	if leased {
 		if !t.held.Covers(amount) {
-			t.need = t.need.Max(amount)
-			return t.quotaExceeded(now, t.held)
+			return t.refuse(now, amount, t.held, h.cfg.MinRetryAfter)
 		}
 		t.held = t.held.Sub(amount)
 		t.spent = t.spent.Add(amount)
@@ -135,21 +144,29 @@
 			remaining = Amount{}
 		}
 		if !remaining.Covers(amount) {
-			t.need = t.need.Max(amount)
-			return t.quotaExceeded(now, remaining)
+			return t.refuse(now, amount, remaining, h.cfg.MinRetryAfter)
 		}
 		t.cutOffWindow.add(now, amount)
 	}
-	h.recordReservation(id, reservation{tenancy: tenancy, tokens: tokens, at: now, leased: leased})
+	h.recordReservation(id, reservation{key: key, tokens: tokens, at: now, leased: leased})
 	return nil
 }
 
-func (t *hostTenancyState) quotaExceeded(now time.Time, remaining Amount) *Exceeded {
+// Covers reports whether Reserve would accept a reservation against the lease of a quota.
+func (h *Limiter) Covers(now time.Time, key string, a Amount) bool {
+	t := h.quotas[key]
+	return t != nil && now.Before(t.expires) && t.held.Covers(a)
+}
+
+// refuse records that a reservation exceeds what remains and returns its error.
+func (t *hostQuotaState) refuse(now time.Time, amount, remaining Amount, minRetryAfter time.Duration) *Exceeded {
+	t.refused = t.refused.Add(amount)
+	t.need = t.need.Max(amount)
 	quota := t.quota
 	if quota == (Amount{}) {
 		quota = t.cutOffQuota
 	}
-	return &Exceeded{Tenancy: t.tenancy, Limit: quota, Remaining: remaining.Max(Amount{}), After: max(time.Second, t.retryAt.Sub(now))}
+	return &Exceeded{Key: t.key, Limit: quota, Remaining: remaining.Max(Amount{}), After: max(minRetryAfter, t.retryAt.Sub(now))}
 }
 
 // recordReservation stores a reservation and evicts the oldest one at MaxIDs. An evicted
@@ -177,7 +194,7 @@
 	}
 	r.settled = true
 	h.reservations[id] = r
-	t := h.tenancies[r.tenancy]
+	t := h.quotas[r.key]
 	if t == nil {
 		return
 	}
@@ -199,12 +216,12 @@
 	}
 }
 
-// Demands returns the demands that are due, at most one per tenancy in use. The caller sends
-// each to the tenancy's home domain.
+// Demands returns the demands that are due, at most one per quota in use. The caller sends
+// each to the allocator of the quota.
 func (h *Limiter) Demands(now time.Time) []Demand {
 	var due []Demand
-	for _, name := range h.tenancyNames {
-		t := h.tenancies[name]
+	for _, name := range h.keys {
+		t := h.quotas[name]
 		interval := h.cfg.DemandInterval
 		if t.need != (Amount{}) {
 			interval = refusedDemandInterval
@@ -212,13 +229,18 @@
 		if now.Sub(t.sentAt) < interval {
 			continue
 		}
-		due = append(due, t.nextDemand(now, h.cfg.Incarnation))
+		due = append(due, t.nextDemand(now, &h.cfg))
 	}
 	return due
 }
 
+// Demand returns a demand for a quota, whether or not it is due.
+func (h *Limiter) Demand(now time.Time, key string) Demand {
+	return h.quotaState(key).nextDemand(now, &h.cfg)
+}
+
 // nextDemand returns the next demand and resets the counters that it reports.
-func (t *hostTenancyState) nextDemand(now time.Time, incarnation uint64) Demand {
+func (t *hostQuotaState) nextDemand(now time.Time, cfg *LimiterConfig) Demand {
 	if !now.Before(t.expires) {
 		t.held = t.held.Min(Amount{})
 	}
@@ -227,6 +249,9 @@
 		Tokens:   exponentialAverage(t.averageUse.Tokens, t.attempted.Tokens),
 	}
 	want := t.averageUse.Scale(demandFactor).Max(t.need).Max(t.attempted)
+	if cfg.OnDemand {
+		want = t.refused
+	}
 	t.held = t.held.Min(want) // the surplus is returned to the home domain
 	t.seq++
 	t.sentAt = now
@@ -234,8 +259,8 @@
 		t.refund = Amount{}
 	}
 	t.reportedSpent = t.spent
-	d := Demand{Tenancy: t.tenancy, Incarnation: incarnation, Seq: t.seq, Applied: t.appliedSeq, Spent: t.spent, Refund: t.refund, Held: t.held, Want: want, Need: t.need}
-	t.attempted, t.need, t.refund = Amount{}, Amount{}, Amount{}
+	d := Demand{Key: t.key, Incarnation: cfg.Incarnation, Seq: t.seq, Applied: t.appliedSeq, Spent: t.spent, Refund: t.refund, Held: t.held, Want: want, Need: t.need}
+	t.attempted, t.refused, t.need, t.refund = Amount{}, Amount{}, Amount{}, Amount{}
 	return d
 }
 
@@ -247,7 +272,7 @@
 // ApplyShare applies the answer to the newest demand. An answer to an older demand is ignored,
 // because the home domain takes back grants that the next demand does not confirm.
 func (h *Limiter) ApplyShare(now time.Time, s Share) {
-	t := h.tenancies[s.Tenancy]
+	t := h.quotas[s.Key]
 	if t == nil || s.Seq != t.seq || t.appliedSeq == s.Seq {
 		return
 	}
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -52,13 +52,15 @@
 	amount Amount
 }
 
-// maxWindowSum returns the largest sum of the reservations in any window. They must be sorted
-// by time.
-func maxWindowSum(reservations []acceptedReservation) Amount {
+// maxWindowSum returns the largest sum of the reservations in any Window.
+func maxWindowSum(reservations []acceptedReservation) Amount { return maxSumIn(Window, reservations) }
+
+// maxSumIn returns the largest sum of the reservations in any window of a length. They must be sorted by time.
+func maxSumIn(window time.Duration, reservations []acceptedReservation) Amount {
 	var sum, largest Amount
 	first := 0
 	for _, r := range reservations {
-		for !reservations[first].at.After(r.at.Add(-Window)) {
+		for !reservations[first].at.After(r.at.Add(-window)) {
 			sum = sum.Sub(reservations[first].amount)
 			first++
 		}
@@ -80,6 +82,7 @@
 type cluster struct {
 	now       time.Time
 	quota     Amount
+	window    time.Duration
 	home      *Allocator
 	hosts     []*Limiter
 	inFlight  []networkMessage
@@ -91,7 +94,7 @@
 }
 
 func newCluster(hosts int, quota Amount, cutOffShare float64) *cluster {
-	c := &cluster{now: start, quota: quota, unsettled: map[string]int{}, hostOfID: map[string]int{}}
+	c := &cluster{now: start, quota: quota, window: Window, unsettled: map[string]int{}, hostOfID: map[string]int{}}
 	c.home = NewAllocator(AllocatorConfig{Quotas: map[string]Amount{tenancy: quota}, CutOffShare: cutOffShare, Domains: 1})
 	for range hosts {
 		c.hosts = append(c.hosts, NewLimiter(LimiterConfig{Incarnation: 1,
@@ -128,7 +131,7 @@
 		c.hosts[m.host].ApplyShare(c.now, m.share)
 		return
 	}
-	if a := c.home.tenancies[tenancy]; a != nil {
+	if a := c.home.quotas[tenancy]; a != nil {
 		switch c.fault {
 		case forgetWindow:
 			a.Window = slidingWindow{}
@@ -151,7 +154,7 @@
 			for range rapid.IntRange(1, 8).Draw(t, "n") {
 				_, _ = c.reserve(h, rapid.Int64Range(1, 40).Draw(t, "tokens"))
 			}
-			if largest := maxWindowSum(c.accepted); !c.quota.Covers(largest) {
+			if largest := maxSumIn(c.window, c.accepted); !c.quota.Covers(largest) {
 				t.Fatalf("reservations of %+v in one window exceed the quota of %+v", largest, c.quota)
 			}
 		},
@@ -197,7 +200,7 @@
 			cfg := c.hosts[h].cfg
 			cfg.Incarnation++
 			// The previous process may have spent the cut-off share just before.
-			cfg.CutOffNotBefore = c.now.Add(Window)
+			cfg.CutOffNotBefore = c.now.Add(c.window)
 			if c.fault == refillCutOff {
 				cfg.CutOffNotBefore = time.Time{}
 			}
@@ -240,6 +243,22 @@
 	})
 }
 
+// Guards against reservations beyond a quota whose window is shorter than a minute, and with demands only for what was
+// refused.
+func TestQuotaOfSecondsHoldsInEveryWindow(t *testing.T) {
+	const window = 2 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.IntRange(1, 3).Draw(t, "hosts"), Amount{4, 200}, 0)
+		c.home = NewAllocator(AllocatorConfig{Quotas: map[string]Amount{tenancy: c.quota}, Domains: 1, Window: window, LeaseTTL: 200 * time.Millisecond,
+			DriftMargin: time.Millisecond})
+		for i := range c.hosts {
+			c.hosts[i] = NewLimiter(LimiterConfig{Incarnation: 1, OnDemand: true, MinRetryAfter: time.Millisecond})
+		}
+		c.window = window
+		t.Repeat(c.actions(t))
+	})
+}
+
 // findsFault reports whether the state machine test detects a fault.
 func findsFault(t *testing.T, f fault) bool {
 	return faultcheck.FailureMessage(t, func(t *rapid.T) {
@@ -309,7 +328,7 @@
 		c.now = c.now.Add(defaultDemandInterval)
 		c.exchangeDemand(t)
 		if injected == applyOldShares {
-			old.Seq = c.hosts[0].tenancyState(tenancy).seq
+			old.Seq = c.hosts[0].quotaState(tenancy).seq
 		}
 		c.hosts[0].ApplyShare(c.now, old)
 		_, _ = c.reserve(0, 200)
@@ -479,7 +498,7 @@
 	}
 	b.Run("leased", func(b *testing.B) {
 		h := NewLimiter(LimiterConfig{})
-		a := h.tenancyState(tenancy)
+		a := h.quotaState(tenancy)
 		a.held, a.expires = Amount{1 << 60, 1 << 60}, start.Add(time.Hour)
 		b.ReportAllocs()
 		for i := 0; b.Loop(); i++ {
--- a/limits/types.go
+++ b/limits/types.go
@@ -39,10 +39,9 @@
 	return Amount{int64(float64(a.Requests) * factor), int64(float64(a.Tokens) * factor)}
 }
 
-// Demand reports a host's spending to the home domain of a tenancy and requests a share of the
-// quota.
+// Demand reports a host's spending to the allocator of a quota and requests a share of the quota.
 type Demand struct {
-	Tenancy     string
+	Key         string `cbor:"Tenancy"` // names the quota
 	Incarnation uint64 // of the host's process
 	Seq         uint64 // increases with every demand of the incarnation
 	Applied     uint64 // Seq of the last share that the host applied
@@ -56,28 +55,28 @@
 // Share is the answer to a demand. It renews the host's lease until TTL after the demand was
 // sent. Held replaces the amount that the host held when it sent the demand.
 type Share struct {
-	Tenancy string
-	Seq     uint64 // Seq of the demand
-	Held    Amount // held by the host after its report and the grant
-	TTL     time.Duration
-	Quota   Amount
+	Key   string `cbor:"Tenancy"` // names the quota
+	Seq   uint64 // Seq of the demand
+	Held  Amount // held by the host after its report and the grant
+	TTL   time.Duration
+	Quota Amount
 	// RetryAfter is the time until more can be granted. It is set only if less than Want was
 	// granted.
 	RetryAfter time.Duration
 }
 
-// Exceeded is the error of a reservation that exceeds the quota. Limit is the quota per minute,
+// Exceeded is the error of a reservation that exceeds the quota. Limit is the quota per window,
 // Remaining the amount that this host may still reserve; both are sent in rate-limit headers.
 type Exceeded struct {
-	Tenancy   string
+	Key       string // names the quota
 	Limit     Amount
 	Remaining Amount
 	After     time.Duration
 }
 
 func (e *Exceeded) Error() string {
-	return fmt.Sprintf("quota of tenancy %q exceeded: %d requests and %d tokens a minute, %d and %d remaining here, retry after %s",
-		e.Tenancy, e.Limit.Requests, e.Limit.Tokens, e.Remaining.Requests, e.Remaining.Tokens, e.After)
+	return fmt.Sprintf("quota %q exceeded: %d requests and %d tokens in a window, %d and %d remaining here, retry after %s",
+		e.Key, e.Limit.Requests, e.Limit.Tokens, e.Remaining.Requests, e.Remaining.Tokens, e.After)
 }
 
 // FailureCode implements errs.Failure.
--- a/limits/window.go
+++ b/limits/window.go
@@ -2,32 +2,45 @@
 
 import "time"
 
-// Window is the length of the sliding window over which quotas, which are per minute, apply.
+// Window is the length of the sliding window of quotas per minute.
 const Window = time.Minute
 
-// bucketLength is the resolution of the sliding window. A bucket leaves the window when its
+// bucketsPerWindow is the resolution of a sliding window. A bucket leaves the window when its
 // newest possible entry does, so the resolution costs up to 1/60 of utilization but never admits
 // more than the quota.
-const bucketLength = time.Second
+const bucketsPerWindow = 60
 
-// bucket holds the amount spent in one interval of bucketLength. The fields are exported for
-// encoding.
+// bucket holds the amount spent in one interval of slidingWindow.bucketLength. The fields are exported
+// for encoding.
 type bucket struct {
-	Index int64 // Unix time divided by bucketLength
+	Index int64 // Unix time divided by the length of a bucket
 	Spent Amount
 }
 
-// slidingWindow sums the amounts spent in the last Window. The fields are exported for encoding.
+// slidingWindow sums the amounts spent in the last interval of its length. The exported fields are encoded.
 type slidingWindow struct {
 	Buckets []bucket
 	Sum     Amount
+	length  time.Duration // 0 means Window
 }
 
-func bucketIndex(now time.Time) int64 { return now.UnixNano() / int64(bucketLength) }
+// span returns the length of the window.
+func (w *slidingWindow) span() time.Duration {
+	if w.length > 0 {
+		return w.length
+	}
+	return Window
+}
+
+func (w *slidingWindow) bucketLength() time.Duration { return max(w.span()/bucketsPerWindow, 1) }
+
+func (w *slidingWindow) bucketIndex(now time.Time) int64 {
+	return now.UnixNano() / int64(w.bucketLength())
+}
 
 // expire removes the buckets that lie entirely before the window.
 func (w *slidingWindow) expire(now time.Time) {
-	first := bucketIndex(now.Add(-Window))
+	first := w.bucketIndex(now.Add(-w.span()))
 	expired := 0
 	for expired < len(w.Buckets) && w.Buckets[expired].Index < first {
 		w.Sum = w.Sum.Sub(w.Buckets[expired].Spent)
@@ -42,7 +55,7 @@
 // charged.
 func (w *slidingWindow) add(now time.Time, a Amount) {
 	w.expire(now)
-	index := bucketIndex(now)
+	index := w.bucketIndex(now)
 	if n := len(w.Buckets); n > 0 && w.Buckets[n-1].Index >= index {
 		w.Buckets[n-1].Spent = w.Buckets[n-1].Spent.Add(a)
 	} else {
@@ -65,16 +78,16 @@
 	return reverted
 }
 
-// timeUntilFree returns the time until at least need has left the window. It returns Window if
-// the window holds less.
+// timeUntilFree returns the time until at least need has left the window. It returns the length of the
+// window if it holds less.
 func (w *slidingWindow) timeUntilFree(now time.Time, need Amount) time.Duration {
 	var freed Amount
 	for _, b := range w.Buckets {
 		freed = freed.Add(b.Spent)
 		if freed.Covers(need) {
-			end := time.Unix(0, (b.Index+1)*int64(bucketLength)).Add(Window)
-			return max(bucketLength, end.Sub(now))
+			end := time.Unix(0, (b.Index+1)*int64(w.bucketLength())).Add(w.span())
+			return max(w.bucketLength(), end.Sub(now))
 		}
 	}
-	return Window
+	return w.span()
 }
