ratelimit, forward: requests to a target stay within the limit that it states, over all hosts

What callers saw: all were answered; the target in need got up to 15 times what it takes.

Cause: nothing used the limit that a target states (H1). The class: a figure that holds for all hosts together, and that each host would have to count alone (H2): with 21 to 250 hosts and 1 to 16 requests a second, a part for each host is less than one request.

Change: the leader of the state group grants requests to targets with a limit, on demand, with the allocator of package limits (leases of 0.2 s, quotas of two seconds). A host asks it before it sends: requests, streams, retries, scoring calls; requests that arrive meanwhile share the next demand. Only the holder of the leader lease grants; a new leader counts the quota as spent until what its predecessor granted is out of the window. Hosts tell the leader of limits and of their ends, and learn of them with the events of their watches (H3). Before it is sent, an attempt is checked again: chosen before the limit was known or admitted too long ago, it goes elsewhere (H4). A target that is at its limit is left out of the choice, hedges leave targets with limits alone, and one request in eight prefers such a target, so that the end of its limit is seen. When all targets are at their limits the caller is refused at once as not run; callers return one after the other, at the rate that the limits leave.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,9 @@
 	// a target without an open connection, both as a fraction of the latency.
 	crossDomainCost   = 0.05
 	newConnectionCost = 0.15
+	// limitedCost is the cost of a target that states a limit, as a fraction of the latency: the host may have to ask
+	// for the request first.
+	limitedCost = 0.15
 	// crossDomainRetryCost replaces crossDomainCost for a request that has already tried a target in
 	// another failure domain, because a network partition may separate the own domain from the others.
 	crossDomainRetryCost = 1.0
@@ -91,6 +94,11 @@
 	fleet.Target
 	// Connected is true if a connection to the target is open.
 	Connected bool
+	// Limited is true if the target states a limit of requests a second.
+	Limited bool
+	// Preferred is true if the request shall go to this target unless it is in backoff, to learn whether its limit
+	// holds on.
+	Preferred bool
 }
 
 // Pick returns the candidate with the lowest expected latency that is not in tried. Targets in backoff
@@ -133,7 +141,7 @@
 	return crossDomainCost
 }
 
-// backoffPenalty ranks targets in backoff below all others.
+// backoffPenalty ranks targets in backoff below all others, and preferred targets above.
 const backoffPenalty = 1e6
 
 // score returns the expected latency in seconds, adjusted by costs and penalties; lower is better.
@@ -150,6 +158,9 @@
 	if !c.Connected {
 		factor += newConnectionCost
 	}
+	if c.Limited {
+		factor += limitedCost
+	}
 	slots := max(c.Slots, 1)
 	load := float64(s.inflight)
 	if age := now.Sub(s.loadReportedAt); age < maxLoadAge && s.load.Slots > 0 {
@@ -162,6 +173,8 @@
 	}
 	if now.Before(s.backoffUntil) {
 		score += backoffPenalty + s.backoffUntil.Sub(now).Seconds()
+	} else if c.Preferred {
+		score -= backoffPenalty
 	}
 	return score
 }
@@ -169,6 +182,9 @@
 // Started records that a request is being sent to a target.
 func (b *Balancer) Started(id string) { b.statsFor(id).inflight++ }
 
+// Withdrawn records that a request that was recorded with Started has not been sent.
+func (b *Balancer) Withdrawn(id string) { b.statsFor(id).inflight-- }
+
 // RecordLoad records the load that a target reported.
 func (b *Balancer) RecordLoad(now time.Time, id string, l LoadReport) {
 	s := b.statsFor(id)
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -105,6 +105,23 @@
 	return rec.RateLimit, true
 }
 
+// Statement returns the newest statement of a target, also that it states no limit any more. ok is false if there is
+// none.
+func (s *RateLimits) Statement(now time.Time, target string) (l RateLimit, ok bool) {
+	rec := s.records[target]
+	if rec == nil {
+		return RateLimit{}, false
+	}
+	return rec.statement(now), true
+}
+
+// statement returns the statement of the record with its present age.
+func (r *rateRecord) statement(now time.Time) RateLimit {
+	l := r.RateLimit
+	l.Age = max(now.Sub(r.statedAt), 0)
+	return l
+}
+
 // Count returns the number of targets that state a limit.
 func (s *RateLimits) Count() int {
 	n := 0
@@ -125,9 +142,7 @@
 	var list []RateLimit
 	for _, rec := range s.records {
 		if rec.revision > revision {
-			l := rec.RateLimit
-			l.Age = max(now.Sub(rec.statedAt), 0)
-			list = append(list, l)
+			list = append(list, rec.statement(now))
 		}
 	}
 	slices.SortFunc(list, func(a, b RateLimit) int { return strings.Compare(a.Target, b.Target) })
--- a/internal/clusterview/ratelimits.go
+++ b/internal/clusterview/ratelimits.go
@@ -51,6 +51,14 @@
 	return v.rateLimits.Get(target, incarnation)
 }
 
+// Statement returns the newest statement of a target about its limit, also that it states none any more. ok is false
+// if there is no statement.
+func (v *View) Statement(target string) (l fleet.RateLimit, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.rateLimits.Statement(bootclock.Now(), target)
+}
+
 // CountRateLimits returns the number of targets that state a limit.
 func (v *View) CountRateLimits() int {
 	v.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/rolehost"
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/settings"
@@ -91,7 +92,8 @@
 	e.pool = rolehost.NewClientPool(s, s.IP, o.Log, o.Tracing)
 	peer := func(host string) (rpc.PeerClient, error) { return e.pool.Peer(clusterview.ReplicaIP(host)) }
 	e.stateClient = stateclient.New(e.view, s.IP, nil, peer)
-	e.forwarder = forward.New(o.Headers, e.view, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
+	limiter := ratelimit.New(e.view, ratelimit.Leader{Call: e.stateClient.DemandShare}, o.Log, o.Metrics)
+	e.forwarder = forward.New(o.Headers, e.view, limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
 	services := []struct {
 		name    string
@@ -102,6 +104,7 @@
 		{"trace", o.Tracing},
 		{"gctuner", gctuner.New(o.Log)},
 		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
+		{"limits", limiter},
 		{"forwarder", e.forwarder},
 		{"notices", notice.NewReporter(e.view, e.stateClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"http", httpService{e}},
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -14,6 +14,8 @@
 	at        time.Time     // when the target was chosen
 	reportAge time.Duration // age of the report of the target that this host had then
 	limit     float64       // requests a second that the target states, as known then; 0 if it states no limit
+	// admittedAt is when the attempt was admitted at a target with a limit; zero if it was not.
+	admittedAt time.Time
 }
 
 // newChoice returns the choice of a candidate at the present time. limit is the limit that the target states.
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -9,7 +9,6 @@
 
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
-	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/routes"
 )
 
@@ -23,7 +22,7 @@
 		log := slog.New(slog.NewJSONHandler(&out, nil))
 		view := clusterview.NewView(log, nil)
 		view.Merge(&clusterview.Event{From: clusterview.StoreHost{ReplicaID: "store-1"}, Targets: []fleet.Target{target}})
-		f := New(headers, view, "d", log, observe.NewMetrics(), observe.NewNoopTracing())
+		f := newTestForwarder(view, log)
 		_, _, _ = exchange(t, f, newRoute(routes.Unsafe, 2))
 		line := lastLine(t, &out, name)
 		age, _ := line["report_age_ms"].(float64)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -28,6 +28,7 @@
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/shutdown"
 	"fuchsiaflow/routes"
 )
@@ -60,7 +61,9 @@
 	// retryAfterFull is the Retry-After value if all targets are full, or no attempt could be made in
 	// time.
 	retryAfterFull = 50 * time.Millisecond
-	sweepInterval  = time.Second
+	// returnShare is the part of the time left to a refused caller within which it returns.
+	returnShare   = 1.0 / 3
+	sweepInterval = time.Second
 	// warmupPeriod is the time after the start of a host in which it may not know all targets yet.
 	// Each target announces itself about every second.
 	warmupPeriod = 3 * time.Second
@@ -80,15 +83,17 @@
 	started time.Time
 	// shutdown is the stop of the host.
 	shutdown *shutdown.Shutdown
+	// limiter admits the requests to targets that state a limit.
+	limiter *ratelimit.Limiter
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
 }
 
 // New returns a forwarder for a host in the failure domain.
-func New(h dialect.Headers, view *clusterview.View, failureDomain string, log *slog.Logger, m *observe.Metrics, tracing *observe.Tracing) *Forwarder {
+func New(h dialect.Headers, view *clusterview.View, limiter *ratelimit.Limiter, failureDomain string, log *slog.Logger, m *observe.Metrics, tracing *observe.Tracing) *Forwarder {
 	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(failureDomain),
-		tracing: tracing, started: bootclock.Now(), shutdown: shutdown.New()}
+		limiter: limiter, tracing: tracing, started: bootclock.Now(), shutdown: shutdown.New()}
 	f.metrics = newMetrics(m, f.pool)
 	return f
 }
@@ -134,6 +139,8 @@
 	possibleRuns  int           // attempts that may have run the request
 	sawRejection  bool          // a target in tried rejected the request without running it
 	retryWait     time.Duration // time until a target that failed may be tried again
+	limitWait     time.Duration // time until a target that the last choice left out for its limit may be tried again
+	unadmitted    []string      // targets that have not admitted this request
 	attempts      int           // attempts started
 	serverErrors  int           // answers with status 500
 }
@@ -184,12 +191,72 @@
 	return c.roundTrip(ctx)
 }
 
-// pickTarget selects a target that is not in tried and reports the start of an attempt to the balancer.
-func (c *call) pickTarget() (choice, bool) {
+// pickTarget selects a target that is not in tried and reports the start of an attempt to the balancer. A target that
+// states a limit must admit the attempt.
+func (c *call) pickTarget(ctx context.Context) (choice, bool) {
+	for {
+		cand, ok := c.chooseFrom(c.candidates())
+		if !ok || !cand.Limited || c.admitted(ctx, &cand) {
+			return cand, ok
+		}
+	}
+}
+
+// pickForHedge selects a target for a second attempt beside one in progress. Targets that state a limit are left to
+// requests that need them.
+func (c *call) pickForHedge() (choice, bool) {
+	unlimited := slices.DeleteFunc(c.candidates(), func(cand balance.Candidate) bool { return cand.Limited })
+	return c.chooseFrom(unlimited)
+}
+
+// candidates returns the targets that may be selected, without those that are known to have reached their limits, and
+// sets limitWait.
+func (c *call) candidates() []balance.Candidate {
 	var list []balance.Candidate
+	c.limitWait = 0
 	for _, t := range c.forwarder.view.Serving(c.service) {
-		list = append(list, balance.Candidate{Target: t, Connected: c.forwarder.pool.HasIdle(t.Address)})
+		wait, limited := c.forwarder.limiter.RefusedFor(t.ID, t.Incarnation)
+		if limited && slices.Contains(c.unadmitted, t.ID) {
+			wait = max(wait, ratelimit.MinAskInterval)
+		}
+		if wait > 0 {
+			if c.limitWait == 0 || wait < c.limitWait {
+				c.limitWait = wait
+			}
+			continue
+		}
+		list = append(list, balance.Candidate{Target: t, Connected: c.forwarder.pool.HasIdle(t.Address), Limited: limited,
+			Preferred: limited && c.checksLimit(t.ID)})
+	}
+	return list
+}
+
+// limitCheckEvery is the mean number of requests between two that prefer a target with a limit. Its answer tells
+// whether the limit holds on, also while others take all requests.
+const limitCheckEvery = 8
+
+// checksLimit reports whether this request prefers a target if it states a limit.
+func (c *call) checksLimit(target string) bool {
+	return c.attempts == 0 && hashString(c.id+"/"+target)%limitCheckEvery == 0
+}
+
+// admitted asks for an attempt at a target with a limit. If the target has no room, the choice is withdrawn.
+func (c *call) admitted(ctx context.Context, cand *choice) bool {
+	err := c.forwarder.limiter.Acquire(ctx, cand.ID, cand.Incarnation)
+	if err == nil {
+		cand.admittedAt = bootclock.Now()
+		return true
 	}
+	c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == cand.ID })
+	c.unadmitted = append(c.unadmitted, cand.ID)
+	c.forwarder.mu.Lock()
+	defer c.forwarder.mu.Unlock()
+	c.forwarder.balancer.Withdrawn(cand.ID)
+	return false
+}
+
+// chooseFrom selects a candidate that is not in tried and reports the start of an attempt to the balancer.
+func (c *call) chooseFrom(list []balance.Candidate) (choice, bool) {
 	c.forwarder.mu.Lock()
 	defer c.forwarder.mu.Unlock()
 	cand, wait, ok := c.forwarder.balancer.Pick(bootclock.Now(), list, c.tried)
@@ -211,9 +278,9 @@
 	}
 	for {
 		changed := c.forwarder.view.Changed()
-		cand, ok := c.pickTarget()
+		cand, ok := c.pickTarget(ctx)
 		remaining := until.Sub(bootclock.Now())
-		if ok || c.retryWait > 0 || remaining <= 0 {
+		if ok || c.retryWait > 0 || c.limitWait > 0 || remaining <= 0 {
 			return cand, ok
 		}
 		select {
@@ -266,12 +333,22 @@
 		Body: c.body.reader(), ContentLength: c.body.length, BeforeSend: func() error { return c.forwarder.checkAccepts(cand) }}
 }
 
-// checkAccepts returns errs.Unavailable if the target has announced its departure.
+// maxAdmissionAge is the time within which an admitted request must be sent. It exceeds the time of a dial.
+const maxAdmissionAge = 400 * time.Millisecond
+
+// checkAccepts returns errs.Unavailable if the target has announced its departure, or has a limit and has not admitted
+// the request, or not lately.
 func (f *Forwarder) checkAccepts(cand choice) error {
-	if f.view.Accepts(cand.ID, cand.Incarnation) {
+	reason := ""
+	if !f.view.Accepts(cand.ID, cand.Incarnation) {
+		reason = "it leaves"
+	} else if _, limited := f.view.RateLimit(cand.ID, cand.Incarnation); limited && bootclock.Now().Sub(cand.admittedAt) > maxAdmissionAge {
+		reason = "it states a limit and has not admitted the request"
+	}
+	if reason == "" {
 		return nil
 	}
-	return &errs.Unavailable{Resource: "target " + cand.ID, Reason: "it leaves", Outcome: errs.NotRun}
+	return &errs.Unavailable{Resource: "target " + cand.ID, Reason: reason, Outcome: errs.NotRun}
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -325,6 +402,9 @@
 	switch {
 	case c.possibleRuns > 0:
 		c.fail(http.StatusBadGateway, "no usable answer from a target")
+	case c.limitWait > 0:
+		patience := time.Duration(returnShare * float64(c.deadline.Sub(bootclock.Now())))
+		c.refuse(c.forwarder.limiter.RetryAfter(c.service, c.forwarder.view.Serving(c.service), patience), "all targets are at their limits")
 	case c.retryWait > 0:
 		c.refuse(c.retryWait, "all targets have failed")
 	case c.attempts == 0:
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,16 +12,18 @@
 	"time"
 
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/fakes"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/routes"
 )
 
 var headers = dialect.Headers{RequestID: "Id", Deadline: "Deadline-Ms", ExpectedInstance: "Expect-Instance", Instance: "Instance", ServerStamp: "Stamp",
 	NotRun: "Not-Run", Load: "Load", WeightVersion: "Versions", LastEventID: "Last-Event-Id", RetryAfter: "Retry-After",
-	Leaving: []string{"Leaving"}}
+	Leaving: []string{"Leaving"}, RateLimit: []string{"Limit"}}
 
 // targetBehavior handles a request at a test target. It calls run if the request runs.
 type targetBehavior func(w http.ResponseWriter, r *http.Request, run func())
@@ -69,7 +71,20 @@
 		t.Cleanup(s.Close)
 		view.UpdateTarget(fleet.Target{ID: string(rune('a' + i)), Service: "s", Address: s.Listener.Addr().String(), Domain: "d", State: fleet.Ready, Slots: 6, Sequence: 1})
 	}
-	return New(headers, view, "d", log, observe.NewMetrics(), observe.NewNoopTracing()), runs
+	return newTestForwarder(view, log), runs
+}
+
+// newTestForwarder returns a forwarder whose requests to targets with limits are granted by an allocator in the process.
+func newTestForwarder(view *clusterview.View, log *slog.Logger) *Forwarder {
+	m, allocator := observe.NewMetrics(), ratelimit.NewAllocator()
+	grant := func(d ratelimit.Demand) (ratelimit.Grant, error) {
+		if d.Limit == nil {
+			return ratelimit.Grant{}, nil
+		}
+		return allocator.Lease(bootclock.Now(), ratelimit.Leadership{}, "host", d.Limit, d.Share)
+	}
+	limiter := ratelimit.New(view, ratelimit.Leader{Call: func(_ context.Context, d ratelimit.Demand) (ratelimit.Grant, error) { return grant(d) }}, log, m)
+	return New(headers, view, limiter, "d", log, m, observe.NewNoopTracing())
 }
 
 func newRoute(kind routes.Kind, attempts int) *routes.Route {
--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -15,7 +15,6 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/httpconn"
-	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/routes"
 )
 
@@ -162,7 +161,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		c.tried = c.tried[:0]
-		c.pickTarget()
+		c.pickTarget(context.Background())
 	}
 }
 
@@ -173,5 +172,5 @@
 	for i := range n {
 		view.UpdateTarget(fleet.Target{ID: fmt.Sprint("t", i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: "d", State: fleet.Ready, Slots: 6, Sequence: 1})
 	}
-	return New(headers, view, "d", log, observe.NewMetrics(), observe.NewNoopTracing())
+	return newTestForwarder(view, log)
 }
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -106,7 +106,7 @@
 		}()
 	}
 	sendToNext := func() bool {
-		cand, ok := c.pickTarget()
+		cand, ok := c.pickTarget(ctx)
 		if ok {
 			send(cand)
 		}
@@ -130,7 +130,9 @@
 			return c.failTimeout()
 		case <-hedgeTimer.C:
 			if pending > 0 && c.retryable() {
-				sendToNext()
+				if cand, ok := c.pickForHedge(); ok {
+					send(cand)
+				}
 			}
 			continue
 		case res := <-results:
@@ -207,7 +209,7 @@
 	switch {
 	case err == nil && res.kind == resultAnswered:
 		outcome = balance.OK
-	case err == nil && res.kind == resultNotRun && resp.StatusCode != http.StatusMisdirectedRequest:
+	case err == nil && res.kind == resultNotRun && resp.StatusCode != http.StatusMisdirectedRequest, wasWithheld(err):
 		outcome = balance.Shed
 	case ctx.Err() != nil && c.deadline.After(bootclock.Now()):
 		outcome = balance.Cancelled
@@ -219,6 +221,12 @@
 	return res
 }
 
+// wasWithheld reports whether an attempt failed because this host did not send the request on the open connection.
+func wasWithheld(err error) bool {
+	var failure *httpconn.RequestError
+	return errors.As(err, &failure) && failure.Phase == httpconn.PhaseOpen
+}
+
 // logFailedAttempt logs an attempt that did not succeed.
 func (c *call) logFailedAttempt(res *attemptResult, cand choice, took time.Duration) {
 	args := []any{"request", c.id, "address", cand.Address, "warm", cand.Connected, "took_ms", took.Milliseconds(), "not_run", res.kind == resultNotRun}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,9 +42,9 @@
 	pick := func() (choice, bool) { return c.pickFirstTarget(ctx) }
 	for {
 		cand, ok := pick()
-		pick = c.pickTarget
+		pick = func() (choice, bool) { return c.pickTarget(ctx) }
 		if !ok && c.possibleRuns == 0 && c.attempts > 0 && c.waitForCapacity(ctx) {
-			cand, ok = c.pickTarget()
+			cand, ok = c.pickTarget(ctx)
 		}
 		if !ok {
 			return s.failStream(ctx)
@@ -86,7 +86,11 @@
 		if errs.OutcomeOf(err) != errs.NotRun {
 			s.possibleRuns++
 		}
-		s.finishAttempt(cand, balance.Failed, begin, err)
+		outcome := balance.Failed
+		if wasWithheld(err) {
+			outcome = balance.Shed
+		}
+		s.finishAttempt(cand, outcome, begin, err)
 		return false, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -57,10 +57,13 @@
 	BeforeSend func() error
 }
 
+// PhaseOpen is the phase of a RequestError in which Request.BeforeSend withheld the request.
+const PhaseOpen = "open"
+
 // RequestError reports a request without a usable response.
 type RequestError struct {
 	Address string
-	Phase   string // dial, open, send, head or body
+	Phase   string // dial, PhaseOpen, send, head or body
 	Cause   string
 	// Sent reports whether any part of the request may have reached the target.
 	Sent bool
@@ -293,7 +296,7 @@
 	if req.BeforeSend != nil {
 		if err := req.BeforeSend(); err != nil {
 			_ = c.Close()
-			return nil, &RequestError{Address: addr, Phase: "open", Cause: shortCause(err), Reused: c.reused}
+			return nil, &RequestError{Address: addr, Phase: PhaseOpen, Cause: shortCause(err), Reused: c.reused}
 		}
 	}
 	// A deadline in the past unblocks pending reads and writes.
--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -13,12 +13,14 @@
 	"time"
 
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/routes"
@@ -26,7 +28,7 @@
 )
 
 var clusterHeaders = dialect.Headers{RequestID: "Id", Deadline: "Deadline-Ms", ExpectedInstance: "Expect-Instance", NotRun: "Not-Run", WeightVersion: "Versions",
-	WeightVersionField: "versions", LastEventID: "Last-Event-Id", ServerStamp: "Stamp", RetryAfter: "Retry-After", Load: "Load", Leaving: []string{"Leaving"}}
+	WeightVersionField: "versions", LastEventID: "Last-Event-Id", ServerStamp: "Stamp", RetryAfter: "Retry-After", Load: "Load", Leaving: []string{"Leaving"}, RateLimit: []string{"Limit"}}
 
 // testCluster is a group of one replica with an engine and a scoring target. crash replaces the runner
 // by a new one with the committed state, as after an election.
@@ -127,8 +129,17 @@
 func (c *testCluster) startRunner() {
 	log := slog.New(slog.DiscardHandler)
 	c.kernel = kernel.New(log)
-	f := forward.New(clusterHeaders, c.view, "d", log, observe.NewMetrics(), observe.NewNoopTracing())
-	c.runner = New(Options{Group: c.group, StateMachine: c.stateMachine, View: c.view, EngineClient: noOrders{}, Headers: clusterHeaders, Forwarder: f, Holder: "h",
+	allocator := ratelimit.NewAllocator()
+	grant := func(d ratelimit.Demand) (ratelimit.Grant, error) {
+		if d.Limit == nil {
+			return ratelimit.Grant{}, nil
+		}
+		return allocator.Lease(bootclock.Now(), ratelimit.Leadership{}, "h", d.Limit, d.Share)
+	}
+	leader := ratelimit.Leader{Local: grant, Call: func(_ context.Context, d ratelimit.Demand) (ratelimit.Grant, error) { return grant(d) }}
+	limiter := ratelimit.New(c.view, leader, log, observe.NewMetrics())
+	f := forward.New(clusterHeaders, c.view, limiter, "d", log, observe.NewMetrics(), observe.NewNoopTracing())
+	c.runner = New(Options{Group: c.group, StateMachine: c.stateMachine, View: c.view, EngineClient: noOrders{}, Headers: clusterHeaders, Forwarder: f, Limiter: limiter, Holder: "h",
 		KeepResults: time.Minute, Log: log, Metrics: observe.NewMetrics(), Tracing: observe.NewNoopTracing()})
 	if err := c.kernel.Register("runner", c.runner); err != nil {
 		c.t.Fatal(err)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,6 +19,7 @@
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/schedule"
 )
@@ -55,6 +56,8 @@
 	Headers      dialect.Headers
 	// Forwarder sends the scoring calls.
 	Forwarder *forward.Forwarder
+	// Limiter admits runs and orders at engines that state a limit.
+	Limiter *ratelimit.Limiter
 	// Holder is the ID of this replica, sent with each order as the holder of the fencing token.
 	Holder string
 	// OrderWait is how long a new leader waits before its first order, so that orders of an earlier
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -11,6 +11,7 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/leader"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
@@ -29,6 +30,7 @@
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	Read(ctx context.Context, query []byte) ([]byte, error)
 	Present(ctx context.Context, s clusterview.StoreHost) error
+	DemandShare(d ratelimit.Demand) (ratelimit.Grant, error)
 }
 
 // Client calls the leader of the state group.
@@ -205,6 +207,30 @@
 	return a.Emptied, err
 }
 
+// DemandShare tells the leader of limits, and asks it for a share of one of them.
+func (c *Client) DemandShare(ctx context.Context, d ratelimit.Demand) (ratelimit.Grant, error) {
+	data := clusterview.Encode(d)
+	out, err := c.requests.Do(ctx, storestate.Group, true, func(ctx context.Context, host string) ([]byte, error) {
+		if c.isLocal(host) {
+			g, err := c.local.DemandShare(d)
+			return clusterview.Encode(g), err
+		}
+		peer, err := c.peerClient(host)
+		if err != nil {
+			return nil, err
+		}
+		reply, err := peer.DemandShare(ctx, &rpc.DemandShareRequest{Demand: data})
+		if err != nil {
+			return nil, err
+		}
+		return reply.Grant, nil
+	})
+	if err != nil {
+		return ratelimit.Grant{}, err
+	}
+	return clusterview.Decode[ratelimit.Grant]("share of a limit", out)
+}
+
 // Present announces a store host to the leader of the state group.
 func (c *Client) Present(ctx context.Context, s clusterview.StoreHost) error {
 	_, err := c.announcements.Do(ctx, storestate.Group, true, func(ctx context.Context, host string) ([]byte, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,7 @@
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/rolehost"
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/runner"
@@ -77,6 +78,8 @@
 	leaderClient *stateclient.Client
 	stores       *storeRegistry
 	departures   *storedDepartures
+	rateLimits   *ratelimit.Allocator // used while this replica leads
+	limiter      *ratelimit.Limiter
 	grpc         *grpc.Server
 	control      *http.Server
 	runner       *runner.Runner
@@ -92,7 +95,8 @@
 // New opens or creates the replica in the data directory. The host takes part after Start.
 func New(o Options) (*Store, error) {
 	s := o.Settings
-	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: newStoredDepartures(), admission: newAdmission(s.MemoryBytes)}
+	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: newStoredDepartures(),
+		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes)}
 	st.view = clusterview.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
 	fs := instrumentedFS{FS: o.FS, syncSeconds: o.Metrics.Histogram("storage_sync_seconds", "Duration of a file sync of the state group, in seconds.", observe.SecondsBuckets)}
@@ -110,8 +114,9 @@
 	st.pool = rolehost.NewClientPool(s, st.replica.ID, o.Log, o.Tracing)
 	st.leaderClient = stateclient.New(st.view, s.IP, st, st.peer)
 	st.grpc = rolehost.NewGRPCServer(o.Log, o.Tracing)
-	st.forwarder = forward.New(o.Headers, st.view, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
-	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder,
+	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
+	st.forwarder = forward.New(o.Headers, st.view, st.limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
+	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder, Limiter: st.limiter,
 		Headers: o.Headers, Holder: st.replica.ID, OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
 		name    string
@@ -123,6 +128,7 @@
 		{"peer-server", peerServer{st: st}},
 		{"watch", &clusterview.Watcher{View: st.view, Self: s.IP, Domain: s.FailureDomain, Peer: st.peer, IsStoreHost: true, Log: o.Log}},
 		{"keeper", &membershipController{st: st}}, // the name is used in metrics and logs
+		{"limits", st.limiter},
 		{"forwarder", st.forwarder},
 		{"notices", notice.NewReporter(st.view, st.leaderClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"runner", st.runner},
