runner: items and orders keep to the limit of an engine

What was seen: an engine that takes 3 requests a second got 104 items, orders and reports in 4 s.

Change: a run is admitted at its start, without a message, by the leader's own allocator; an item that is not admitted waits again, and its engine gets no run until there may be room. Orders and the reports before them wait for room within their time limit, and go before items, which wait for the weights.

Ruled out: leaving orders and reports out. They reach the engine like any request, and carry the header in their answers (trial).

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -26,8 +26,13 @@
 	// fenced is set when the engine has rejected this term's fencing token, because a newer
 	// leader has sent it an order.
 	fenced bool
+	// pending is the number of orders in progress.
+	pending int
 }
 
+// isPending reports whether an order to the engine is in progress. The state may be nil.
+func (s *orderState) isPending() bool { return s != nil && s.pending > 0 }
+
 // issueOrders sends engines the orders to load weights that the scheduler asks for. A new leader
 // first waits for OrderWait, after which orders of an earlier leader can no longer arrive.
 func (r *Runner) issueOrders(now time.Time) {
@@ -45,6 +50,7 @@
 			r.sched.RecordLoadOrder(now, load, false)
 			continue
 		}
+		st.pending++
 		r.issueOrder(load, t.Address, *st)
 	}
 }
@@ -58,9 +64,10 @@
 	o := dialect.Order{Instance: load.Engine, Model: load.Model, Version: load.Version, KeepRuns: r.allowsMixedVersions(load.Model), Holder: r.opts.Holder, Fence: r.term}
 	ctx, term := r.ctx, r.term
 	accepts := func() bool { return r.opts.View.Accepts(load.Engine, st.incarnation) }
+	admit := func(ctx context.Context) error { return r.opts.Limiter.Wait(ctx, load.Engine, st.incarnation) }
 	r.kernel.Go("runner/order", func(context.Context) error {
 		weights := make(map[string]uint64)
-		answer, err := r.sendOrder(ctx, address, &o, &st, weights, accepts)
+		answer, err := r.sendOrder(ctx, address, &o, &st, weights, accepts, admit)
 		r.enqueue(term, func(now time.Time) { r.handleOrderReply(now, load, o, st, answer, weights, err) })
 		return nil
 	})
@@ -80,12 +87,15 @@
 // sendOrder sends an order. If the engine's order count is unknown, it requests a report first. It
 // checks the leader lease immediately before sending, so that two hosts never send orders at once.
 // It adds the versions that the engine reports to weights. It returns Changed without sending the order
-// if the engine is executing another order, no longer accepts work or the lease is too short; the order count is
-// then handled as unknown.
-func (r *Runner) sendOrder(ctx context.Context, address string, o *dialect.Order, st *orderState, weights map[string]uint64, accepts func() bool) (dialect.OrderResult, error) {
+// if the engine is executing another order, no longer accepts work, states a limit that leaves no room, or the lease
+// is too short; the order count is then handled as unknown. admit waits for room at the engine.
+func (r *Runner) sendOrder(ctx context.Context, address string, o *dialect.Order, st *orderState, weights map[string]uint64, accepts func() bool, admit func(context.Context) error) (dialect.OrderResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if !st.countKnown {
+		if err := admit(ctx); err != nil {
+			return dialect.OrderConflict, nil
+		}
 		report, err := r.opts.EngineClient.FetchReport(ctx, address, o.Instance)
 		if err != nil {
 			return dialect.OrderUnknown, err
@@ -102,6 +112,9 @@
 			return dialect.OrderConflict, nil
 		}
 	}
+	if err := admit(ctx); err != nil {
+		return dialect.OrderConflict, nil
+	}
 	now := bootclock.Now()
 	if until, ok := r.opts.Group.Lease(now); !ok || until.Sub(now) < minLeaseRemaining || !accepts() {
 		return dialect.OrderConflict, nil
@@ -129,6 +142,7 @@
 		st.countKnown = false
 	}
 	if current := r.orderStates[load.Engine]; current != nil && current.incarnation == st.incarnation {
+		st.pending = current.pending - 1
 		*current = st
 	}
 	for model, v := range weights {
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/schedule"
@@ -73,6 +74,11 @@
 		r.returnTask(now, a)
 		return
 	}
+	if err := r.admitRun(&t); err != nil { // logged with the share of the limit
+		r.sched.EndRun(now, key, schedule.Stopped, 0, a.Task.PinnedVersion)
+		r.sched.DelayEngine(now, a.Engine, errs.RetryAfterOf(err))
+		return
+	}
 	p := r.partialFor(j, &a.Task)
 	delete(r.partials, key.Item)
 	r.metrics.itemWaitTime.Observe(now.Sub(j.items[key.Item].waitingSince).Seconds())
@@ -96,6 +102,18 @@
 	})
 }
 
+// orderDelay is how long an engine with a limit gets no run while an order waits for it.
+const orderDelay = 100 * time.Millisecond
+
+// admitRun admits a run at an engine. It returns *ratelimit.Refused if the engine states a limit that leaves no room.
+// Orders come first, since runs wait for the weights.
+func (r *Runner) admitRun(t *fleet.Target) error {
+	if _, limited := r.opts.View.RateLimit(t.ID, t.Incarnation); limited && r.orderStates[t.ID].isPending() {
+		return &ratelimit.Refused{Target: t.ID, After: orderDelay}
+	}
+	return r.opts.Limiter.TryAcquire(t.ID, t.Incarnation)
+}
+
 // returnTask puts a task back that was assigned to an engine that takes no more work, and has the list of engines
 // updated before the next assignment.
 func (r *Runner) returnTask(now time.Time, a schedule.Assignment) {
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// DelayEngine lets an engine get no new run for a time.
+func (s *Scheduler) DelayEngine(now time.Time, id string, d time.Duration) {
+	if e := s.engines[id]; e != nil && e.backoffUntil.Before(now.Add(d)) {
+		e.backoffUntil = now.Add(d)
+	}
+}
+
 // SetEngines replaces the list of engines and reassigns models to engines. Engines missing from the
 // list start no new runs, and their current runs continue.
 func (s *Scheduler) SetEngines(list []Engine) {
