schedule: the assignment of models to engines stands in a file of its own

Change: moved as it is. Measured: the tests of the package pass. Conclusion: no change of behaviour.

--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"fuchsiaflow/fleet"
@@ -192,120 +190,6 @@
 	s.demand[service][model] = average
 }
 
-// assignModels assigns a model to each engine, in proportion to the demand. An engine changes its
-// model only for a gain of minReassignmentGain, because it must then load other weights.
-func (s *Scheduler) assignModels() {
-	byService := make(map[string][]*engine)
-	for _, e := range s.enginesByID() {
-		if e.unavailable() {
-			e.assignedModel = "" // assigned anew once the engine works again
-		}
-		if len(e.Models) > 0 && !e.draining && !e.unavailable() {
-			byService[e.Service] = append(byService[e.Service], e)
-		}
-	}
-	for service, engines := range byService {
-		s.assignServiceModels(engines, engines[0].Models, s.demand[service])
-	}
-}
-
-// minReassignmentGain is the minimum difference between the deficits of two models at which an engine
-// is reassigned. The deficit of a model is its share minus the engines assigned to it. As the minimum
-// exceeds one engine, each change reduces the imbalance, so that assignServiceModels terminates.
-const minReassignmentGain = 1.2
-
-// assignServiceModels assigns the models of one service to its engines.
-func (s *Scheduler) assignServiceModels(engines []*engine, models []string, demand map[string]float64) {
-	shares := engineShares(models, demand, len(engines))
-	assigned := make(map[string]int)
-	for _, e := range engines {
-		if e.assignedModel == "" && e.loading != nil {
-			e.assignedModel = e.loading.model // ordered by recoveryModel
-		}
-		if e.assignedModel != "" && slices.Contains(models, e.assignedModel) {
-			assigned[e.assignedModel]++
-		} else {
-			e.assignedModel = ""
-		}
-	}
-	deficit := func(m string) float64 { return shares[m] - float64(assigned[m]) }
-	largestDeficit := func() string {
-		return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(deficit(a), deficit(b)) })
-	}
-	for _, e := range engines {
-		if e.assignedModel == "" {
-			e.assignedModel = s.chooseModel(e, models, deficit, engines)
-			assigned[e.assignedModel]++
-		}
-	}
-	for {
-		to := largestDeficit()
-		from := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(deficit(a), deficit(b)) })
-		if deficit(to)-deficit(from) < minReassignmentGain || assigned[from] <= 1 {
-			return
-		}
-		i := slices.IndexFunc(engines, func(e *engine) bool { return e.assignedModel == from && e.loading == nil })
-		if i < 0 {
-			return
-		}
-		engines[i].assignedModel = to
-		assigned[from]--
-		assigned[to]++
-	}
-}
-
-// chooseModel returns the model for an engine without one. Models with a deficit above minDeficit come
-// first. Among equals it prefers the model whose weights on the engine are the fewest versions
-// behind, so that a new leader keeps the engines on the models that they serve; then the model with
-// the fewest engines in the failure domain, so that losing a domain removes only a part of each
-// model's engines; then the model with the largest deficit.
-func (s *Scheduler) chooseModel(e *engine, models []string, deficit func(string) float64, engines []*engine) string {
-	inDomain, newest := make(map[string]int), make(map[string]uint64)
-	for _, o := range engines {
-		if o.Domain == e.Domain && o.assignedModel != "" {
-			inDomain[o.assignedModel]++
-		}
-		for _, m := range models {
-			newest[m] = max(newest[m], o.versions[m])
-		}
-	}
-	underserved := func(m string) int {
-		if deficit(m) > minDeficit {
-			return 1
-		}
-		return 0
-	}
-	behind := func(m string) int { return int(newest[m] - e.versions[m]) }
-	return slices.MaxFunc(models, func(a, b string) int {
-		return cmp.Or(underserved(a)-underserved(b), behind(b)-behind(a), inDomain[b]-inDomain[a], cmp.Compare(deficit(a), deficit(b)))
-	})
-}
-
-// minDeficit is the deficit, in engines, above which a model is preferred for an engine without one.
-const minDeficit = 0.3
-
-// engineShares divides n engines among the models in proportion to their demand, but gives each model
-// at least one, so that the sum may exceed n. The division is even while the demand of any model is
-// unknown.
-func engineShares(models []string, demand map[string]float64, n int) map[string]float64 {
-	total := 0.0
-	for _, m := range models {
-		total += demand[m]
-	}
-	shares := make(map[string]float64, len(models))
-	for _, m := range models {
-		shares[m] = float64(n) / float64(len(models))
-		if total > 0 && allDemandKnown(models, demand) {
-			shares[m] = max(float64(n)*demand[m]/total, 1)
-		}
-	}
-	return shares
-}
-
-func allDemandKnown(models []string, demand map[string]float64) bool {
-	return !slices.ContainsFunc(models, func(m string) bool { return demand[m] == 0 })
-}
-
 // EngineState describes an engine for log output.
 type EngineState struct {
 	ID, Model                     string
