ratelimit: messages, returns and admission stand apart; returns stay within the patience of callers

Cause: one file held four duties; the first return on a host could be drawn beyond the time for which its caller waits, where several hosts ask. Change: limiter.go is split into limiter, returns and tell; the draw is within that time. Measured: the tests of the package and of forward pass. Conclusion: no change of what is admitted.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -21,15 +20,11 @@
 	// demandTimeout limits one demand. A request waits for it, so that it is a small part of the latency that callers
 	// expect.
 	demandTimeout = 80 * time.Millisecond
-	// tellTimeout limits the attempts to tell the leader of a changed limit.
-	tellTimeout = 2 * time.Second
 	// unansweredBackoff is how long no share of any quota is asked for after a demand without an answer.
 	unansweredBackoff = 250 * time.Millisecond
 	// MinAskInterval and maxAskInterval bound the time after a refusal in which no share of the quota is asked for.
 	MinAskInterval = 50 * time.Millisecond
 	maxAskInterval = 500 * time.Millisecond
-	// tellQueueSize is the number of changed limits that wait to be told; the oldest are dropped.
-	tellQueueSize = 256
 	// maxReservationIDs bounds the IDs that a limits.Limiter keeps. Each reservation has an ID of its own.
 	maxReservationIDs = 64
 	// pruneInterval is how often the state of limits that have ended is dropped.
@@ -118,34 +113,6 @@
 // Stop implements kernel.Service.
 func (l *Limiter) Stop(context.Context) error { return nil }
 
-// tellChanges tells the leader of changed limits that this host has seen.
-func (l *Limiter) tellChanges(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case limit := <-l.queue.C():
-			l.tell(ctx, limit)
-		}
-	}
-}
-
-func (l *Limiter) tell(ctx context.Context, limit fleet.RateLimit) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	if _, err := l.leader.Call(ctx, Demand{Limits: l.statements(limit.Target)}); err != nil {
-		l.log.Warn("limit of target not told", "target", limit.Target, "incarnation", limit.Incarnation, "rate", limit.Rate, "error", err.Error())
-	}
-}
-
-// statements returns what this host knows of the limit of a target, as the leader needs it.
-func (l *Limiter) statements(target string) []fleet.RateLimit {
-	if s, ok := l.view.Statement(target); ok {
-		return []fleet.RateLimit{s}
-	}
-	return nil
-}
-
 // prune drops the state of limits that have ended.
 func (l *Limiter) prune() {
 	l.mu.Lock()
@@ -183,7 +150,7 @@
 		return false
 	}
 	l.lastID++
-	_ = l.shares.Reserve(now, strconv.FormatUint(l.lastID, 10), k.String(), 1, 0) // covered
+	_ = l.shares.Reserve(now, strconv.FormatUint(l.lastID, 10), k.String(), oneRequest.Requests, 0) // covered
 	l.results.Inc(resultAdmitted)
 	return true
 }
@@ -216,6 +183,9 @@
 	return s.refusedUntil
 }
 
+// isRefused reports whether no share for a target is asked for now. The caller holds the lock.
+func (l *Limiter) isRefused(s *targetState) bool { return bootclock.Now().Before(l.refusedUntil(s)) }
+
 // Acquire admits one request to a target. It returns *Refused if the target states a limit that leaves no room for
 // it. It waits for the leader, for demandTimeout at most.
 func (l *Limiter) Acquire(ctx context.Context, target string, incarnation int64) error {
@@ -238,38 +208,47 @@
 	return l.refuse(k)
 }
 
-// await asks the leader for a request and waits for its answer. Requests that arrive meanwhile wait for the next
-// demand. The caller holds the lock, which is released while it waits.
+// await asks the leader for a request and waits for its answer. The caller holds the lock, which is released while it
+// waits.
 func (l *Limiter) await(ctx context.Context, k key, limit fleet.RateLimit) error {
 	s := l.state(k)
-	if bootclock.Now().Before(l.refusedUntil(s)) {
+	if l.isRefused(s) {
 		return l.refuse(k)
 	}
-	for first := true; ; first = false {
-		if first {
-			// Not covered: this records what is to be asked for.
-			_ = l.shares.Reserve(bootclock.Now(), "", k.String(), 1, 0)
-		}
-		leads := s.pending == nil
-		if leads {
+	l.recordWant(k)
+	for {
+		own := s.pending == nil
+		if own {
 			s.pending = make(chan struct{})
 			go l.ask(k, s, l.demand(k, limit))
 		}
-		pending := s.pending
-		l.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			l.mu.Lock()
+		if !l.wait(ctx, s.pending) {
 			return l.refuse(k)
-		case <-pending:
 		}
-		l.mu.Lock()
-		if leads || bootclock.Now().Before(l.refusedUntil(s)) || l.shares.Covers(bootclock.Now(), k.String(), oneRequest) {
+		// The demand of another request may have been sent before this one was recorded.
+		if own || l.isRefused(s) || l.shares.Covers(bootclock.Now(), k.String(), oneRequest) {
 			return nil
 		}
 	}
 }
 
+// wait waits without the lock until a demand has ended. It returns false if ctx is done before.
+func (l *Limiter) wait(ctx context.Context, pending <-chan struct{}) bool {
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-pending:
+		return true
+	}
+}
+
+// recordWant records a request that no share of this host covers for the next demand. The caller holds the lock.
+func (l *Limiter) recordWant(k key) {
+	_ = l.shares.Reserve(bootclock.Now(), "", k.String(), oneRequest.Requests, 0) // not covered
+}
+
 // demand returns the demand for the requests of a quota that were refused. The caller holds the lock.
 func (l *Limiter) demand(k key, limit fleet.RateLimit) Demand {
 	return Demand{Limits: l.statements(k.target), Limit: &limit, Share: l.shares.Demand(bootclock.Now(), k.String())}
@@ -318,10 +297,10 @@
 	if l.take(bootclock.Now(), k) {
 		return nil
 	}
-	if s.pending != nil || l.leader.Local == nil || bootclock.Now().Before(l.refusedUntil(s)) {
+	if s.pending != nil || l.leader.Local == nil || l.isRefused(s) {
 		return l.refuse(k)
 	}
-	_ = l.shares.Reserve(bootclock.Now(), "", k.String(), 1, 0) // not covered: records what is to be asked for
+	l.recordWant(k)
 	d := l.demand(k, limit)
 	g, err := l.leader.Local(d)
 	l.apply(k, s, &d, g, err)
@@ -351,56 +330,3 @@
 		}
 	}
 }
-
-// RetryAfter returns when a caller shall return whose request no target of a service takes: when the first of them may
-// have room, one caller after the other, at the rate that the limits leave to this host. The caller waits no longer than
-// patience.
-func (l *Limiter) RetryAfter(service string, targets []fleet.Target, patience time.Duration) time.Duration {
-	now := bootclock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	rate, askers := 0.0, 1
-	earliest := time.Time{}
-	for _, t := range targets {
-		limit, ok := l.view.RateLimit(t.ID, t.Incarnation)
-		if !ok {
-			continue
-		}
-		rate += limit.Rate
-		s := l.state(key{t.ID, t.Incarnation})
-		askers = max(askers, s.askers)
-		if until := l.refusedUntil(s); earliest.IsZero() || until.Before(earliest) {
-			earliest = until
-		}
-	}
-	interval := returnInterval(rate, askers)
-	if first := now.Add(MinAskInterval); earliest.Before(first) {
-		earliest = first
-	}
-	if askers > 1 { // hosts refuse at the same moment
-		earliest = earliest.Add(rand.N(interval))
-	}
-	return l.returnsOf(service).Add(now, earliest, now.Add(patience), interval)
-}
-
-// maxReturnInterval bounds the time between two returns.
-const maxReturnInterval = time.Second
-
-// returnInterval returns the time between two requests that return to a host, if targets take a rate of requests a
-// second in all and a number of hosts ask for them.
-func returnInterval(rate float64, askers int) time.Duration {
-	if rate <= 0 {
-		return maxReturnInterval
-	}
-	return min(time.Duration(float64(askers)/rate*float64(time.Second)), maxReturnInterval)
-}
-
-// returnsOf returns the returns of a service. The caller holds the lock.
-func (l *Limiter) returnsOf(service string) *limits.Returns {
-	r := l.returns[service]
-	if r == nil {
-		r = &limits.Returns{}
-		l.returns[service] = r
-	}
-	return r
-}
