--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -132,15 +132,25 @@
 		Quotas: map[string]limits.Amount{quotaKey: amount}, Window: window, LeaseTTL: LeaseTTL, DriftMargin: driftMargin})}
 }
 
-// chargeEarlierGrants charges a whole quota while grants of an earlier leader may count: this one does not know them.
+// chargeEarlierGrants charges what an earlier leader may have granted, which this one does not know, as if it had granted
+// the whole quota evenly. Charging all of it at the end of the earlier leadership would refuse all requests for a
+// window after each election.
 func (a *Allocator) chargeEarlierGrants(now time.Time, q *quota) {
 	amount, window := quotaOf(q.rate)
 	lastUse := a.leadership.Since.Add(LeaseTTL)
-	if now.Before(lastUse.Add(window)) {
-		q.allocator.Charge(lastUse, quotaKey, amount)
+	if !now.Before(lastUse.Add(window)) {
+		return
+	}
+	parts := min(amount.Requests, maxChargeParts)
+	part := limits.Amount{Requests: (amount.Requests + parts - 1) / parts}
+	for i := parts - 1; i >= 0; i-- {
+		q.allocator.Charge(lastUse.Add(-time.Duration(i)*window/time.Duration(parts)), quotaKey, part)
 	}
 }
 
+// maxChargeParts bounds the parts in which the grants of an earlier leader are charged.
+const maxChargeParts = 50
+
 // dropIdle drops the quotas that nobody has asked for in idleTime.
 func (a *Allocator) dropIdle(now time.Time) {
 	for k, q := range a.quotas {
