--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -227,8 +227,7 @@
 	return out
 }
 
-// AssignTasks assigns waiting tasks to free slots and returns the new assignments; an engine with a limit gets one of a
-// job. Its cost is proportional
+// AssignTasks assigns waiting tasks to free slots and returns the new assignments. Its cost is proportional
 // to the number of waiting tasks times the number of engines with a free slot, so it is cheap when all
 // engines are busy.
 func (s *Scheduler) AssignTasks(now time.Time) []Assignment {
@@ -255,7 +254,7 @@
 			j.running[t.Item] = r
 			e.add(now, r)
 			out = append(out, Assignment{Task: *t, Engine: e.ID})
-			if e.freeSlots() <= 0 || e.RateLimit > 0 { // a limit may not admit another run now
+			if e.freeSlots() <= 0 {
 				free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
 			}
 		}
