fleet: small changes of a limit wake nobody

Cause: read in the diff: each answer whose limit differed a little from the one before was logged and woke all watches, although only changes of a tenth, or after a second, are sent.

Change: a statement counts as a change only if other hosts must learn of it.

Measured: TestChangesOfLimitsThatArePassedOn checks both; the other tests pass.

Conclusion: a target whose limit moves with its load costs one event a second.

--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -55,9 +55,9 @@
 // NewRateLimits returns an empty set.
 func NewRateLimits() *RateLimits { return &RateLimits{records: make(map[string]*rateRecord)} }
 
-// Add adds a statement. It reports whether the limit has begun, changed or ended by it; a statement that is older
-// than the known one, invalid, or the end of an unknown limit, changes nothing.
-func (s *RateLimits) Add(now time.Time, l RateLimit) (changed bool) {
+// Add adds a statement. It reports whether the limit has begun, ended or changed so that other hosts must learn of it; a
+// statement that is older than the known one, invalid, or the end of an unknown limit, changes nothing.
+func (s *RateLimits) Add(now time.Time, l RateLimit) (passOn bool) {
 	rec := s.records[l.Target]
 	statedAt := now.Add(-l.Age)
 	if !l.IsValid() || rec == nil && l.Rate == 0 || rec != nil && !rec.precedes(&l, statedAt) {
@@ -70,13 +70,13 @@
 		rec = &rateRecord{}
 		s.records[l.Target] = rec
 	}
-	changed = rec.Rate != l.Rate
 	rec.RateLimit, rec.statedAt = l, statedAt
-	if rec.mustPassOn(now) {
-		s.revision++
-		rec.revision, rec.revisionRate, rec.revisedAt = s.revision, l.Rate, now
+	if !rec.mustPassOn(now) {
+		return false
 	}
-	return changed
+	s.revision++
+	rec.revision, rec.revisionRate, rec.revisedAt = s.revision, l.Rate, now
+	return true
 }
 
 // precedes reports whether a statement that was made at a time is later than the one of the record.
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -50,8 +50,11 @@
 	passedOn := func(after time.Duration, rate float64) (rates []float64) {
 		now := limitTestStart.Add(after)
 		_, revision := s.ChangedSince(now, 0)
-		s.Add(now, RateLimit{Target: "a", Incarnation: 1, Rate: rate})
+		passOn := s.Add(now, RateLimit{Target: "a", Incarnation: 1, Rate: rate})
 		list, _ := s.ChangedSince(now, revision)
+		if passOn != (len(list) > 0) {
+			t.Errorf("%g: passed on %t with %d changes", rate, passOn, len(list))
+		}
 		for _, l := range list {
 			rates = append(rates, l.Rate)
 		}
--- a/internal/clusterview/ratelimits.go
+++ b/internal/clusterview/ratelimits.go
@@ -8,7 +8,8 @@
 )
 
 // RecordRateLimit records what a target has stated about its limit in an answer to this host; a rate of 0 means that
-// it states none. The parameter source names the kind of the answer. OnRateLimit is called with each change.
+// it states none. The parameter source names the kind of the answer. OnRateLimit is called with each change that other
+// hosts must learn of.
 func (v *View) RecordRateLimit(l fleet.RateLimit, source string) {
 	if v.addRateLimit(l, source) && v.OnRateLimit != nil {
 		v.OnRateLimit(l, source)
@@ -22,7 +23,7 @@
 	}
 }
 
-// addRateLimit records a statement and reports whether it changes the limit.
+// addRateLimit records a statement and reports whether other hosts must learn of the change.
 func (v *View) addRateLimit(l fleet.RateLimit, from string) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
