store: the test of a restarted store compares with the applied state

Change: the departure may count as committed only if the state machine has applied it, which is read afterwards.

Conclusion: as strict as the first check, without its race.

--- a/internal/store/departures_test.go
+++ b/internal/store/departures_test.go
@@ -195,7 +195,9 @@
 		t.Errorf("serving: %+v", list)
 	}
 	committed := c.st.departures.covers(fleet.Departure{Target: "t", Incarnation: 7})
-	if committed && !c.st.group.IsLeader() { // the only replica is elected at some time after its start
+	applied := false // once the only replica has been elected
+	c.st.stateMachine.View(func(s *storestate.State) { applied = s.Departures().Covers("t", 7) })
+	if committed && !applied {
 		t.Error("the departure counts as committed before there is a leader")
 	}
 }
