--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -183,7 +183,7 @@
 	return s.refusedUntil
 }
 
-// isRefused reports whether no share for a target is asked for now. The caller holds the lock.
+// isRefused reports whether a request to a target is refused without asking the leader. The caller holds the lock.
 func (l *Limiter) isRefused(s *targetState) bool { return bootclock.Now().Before(l.refusedUntil(s)) }
 
 // Acquire admits one request to a target. It returns *Refused if the target states a limit that leaves no room for
