--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -392,6 +392,29 @@
 	return ages[len(ages)/2]
 }
 
+// QuorumAge is MajorityAge for the store host at IP address self, which hears itself if it is a voter.
+func (v *View) QuorumAge(self string) time.Duration {
+	ages := v.voterAges()
+	if len(ages) == 0 {
+		return targetExpiry
+	}
+	heard := len(ages)/2 + 1
+	if v.isVoter(self) {
+		heard--
+	}
+	if heard == 0 {
+		return 0
+	}
+	return ages[heard-1]
+}
+
+// isVoter reports whether a voter of the state group is on the host at an IP address.
+func (v *View) isVoter(ip string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(v.voters, func(id string) bool { return ReplicaIP(id) == ip })
+}
+
 // voterAges returns the time since each voter of the state group sent an event, in ascending order.
 func (v *View) voterAges() []time.Duration {
 	now := bootclock.Now()
--- /dev/null
+++ b/internal/store/calls.go
@@ -0,0 +1,84 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/observe"
+)
+
+// callKind names a kind of call of operators, trainers and targets in metrics.
+type callKind string
+
+const (
+	callPutConfig    callKind = "put configuration"
+	callReadConfig   callKind = "read configuration"
+	callPutVersion   callKind = "put weight version"
+	callRetire       callKind = "retire store host"
+	callReadRetire   callKind = "read retirement"
+	callDepartTarget callKind = "depart target"
+)
+
+// callResultOK is the result of a successful call in metrics. That of a failed one is its error code.
+const callResultOK = "ok"
+
+// callMetrics counts the calls that the state group has to answer.
+type callMetrics struct {
+	results *observe.Counter
+	seconds *observe.Histogram
+}
+
+func newCallMetrics(m *observe.Metrics) *callMetrics {
+	kind := observe.Label{Name: "call", Values: []string{string(callPutConfig), string(callReadConfig), string(callPutVersion), string(callRetire),
+		string(callReadRetire), string(callDepartTarget)}}
+	return &callMetrics{
+		results: m.Counter("control_calls_total", "Calls of operators, trainers and leaving targets by their result: ok, or the code of the error.", kind, observe.Label{Name: "result"}),
+		seconds: m.Histogram("control_call_seconds", "Time from a call to its answer.", observe.SecondsBuckets, kind),
+	}
+}
+
+// controlCall is a call to the state group in progress.
+type controlCall struct {
+	control *Control
+	kind    callKind
+	caller  context.Context // ends when the caller disconnects
+	begin   time.Time
+}
+
+// begin starts a call. The returned context ends with the caller's, and after callTimeout.
+func (c *Control) begin(caller context.Context, kind callKind) (*controlCall, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(caller, callTimeout)
+	return &controlCall{control: c, kind: kind, caller: caller, begin: bootclock.Now()}, ctx, cancel
+}
+
+// finish counts the call and logs it: as a warning if it failed.
+func (c *controlCall) finish(message string, err error, args ...any) {
+	st := c.control.st
+	took := bootclock.Now().Sub(c.begin)
+	result := callResultOK
+	if err != nil {
+		result = string(errs.CodeOf(err))
+	}
+	st.calls.results.Inc(string(c.kind), result)
+	st.calls.seconds.Observe(took.Seconds(), string(c.kind))
+	leader, term := st.view.Leader()
+	args = append(args, "took_ms", took.Milliseconds(), "caller_gone", c.caller.Err() != nil, "leader", leader, "term", term,
+		"quorum_age_ms", st.view.QuorumAge(st.opts.Settings.IP).Milliseconds())
+	if err != nil {
+		st.opts.Log.Warn(message, append(args, "error", err.Error())...)
+		return
+	}
+	st.opts.Log.Info(message, args...)
+}
+
+// finishRead is finish for a call that changes nothing. It logs failures only.
+func (c *controlCall) finishRead(message string, err error, args ...any) {
+	if err != nil {
+		c.finish(message, err, args...)
+		return
+	}
+	c.control.st.calls.results.Inc(string(c.kind), callResultOK)
+	c.control.st.calls.seconds.Observe(bootclock.Now().Sub(c.begin).Seconds(), string(c.kind))
+}
--- a/internal/store/control.go
+++ b/internal/store/control.go
@@ -31,53 +31,47 @@
 		c.st.opts.Log.Warn("configuration refused", "version", cfg.Version, "error", err)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, ctx, cancel := c.begin(ctx, callPutConfig)
 	defer cancel()
 	reply, err := c.st.leaderClient.PutConfig(ctx, storestate.PutConfig{Version: cfg.Version, Body: clusterview.EncodeConfig(cfg), Source: source})
-	c.logOutcome("configuration stored", err, "version", cfg.Version, "changed", reply.Changed, "in_force", reply.Version, "routes", len(cfg.Routes))
+	call.finish("configuration stored", err, "version", cfg.Version, "changed", reply.Changed, "in_force", reply.Version, "routes", len(cfg.Routes))
 	return err
 }
 
-// logOutcome logs a call that changes the state: as a warning if it failed.
-func (c *Control) logOutcome(message string, err error, args ...any) {
-	if err != nil {
-		c.st.opts.Log.Warn(message, append(args, "error", err.Error())...)
-		return
-	}
-	c.st.opts.Log.Info(message, args...)
-}
-
 // Config returns the configuration in force as the operator sent it.
 func (c *Control) Config(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, ctx, cancel := c.begin(ctx, callReadConfig)
 	defer cancel()
 	p, err := c.st.leaderClient.Config(ctx)
+	call.finishRead("configuration read", err)
 	return p.Source, err
 }
 
 // PutVersion stores a weight version of a model unless the same or a higher one is stored.
 func (c *Control) PutVersion(ctx context.Context, model string, version uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, ctx, cancel := c.begin(ctx, callPutVersion)
 	defer cancel()
 	err := c.st.leaderClient.PutVersion(ctx, model, version)
-	c.logOutcome("weight version stored", err, "model", model, "version", version)
+	call.finish("weight version stored", err, "model", model, "version", version)
 	return err
 }
 
 // Retire starts the retirement of a store host, after which it holds no replica of the state.
 func (c *Control) Retire(ctx context.Context, host string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, ctx, cancel := c.begin(ctx, callRetire)
 	defer cancel()
 	err := c.st.leaderClient.Retire(ctx, host)
-	c.logOutcome("store host retirement requested", err, "store", host)
+	call.finish("store host retirement requested", err, "store", host)
 	return err
 }
 
 // IsRetired reports whether a store host that is being retired holds no replica any more.
 func (c *Control) IsRetired(ctx context.Context, host string) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, ctx, cancel := c.begin(ctx, callReadRetire)
 	defer cancel()
-	return c.st.leaderClient.Retired(ctx, host)
+	retired, err := c.st.leaderClient.Retired(ctx, host)
+	call.finishRead("store host retirement read", err, "store", host)
+	return retired, err
 }
 
 // HandleHeartbeat processes a heartbeat of a target. If the target is draining, it returns errs.Unavailable
@@ -123,12 +117,12 @@
 	if c.st.departures.covers(d) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	call, ctx, cancel := c.begin(ctx, callDepartTarget)
 	defer cancel()
 	err := c.st.leaderClient.DepartTarget(ctx, d)
 	if err == nil {
 		c.st.departures.add(d)
 	}
-	c.logOutcome("target departure stored", err, "target", d.Target, "incarnation", d.Incarnation)
+	call.finish("target departure stored", err, "target", d.Target, "incarnation", d.Incarnation)
 	return err
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -86,6 +86,7 @@
 	forwarder    *forward.Forwarder // sends the scoring calls of the runner
 	// admission decides whether there is memory for another job.
 	admission admission
+	calls     *callMetrics
 	done      chan struct{} // closed when the host stops
 	// leaderSince is when this replica was last seen to become the leader, in nanoseconds of bootclock;
 	// 0 if it never was.
@@ -96,7 +97,7 @@
 func New(o Options) (*Store, error) {
 	s := o.Settings
 	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: newStoredDepartures(),
-		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes)}
+		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes), calls: newCallMetrics(o.Metrics)}
 	st.view = clusterview.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
 	fs := instrumentedFS{FS: o.FS, syncSeconds: o.Metrics.Histogram("storage_sync_seconds", "Duration of a file sync of the state group, in seconds.", observe.SecondsBuckets)}
