--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -47,10 +47,33 @@
 	begin   time.Time
 }
 
-// begin starts a call. The returned context ends with the caller's, and after callTimeout.
-func (c *Control) begin(caller context.Context, kind callKind) (*controlCall, context.Context, context.CancelFunc) {
+// do runs a call with a context that ends with the caller's, and after callTimeout. A call that this host cannot serve is
+// refused at once with errs.Unavailable, so that the caller tries another host.
+func (c *Control) do(caller context.Context, kind callKind, run func(context.Context) error) (*controlCall, error) {
+	call := &controlCall{control: c, kind: kind, caller: caller, begin: bootclock.Now()}
+	if err := c.st.reachesGroup(); err != nil {
+		return call, err
+	}
 	ctx, cancel := context.WithTimeout(caller, callTimeout)
-	return &controlCall{control: c, kind: kind, caller: caller, begin: bootclock.Now()}, ctx, cancel
+	defer cancel()
+	return call, run(ctx)
+}
+
+const (
+	// quorumLossAfter is the time without events from a majority of the voters after which a host cannot serve calls:
+	// three heartbeats of the watches. It exceeds an election.
+	quorumLossAfter = 1500 * time.Millisecond
+	// startPeriod is the time after the start of a host in which it may not have heard the voters yet.
+	startPeriod = 3 * time.Second
+)
+
+// reachesGroup returns errs.Unavailable if this host hears no majority of the voters, so that it can neither serve a
+// call nor pass it on to a leader.
+func (st *Store) reachesGroup() error {
+	if st.group.IsLeader() || bootclock.Now().Sub(st.started) < startPeriod || st.view.QuorumAge(st.opts.Settings.IP) < quorumLossAfter {
+		return nil
+	}
+	return &errs.Unavailable{Resource: "state group", Reason: "this host hears no majority of the voters", Outcome: errs.NotRun}
 }
 
 // finish counts the call and logs it: as a warning if it failed.
--- a/internal/store/control.go
+++ b/internal/store/control.go
@@ -31,45 +31,49 @@
 		c.st.opts.Log.Warn("configuration refused", "version", cfg.Version, "error", err)
 		return err
 	}
-	call, ctx, cancel := c.begin(ctx, callPutConfig)
-	defer cancel()
-	reply, err := c.st.leaderClient.PutConfig(ctx, storestate.PutConfig{Version: cfg.Version, Body: clusterview.EncodeConfig(cfg), Source: source})
+	put := storestate.PutConfig{Version: cfg.Version, Body: clusterview.EncodeConfig(cfg), Source: source}
+	var reply storestate.Reply
+	call, err := c.do(ctx, callPutConfig, func(ctx context.Context) (err error) {
+		reply, err = c.st.leaderClient.PutConfig(ctx, put)
+		return err
+	})
 	call.finish("configuration stored", err, "version", cfg.Version, "changed", reply.Changed, "in_force", reply.Version, "routes", len(cfg.Routes))
 	return err
 }
 
 // Config returns the configuration in force as the operator sent it.
-func (c *Control) Config(ctx context.Context) ([]byte, error) {
-	call, ctx, cancel := c.begin(ctx, callReadConfig)
-	defer cancel()
-	p, err := c.st.leaderClient.Config(ctx)
+func (c *Control) Config(ctx context.Context) (source []byte, err error) {
+	call, err := c.do(ctx, callReadConfig, func(ctx context.Context) error {
+		stored, err := c.st.leaderClient.Config(ctx)
+		source = stored.Source
+		return err
+	})
 	call.finishRead("configuration read", err)
-	return p.Source, err
+	return source, err
 }
 
 // PutVersion stores a weight version of a model unless the same or a higher one is stored.
 func (c *Control) PutVersion(ctx context.Context, model string, version uint64) error {
-	call, ctx, cancel := c.begin(ctx, callPutVersion)
-	defer cancel()
-	err := c.st.leaderClient.PutVersion(ctx, model, version)
+	call, err := c.do(ctx, callPutVersion, func(ctx context.Context) error {
+		return c.st.leaderClient.PutVersion(ctx, model, version)
+	})
 	call.finish("weight version stored", err, "model", model, "version", version)
 	return err
 }
 
 // Retire starts the retirement of a store host, after which it holds no replica of the state.
 func (c *Control) Retire(ctx context.Context, host string) error {
-	call, ctx, cancel := c.begin(ctx, callRetire)
-	defer cancel()
-	err := c.st.leaderClient.Retire(ctx, host)
+	call, err := c.do(ctx, callRetire, func(ctx context.Context) error { return c.st.leaderClient.Retire(ctx, host) })
 	call.finish("store host retirement requested", err, "store", host)
 	return err
 }
 
 // IsRetired reports whether a store host that is being retired holds no replica any more.
-func (c *Control) IsRetired(ctx context.Context, host string) (bool, error) {
-	call, ctx, cancel := c.begin(ctx, callReadRetire)
-	defer cancel()
-	retired, err := c.st.leaderClient.Retired(ctx, host)
+func (c *Control) IsRetired(ctx context.Context, host string) (retired bool, err error) {
+	call, err := c.do(ctx, callReadRetire, func(ctx context.Context) (err error) {
+		retired, err = c.st.leaderClient.Retired(ctx, host)
+		return err
+	})
 	call.finishRead("store host retirement read", err, "store", host)
 	return retired, err
 }
@@ -117,9 +121,7 @@
 	if c.st.departures.covers(d) {
 		return nil
 	}
-	call, ctx, cancel := c.begin(ctx, callDepartTarget)
-	defer cancel()
-	err := c.st.leaderClient.DepartTarget(ctx, d)
+	call, err := c.do(ctx, callDepartTarget, func(ctx context.Context) error { return c.st.leaderClient.DepartTarget(ctx, d) })
 	if err == nil {
 		c.st.departures.add(d)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,6 +87,7 @@
 	// admission decides whether there is memory for another job.
 	admission admission
 	calls     *callMetrics
+	started   time.Time
 	done      chan struct{} // closed when the host stops
 	// leaderSince is when this replica was last seen to become the leader, in nanoseconds of bootclock;
 	// 0 if it never was.
@@ -97,7 +98,7 @@
 func New(o Options) (*Store, error) {
 	s := o.Settings
 	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: newStoredDepartures(),
-		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes), calls: newCallMetrics(o.Metrics)}
+		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes), calls: newCallMetrics(o.Metrics), started: bootclock.Now()}
 	st.view = clusterview.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
 	fs := instrumentedFS{FS: o.FS, syncSeconds: o.Metrics.Histogram("storage_sync_seconds", "Duration of a file sync of the state group, in seconds.", observe.SecondsBuckets)}
