--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -42,6 +42,8 @@
 	LastEventID string
 	// RetryAfter carries the time after which the caller may retry, in seconds.
 	RetryAfter string
+	// CallerKey carries the key of the caller; absent on routes without keys.
+	CallerKey string
 }
 
 // EngineReport is the state of an engine.
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -237,6 +237,9 @@
 	if res.err != nil {
 		args = append(args, "error", res.err.Error())
 	}
+	if hasEnded(res.err) {
+		args = append(args, "ended", true, "fingerprint", string(c.fingerprint()))
+	}
 	c.forwarder.log.Info("attempt failed", args...)
 }
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"fuchsiaflow/errs"
@@ -69,6 +70,8 @@
 	Sent bool
 	// Reused reports whether the connection had served an earlier request.
 	Reused bool
+	// Ended reports whether the target closed or reset the connection.
+	Ended bool
 }
 
 func (e *RequestError) Error() string {
@@ -78,6 +81,11 @@
 // maxCauseBytes is the maximum length of the cause of a RequestError. Errors of net/http quote what a target has sent.
 const maxCauseBytes = 256
 
+// hasEnded reports whether an error means that the other side closed or reset the connection.
+func hasEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // shortCause returns the message of an error, shortened to maxCauseBytes.
 func shortCause(err error) string {
 	cause := err.Error()
@@ -314,7 +322,7 @@
 		if we, ok := x.writeResult(); ok && we != nil {
 			phase = "send"
 		}
-		return nil, &RequestError{Address: addr, Phase: phase, Cause: shortCause(err), Sent: true, Reused: c.reused}
+		return nil, &RequestError{Address: addr, Phase: phase, Cause: shortCause(err), Sent: true, Reused: c.reused, Ended: hasEnded(err)}
 	}
 	return resp, nil
 }
@@ -497,7 +505,7 @@
 		}
 	}
 	if err != nil && err != io.EOF {
-		err = &RequestError{Address: b.exchange.conn.addr, Phase: "body", Cause: shortCause(err), Sent: true, Reused: b.exchange.conn.reused}
+		err = &RequestError{Address: b.exchange.conn.addr, Phase: "body", Cause: shortCause(err), Sent: true, Reused: b.exchange.conn.reused, Ended: hasEnded(err)}
 	}
 	return n, err
 }
