--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/pack"
+	"fuchsiaflow/quarantine"
 	"fuchsiaflow/routes"
 )
 
@@ -67,6 +68,8 @@
 	Departures []fleet.Departure `cbor:"9,keyasint,omitempty"`
 	// RateLimits are statements of targets about the requests that they take, the same way as Targets.
 	RateLimits []fleet.RateLimit `cbor:"10,keyasint,omitempty"`
+	// Quarantine are requests under which targets have crashed, as the state group has stored them.
+	Quarantine []quarantine.Entry `cbor:"11,keyasint,omitempty"`
 }
 
 // omitUnchanged returns the event to send after previous, without the header if it is unchanged.
@@ -75,7 +78,7 @@
 		!slices.Equal(e.Stores, previous.Stores) {
 		return *e
 	}
-	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures, RateLimits: e.RateLimits}
+	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures, RateLimits: e.RateLimits, Quarantine: e.Quarantine}
 }
 
 // header returns the fields that later events may omit.
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -11,6 +11,7 @@
 
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/quarantine"
 	"fuchsiaflow/routes"
 )
 
@@ -51,6 +52,7 @@
 	config      Config
 	registry    *fleet.Registry
 	rateLimits  *fleet.RateLimits
+	quarantine  *quarantine.Records
 	stores      map[string]storeEntry // by IP
 	leader      string
 	term        uint64
@@ -68,7 +70,7 @@
 // NewView returns a view that knows only the IP addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
 	v := &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
-		rateLimits: fleet.NewRateLimits(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
+		rateLimits: fleet.NewRateLimits(), quarantine: quarantine.NewRecords(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
 	v.registry.IsConfigured = v.isConfigured
 	return v
 }
@@ -154,6 +156,9 @@
 	for _, l := range e.RateLimits {
 		changed = v.mergeRateLimit(now, l, e.From.ReplicaID) || changed
 	}
+	for _, q := range e.Quarantine {
+		changed = v.mergeQuarantine(now, q, e.From.ReplicaID) || changed
+	}
 	for _, d := range e.Departures {
 		changed = v.recordDeparture(now, d, e.From.ReplicaID) || changed
 	}
--- a/internal/clusterview/watch.go
+++ b/internal/clusterview/watch.go
@@ -164,7 +164,7 @@
 	if sender, ok := rpc.SenderFromContext(stream.Context()); ok && r.Store {
 		v.RecordStore(StoreHost{ReplicaID: sender.Host})
 	}
-	var revision, departureRevision, rateRevision, version uint64
+	var revision, departureRevision, rateRevision, quarantineRevision, version uint64
 	var previous Event
 	for {
 		changed := v.Changed()
@@ -174,6 +174,7 @@
 		e.Targets, revision = v.TargetsSince(revision)
 		e.Departures, departureRevision = v.DeparturesSince(departureRevision)
 		e.RateLimits, rateRevision = v.RateLimitsSince(rateRevision)
+		e.Quarantine, quarantineRevision = v.QuarantineSince(quarantineRevision)
 		if e.Config != nil {
 			version = e.Config.Version
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/crashes"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
@@ -94,6 +95,8 @@
 	e.stateClient = stateclient.New(e.view, s.IP, nil, peer)
 	limiter := ratelimit.New(e.view, ratelimit.Leader{Call: e.stateClient.DemandShare}, o.Log, o.Metrics)
 	e.forwarder = forward.New(o.Headers, e.view, limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
+	crashReporter := crashes.NewReporter(e.view, e.stateClient, o.Log, o.Metrics)
+	e.forwarder.UseCrashReporter(crashReporter)
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
 	services := []struct {
 		name    string
@@ -105,6 +108,7 @@
 		{"gctuner", gctuner.New(o.Log)},
 		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
 		{"limits", limiter},
+		{"crashes", crashReporter},
 		{"forwarder", e.forwarder},
 		{"notices", notice.NewReporter(e.view, e.stateClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"http", httpService{e}},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,6 +23,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/crashes"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/kernel"
@@ -85,6 +86,8 @@
 	shutdown *shutdown.Shutdown
 	// limiter admits the requests to targets that state a limit.
 	limiter *ratelimit.Limiter
+	// crashes keeps requests under which targets crash in quarantine; nil if none are kept there.
+	crashes *crashes.Reporter
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -143,6 +146,7 @@
 	unadmitted    []string      // targets that have not admitted this request
 	attempts      int           // attempts started
 	serverErrors  int           // answers with status 500
+	suspicion     suspicion
 }
 
 // Serve forwards a request that matches a route of the configuration with the given version. The timeout
@@ -185,6 +189,9 @@
 		c.refuse(shutdown.RetryAfter, "this host stops")
 		return nil
 	}
+	if !c.admittedByQuarantine(ctx) {
+		return nil
+	}
 	if c.route.Kind == routes.Stream {
 		return c.stream(ctx)
 	}
@@ -215,6 +222,9 @@
 	var list []balance.Candidate
 	c.limitWait = 0
 	for _, t := range c.forwarder.view.Serving(c.service) {
+		if c.suspicion.excludes(&t) {
+			continue
+		}
 		wait, limited := c.forwarder.limiter.RefusedFor(t.ID, t.Incarnation)
 		if limited && slices.Contains(c.unadmitted, t.ID) {
 			wait = max(wait, ratelimit.MinAskInterval)
@@ -301,7 +311,7 @@
 
 // retryable reports whether another attempt may be started now.
 func (c *call) retryable() bool {
-	if !c.body.complete || c.possibleRuns >= c.route.AttemptLimit() {
+	if !c.body.complete || c.possibleRuns >= c.route.AttemptLimit() || c.suspicion.stopped() {
 		return false
 	}
 	return c.possibleRuns == 0 || c.route.Retryable()
@@ -399,6 +409,7 @@
 
 // failExhausted responds to a request for which no more attempts are possible.
 func (c *call) failExhausted() {
+	c.awaitCrashReports()
 	switch {
 	case c.possibleRuns > 0:
 		c.fail(http.StatusBadGateway, "no usable answer from a target")
@@ -450,6 +461,9 @@
 		"outcome", outcome, "attempts", c.attempts, "sent", c.possibleRuns, "took_ms", took.Milliseconds(),
 		"left_ms", c.deadline.Sub(bootclock.Now()).Milliseconds()}
 	args = append(args, by.logArgs(c.startedAt)...)
+	if c.suspicion.careful {
+		args = append(args, "fingerprint", string(c.fingerprint()), "crashes", c.suspicion.known+c.suspicion.crashes)
+	}
 	if err != nil {
 		args = append(args, "error", err.Error())
 	}
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -77,6 +77,7 @@
 	truncated bool   // resp.Body has the bytes after data
 	cancel    context.CancelFunc
 	err       error
+	crash     <-chan struct{} // closed when the crash of the target is reported; nil if it has not crashed
 }
 
 // close releases the resources of an attempt.
@@ -129,7 +130,7 @@
 			}
 			return c.failTimeout()
 		case <-hedgeTimer.C:
-			if pending > 0 && c.retryable() {
+			if pending > 0 && !c.suspicion.careful && c.retryable() {
 				if cand, ok := c.pickForHedge(); ok {
 					send(cand)
 				}
@@ -140,6 +141,9 @@
 			if res.kind == resultAnswered {
 				return c.writeResponse(res)
 			}
+			if res.crash != nil {
+				c.suspicion.add(res.crash)
+			}
 			if res.kind == resultServerError && res.resp.StatusCode == http.StatusInternalServerError {
 				c.serverErrors++
 			}
@@ -153,6 +157,9 @@
 				c.sawRejection = c.sawRejection || res.resp != nil
 			}
 		}
+		if pending > 0 && c.suspicion.careful {
+			continue // to one target at a time
+		}
 		if c.retryable() && (sendToNext() || c.possibleRuns == 0 && pending == 0 && c.waitForCapacity(ctx) && sendToNext()) {
 			continue
 		}
@@ -205,6 +212,7 @@
 		}
 	}
 	res.err = err
+	res.crash = c.reportCrash(ctx, &cand, err)
 	outcome := balance.Failed
 	switch {
 	case err == nil && res.kind == resultAnswered:
@@ -327,6 +335,7 @@
 	if err != nil {
 		return c.abort("interrupted", res.resp.StatusCode, res.by, err)
 	}
+	c.clearSuspicion(res.resp.StatusCode)
 	c.finish("answered", res.resp.StatusCode, res.by, nil)
 	return nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -122,6 +122,7 @@
 	err = s.copyEvents(resp, resumes)
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
+		s.clearSuspicion(resp.StatusCode)
 		s.finish("answered", resp.StatusCode, &cand, nil)
 		return true, nil
 	}
@@ -225,6 +226,9 @@
 func (s *eventStream) finishAttempt(cand choice, o balance.Outcome, begin time.Time, err error) {
 	observe.EndSpan(s.span, err)
 	took := bootclock.Now().Sub(begin)
+	if crash := s.reportCrash(s.req.Context(), &cand, err); crash != nil {
+		s.suspicion.add(crash)
+	}
 	s.attemptFinished(cand.ID, o, took)
 	if o != balance.OK {
 		s.logFailedAttempt(&attemptResult{err: err, kind: resultUnknown}, cand, took)
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -260,6 +260,23 @@
 	return newConn(nc, addr), nil
 }
 
+// Refuses reports whether an address refuses connections: no process listens there. A connection that is opened instead
+// is kept for reuse.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	nc, err := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c := newConn(nc, addr)
+	c.expiresAt = p.now().Add(defaultIdleTimeout)
+	p.putIdle(c)
+	c.reused = false
+	return false
+}
+
 func newConn(nc net.Conn, addr string) *conn {
 	head := &headLimiter{source: nc}
 	return &conn{Conn: nc, addr: addr, head: head, r: bufio.NewReaderSize(head, bufferBytes)}
--- a/internal/runner/statemachine.go
+++ b/internal/runner/statemachine.go
@@ -8,6 +8,7 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/storestate"
+	"fuchsiaflow/quarantine"
 )
 
 // StateMachine is the replicated state machine of the state group. It notifies its readers of changes
@@ -20,6 +21,9 @@
 	// OnStoredDeparture is called when the replica starts with each departure in its log, which may not be committed;
 	// nil if nobody needs them.
 	OnStoredDeparture func(fleet.Departure)
+	// OnQuarantine is called with the requests whose state of quarantine has changed, while the machine is locked; nil
+	// if nobody needs them.
+	OnQuarantine func([]quarantine.Entry)
 
 	mu             sync.Mutex
 	state          *storestate.State
@@ -30,6 +34,8 @@
 	configVersion  uint64   // newest version passed to OnConfig
 	// departureRevision is the revision of the departures up to which all were passed to OnDeparture.
 	departureRevision uint64
+	// quarantineRevision is the same for OnQuarantine.
+	quarantineRevision uint64
 }
 
 // NewStateMachine returns an empty state machine.
@@ -76,10 +82,21 @@
 		m.OnDeparture(d)
 	}
 	m.departureRevision = departures.Revision()
+	m.publishQuarantine()
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
+// publishQuarantine reports requests whose state of quarantine has changed. The caller holds mu.
+func (m *StateMachine) publishQuarantine() {
+	table := m.state.Quarantine()
+	if table.Revision() <= m.quarantineRevision || m.OnQuarantine == nil {
+		return
+	}
+	m.OnQuarantine(table.ChangedAfter(m.quarantineRevision))
+	m.quarantineRevision = table.Revision()
+}
+
 // Snapshot implements group.StateMachine.
 func (m *StateMachine) Snapshot() ([]byte, error) {
 	var out bytes.Buffer
@@ -104,7 +121,7 @@
 	if err := m.state.ReadSnapshot(r); err != nil {
 		return err
 	}
-	m.departureRevision = 0 // revisions of the replaced state do not apply to the snapshot
+	m.departureRevision, m.quarantineRevision = 0, 0 // revisions of the replaced state do not apply to the snapshot
 	m.publishChange()
 	return nil
 }
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -15,6 +15,7 @@
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/quarantine"
 )
 
 const (
@@ -145,6 +146,25 @@
 	return err
 }
 
+// ReportCrash records that a target has crashed while it ran a request.
+func (c *Client) ReportCrash(ctx context.Context, crash quarantine.Crash) error {
+	_, err := c.propose(ctx, &storestate.Command{RecordCrash: &crash})
+	return err
+}
+
+// ReportAnswer records that a target has answered a request under which targets had crashed.
+func (c *Client) ReportAnswer(ctx context.Context, f quarantine.Fingerprint) error {
+	_, err := c.propose(ctx, &storestate.Command{RecordAnswer: &storestate.RecordAnswer{Fingerprint: f}})
+	return err
+}
+
+// RequestTrial asks for a trial of a request in quarantine whose entry has not changed after a revision. It must not
+// be repeated: a grant whose answer is lost is used up.
+func (c *Client) RequestTrial(ctx context.Context, f quarantine.Fingerprint, revision uint64) (granted bool, err error) {
+	r, err := c.propose(ctx, &storestate.Command{GrantTrial: &storestate.GrantTrial{Fingerprint: f, Revision: revision}})
+	return err == nil && r.Changed, err
+}
+
 // SubmitJob stores a batch job and reports whether the job is new.
 func (c *Client) SubmitJob(ctx context.Context, j jobs.Job) (bool, error) {
 	r, err := c.propose(ctx, &storestate.Command{SubmitJob: &j})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,6 +34,7 @@
 	"fuchsiaflow/internal/stateclient"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/internal/transport"
+	"fuchsiaflow/quarantine"
 	"fuchsiaflow/storage"
 )
 
@@ -105,6 +106,7 @@
 	var err error
 	st.replica, st.group, err = openReplica(fs, s, o.Log, func(record *replicaRecord) (*group.Group, error) {
 		st.stateMachine = runner.NewStateMachine(func(c clusterview.Config) { st.view.ApplyConfig(c, "own replica") }, st.handleCommittedDeparture)
+		st.stateMachine.OnQuarantine = func(list []quarantine.Entry) { st.view.MergeQuarantine(list, "own replica") }
 		st.stateMachine.OnStoredDeparture = func(d fleet.Departure) { st.view.RecordDeparture(d, "own log") }
 		return group.Open(group.Options{Group: storestate.Group, ID: record.ID, Voters: record.Voters, Start: record.startMode(), FS: fs, Dir: s.DataDir,
 			StateMachine: st.stateMachine, Transport: link, Clock: bootclock.Clock{}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/storestate/snapshot.go
+++ b/internal/storestate/snapshot.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/quarantine"
 )
 
 // A snapshot is a sequence of records: first a snapshotHeader, then for each batch job an entryHeader
@@ -33,6 +34,8 @@
 	// Departures holds the departures of targets, the oldest first.
 	Departures []fleet.Departure `cbor:"7,keyasint,omitempty"`
 	Notices    []fleet.Notice    `cbor:"8,keyasint,omitempty"`
+	// Quarantine holds the requests under which targets have crashed.
+	Quarantine []quarantine.Entry `cbor:"9,keyasint,omitempty"`
 }
 
 // entryHeader is the entry of a batch job without its results.
@@ -102,7 +105,7 @@
 
 // WriteSnapshot writes a snapshot of the state.
 func (s *State) WriteSnapshot(w io.Writer) error {
-	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All()}
+	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All(), Quarantine: s.quarantine.All()}
 	entries := header.Jobs.Entries
 	header.Jobs.Entries = nil
 	header.EntryCount = len(entries)
@@ -149,6 +152,7 @@
 	restored.jobs = jobs.Restore(header.Jobs)
 	restored.departures = fleet.NewDepartures(header.Departures)
 	restored.notices = fleet.NewNotices(header.Notices)
+	restored.quarantine = quarantine.NewTable(header.Quarantine)
 	*s = *restored
 	return nil
 }
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -1,6 +1,6 @@
 // Package storestate implements the replicated state machine of the store hosts. The state holds the
 // routing configuration with the highest version, the newest weight version of each model, the batch
-// jobs, and the store hosts that are being retired.
+// jobs, the store hosts that are being retired, departures of targets, and requests under which targets have crashed.
 package storestate
 
 import (
@@ -11,6 +11,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/quarantine"
 )
 
 // Group is the name of the consensus group that replicates the state.
@@ -31,6 +32,22 @@
 	// NoticeDeparture stores that a host has seen the departure of a target in an answer.
 	NoticeDeparture *NoticeDeparture `cbor:"10,keyasint,omitempty"`
 	ItemFailures    *ItemFailures    `cbor:"11,keyasint,omitempty"`
+	// RecordCrash stores that a target has crashed while it ran a request, RecordAnswer that a target has answered a
+	// request, and GrantTrial grants a trial of one in quarantine; see quarantine.Table.
+	RecordCrash  *quarantine.Crash `cbor:"12,keyasint,omitempty"`
+	RecordAnswer *RecordAnswer     `cbor:"13,keyasint,omitempty"`
+	GrantTrial   *GrantTrial       `cbor:"14,keyasint,omitempty"`
+}
+
+// RecordAnswer clears a request that a target has answered.
+type RecordAnswer struct {
+	Fingerprint quarantine.Fingerprint `cbor:"1,keyasint"`
+}
+
+// GrantTrial asks for a trial of a request. Its entry must not have changed after Revision.
+type GrantTrial struct {
+	Fingerprint quarantine.Fingerprint `cbor:"1,keyasint"`
+	Revision    uint64                 `cbor:"2,keyasint"`
 }
 
 // ItemFailures stores how often runs of an item have failed, so that a new leader goes on counting; see
@@ -140,12 +157,13 @@
 	jobs       *jobs.Table
 	departures *fleet.Departures
 	notices    *fleet.Notices // notices that too few hosts have seen
-	index      uint64         // log index of the last command
+	quarantine *quarantine.Table
+	index      uint64 // log index of the last command
 }
 
 // New returns the state before the first command.
 func New() *State {
-	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil), notices: fleet.NewNotices(nil)}
+	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil), notices: fleet.NewNotices(nil), quarantine: quarantine.NewTable(nil)}
 }
 
 // Encode returns the encoding of a reply, query or answer. Commands are encoded by EncodeCommand.
@@ -218,6 +236,12 @@
 		return Reply{Changed: s.departures.Add(n.Departure)}
 	case c.ItemFailures != nil:
 		return Reply{Changed: s.jobs.RecordFailures(c.ItemFailures.Job, c.ItemFailures.Item, c.ItemFailures.Count)}
+	case c.RecordCrash != nil:
+		return Reply{Changed: s.quarantine.RecordCrash(s.index, *c.RecordCrash)}
+	case c.RecordAnswer != nil:
+		return Reply{Changed: s.quarantine.RecordAnswer(s.index, c.RecordAnswer.Fingerprint)}
+	case c.GrantTrial != nil:
+		return Reply{Changed: s.quarantine.GrantTrial(s.index, c.GrantTrial.Fingerprint, c.GrantTrial.Revision)}
 	}
 	return Reply{NotFound: true}
 }
@@ -246,6 +270,9 @@
 // Departures returns the departures of targets. The caller must not change them.
 func (s *State) Departures() *fleet.Departures { return s.departures }
 
+// Quarantine returns the requests under which targets have crashed. The caller must not change them.
+func (s *State) Quarantine() *quarantine.Table { return s.quarantine }
+
 // Jobs returns the batch jobs, which the caller must not change.
 func (s *State) Jobs() *jobs.Table { return s.jobs }
 
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,4 +1,3 @@
-// Package quarantine identifies requests that are the same to a target, whatever their IDs.
 package quarantine
 
 import (
