--- /dev/null
+++ b/internal/forward/crash_test.go
@@ -0,0 +1,204 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/crashes"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/observe"
+	"fuchsiaflow/quarantine"
+	"fuchsiaflow/routes"
+)
+
+// crashGroup is a state group in the process.
+type crashGroup struct {
+	view  *clusterview.View
+	mu    sync.Mutex
+	table *quarantine.Table
+	index uint64
+}
+
+func (g *crashGroup) apply(change func(index uint64) bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index++
+	changed := change(g.index)
+	g.view.MergeQuarantine(g.table.ChangedAfter(g.index-1), "test")
+	return changed
+}
+
+func (g *crashGroup) ReportCrash(_ context.Context, c quarantine.Crash) error {
+	g.apply(func(index uint64) bool { return g.table.RecordCrash(index, c) })
+	return nil
+}
+
+func (g *crashGroup) ReportAnswer(_ context.Context, f quarantine.Fingerprint) error {
+	g.apply(func(index uint64) bool { return g.table.RecordAnswer(index, f) })
+	return nil
+}
+
+func (g *crashGroup) RequestTrial(_ context.Context, f quarantine.Fingerprint, revision uint64) (bool, error) {
+	return g.apply(func(index uint64) bool { return g.table.GrantTrial(index, f, revision) }), nil
+}
+
+// crashes returns the crashes that count for the only request.
+func (g *crashGroup) crashes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.table.All() {
+		return e.Crashes
+	}
+	return 0
+}
+
+// newCrashForwarder returns a forwarder with a state group and a target for each behavior. A target whose behavior is
+// nil crashes when it runs a request: its process is gone.
+func newCrashForwarder(t *testing.T, behaviors ...targetBehavior) (*Forwarder, *crashGroup, *atomic.Int64) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	view := clusterview.NewView(log, nil)
+	g, runs := &crashGroup{view: view, table: quarantine.NewTable(nil)}, new(atomic.Int64)
+	for i, b := range behaviors {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{}
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if b == nil {
+				runs.Add(1)
+				_ = s.Close()
+				return
+			}
+			b(w, r, func() { runs.Add(1) })
+		})
+		go func() { _ = s.Serve(l) }()
+		t.Cleanup(func() { _ = s.Close() })
+		view.UpdateTarget(fleet.Target{ID: string(rune('a' + i)), Service: "s", Address: l.Addr().String(), Domain: "d", State: fleet.Ready, Slots: 6, Sequence: 1, Release: "v1"})
+	}
+	f := newTestForwarder(view, log)
+	reporter := crashes.NewReporter(view, g, log, observe.NewMetrics())
+	f.UseCrashReporter(reporter)
+	f.started = time.Now().Add(-time.Hour) // after the warmup
+	return f, g, runs
+}
+
+// newCaller returns a function that sends the same request again and returns the status, the body and Retry-After, and
+// the address of the server.
+func newCaller(t *testing.T, f *Forwarder, route *routes.Route) (post func() (status int, body, retryAfter string), host string) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.Serve(w, r, route, 1) }))
+	t.Cleanup(s.Close)
+	return func() (int, string, string) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Id", "q")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(data), resp.Header.Get("Retry-After")
+	}, s.Listener.Addr().String()
+}
+
+// Guards against a request that takes down more targets than quarantine.SuspectCrashes, and one that is held for
+// connections that end while their targets go on.
+func TestCrashesStopRequest(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		kind         routes.Kind
+		behaviors    []targetBehavior
+		status       int
+		runs         int64
+		crashes      int
+		refusedAfter bool
+	}{
+		{name: "all crash", kind: routes.Idempotent, behaviors: []targetBehavior{nil, nil, nil, nil}, status: 502, runs: 2, crashes: 2, refusedAfter: true},
+		{name: "all crash, stream", kind: routes.Stream, behaviors: []targetBehavior{nil, nil, nil, nil}, status: 502, runs: 2, crashes: 2, refusedAfter: true},
+		{name: "connections end, targets go on", kind: routes.Idempotent, behaviors: []targetBehavior{abortConnection, abortConnection, abortConnection}, status: 502, runs: 3},
+		{name: "unsafe request", kind: routes.Unsafe, behaviors: []targetBehavior{nil, nil, nil}, status: 502, runs: 1, crashes: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, g, runs := newCrashForwarder(t, c.behaviors...)
+			route := newRoute(c.kind, 4)
+			route.Resumable = c.kind == routes.Stream
+			post, _ := newCaller(t, f, route)
+			if status, body, _ := post(); status != c.status || runs.Load() != c.runs || g.crashes() != c.crashes {
+				t.Fatalf("status %d (%s), %d runs, %d crashes; want %d, %d, %d", status, body, runs.Load(), g.crashes(), c.status, c.runs, c.crashes)
+			}
+			if !c.refusedAfter {
+				return
+			}
+			status, body, retryAfter := post()
+			wait, err := strconv.ParseFloat(retryAfter, 64)
+			if status != http.StatusServiceUnavailable || runs.Load() != c.runs || err != nil || wait <= 0 {
+				t.Errorf("the next one is answered %d (%s), Retry-After %q; %d runs", status, body, retryAfter, runs.Load())
+			}
+		})
+	}
+}
+
+// Guards against a sound request that is not served, or stays under suspicion, after a target has crashed under it.
+func TestAnswerClearsRequest(t *testing.T) {
+	f, g, _ := newCrashForwarder(t, nil, answer)
+	k := kernel.New(slog.New(slog.DiscardHandler))
+	if err := k.Register("crashes", f.crashes); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = k.Stop(context.Background()) })
+	post, _ := newCaller(t, f, newRoute(routes.Idempotent, 3))
+	for range 20 { // the target that crashes is chosen in one of them
+		if status, body, _ := post(); status != http.StatusOK {
+			t.Fatalf("status %d: %s", status, body)
+		}
+	}
+	for deadline := time.Now().Add(time.Second); g.crashes() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if !f.crashes.HasSuspects() || g.crashes() > 0 {
+		t.Errorf("crash seen: %t; %d crashes count after an answer", f.crashes.HasSuspects(), g.crashes())
+	}
+}
+
+// trialWait is longer than the time from a crash to the trial of a release of which no target has crashed.
+const trialWait = 5200 * time.Millisecond
+
+// Guards against a trial that reaches more than one target, or a target of a release that has crashed.
+func TestTrialReachesOneTarget(t *testing.T) {
+	f, g, runs := newCrashForwarder(t, nil, nil, nil)
+	post, host := newCaller(t, f, newRoute(routes.Idempotent, 3))
+	request := quarantine.Request{Method: http.MethodPost, Host: host, URI: "/x", Body: []byte("body"), Length: 4}
+	for i := range 3 {
+		_ = g.ReportCrash(t.Context(), quarantine.Crash{Fingerprint: request.Fingerprint(), Instance: quarantine.Instance{Target: strconv.Itoa(i), Release: "v0"}})
+	}
+	if status, _, _ := post(); status != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Fatalf("status %d with %d runs before the trial", status, runs.Load())
+	}
+	time.Sleep(trialWait)
+	if status, _, _ := post(); status != http.StatusBadGateway || runs.Load() != 1 {
+		t.Errorf("status %d with %d runs for the trial of another release, want 502 and 1", status, runs.Load())
+	}
+}
