--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,9 @@
 	// crashes keeps requests under which targets crash in quarantine; nil if none are kept there.
 	crashes *crashes.Reporter
 
+	// buffers bounds what bodies hold in memory.
+	buffers bufferBudget
+
 	mu       sync.Mutex
 	balancer *balance.Balancer
 }
@@ -178,11 +181,12 @@
 func (c *call) run() error {
 	ctx, cancel := c.forwarder.shutdown.Context(c.req.Context(), c.deadline.Sub(c.startedAt))
 	defer cancel()
-	body, err := readBody(c.req)
+	body, err := readBody(c.req, &c.forwarder.buffers)
 	if err != nil {
 		return c.abort("client gone", 0, nil, err)
 	}
 	c.body = body
+	defer body.buffer.release()
 	// Now and not before, because a body may arrive slowly.
 	if !c.forwarder.shutdown.Admits(c.route.Name, c.deadline) {
 		c.w.Header().Set("Connection", "close")
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -24,26 +24,29 @@
 
 // bufferedBody is the body of a request. It can be sent again only if it is complete.
 type bufferedBody struct {
+	buffer    buffer
 	data      []byte    // first bytes of the body
 	remainder io.Reader // body after data, nil if complete
 	length    int64     // -1 if unknown
 	complete  bool      // data is the entire body
 }
 
-// readBody buffers the body of a request up to maxBufferedBody bytes. If the body is longer, the rest
-// is streamed from the request.
-func readBody(r *http.Request) (*bufferedBody, error) {
+// readBody buffers the body of a request up to maxBufferedBody bytes, or less if the budget is used up. If the body is
+// longer, the rest is streamed from the request.
+func readBody(r *http.Request, budget *bufferBudget) (*bufferedBody, error) {
+	b := &bufferedBody{complete: true, buffer: buffer{budget: budget}}
 	if r.Body == nil || r.ContentLength == 0 {
-		return &bufferedBody{complete: true}, nil
+		return b, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
-	if err != nil {
+	if err := b.buffer.read(r.Body, maxBufferedBody+1); err != nil {
+		b.buffer.release()
 		return nil, &errs.Interrupted{Operation: "read of a request body", Reason: err.Error()}
 	}
-	if len(data) <= maxBufferedBody {
-		return &bufferedBody{data: data, length: int64(len(data)), complete: true}, nil
+	b.data, b.length = b.buffer.data, int64(len(b.buffer.data))
+	if !b.buffer.whole {
+		b.remainder, b.length, b.complete = r.Body, r.ContentLength, false
 	}
-	return &bufferedBody{data: data, remainder: r.Body, length: r.ContentLength}, nil
+	return b, nil
 }
 
 // reader returns the body for one attempt, or nil if it is empty. Unless the body is complete, only the
@@ -73,6 +76,7 @@
 	kind      resultKind
 	by        *choice
 	resp      *httpconn.Response
+	buffer    buffer
 	data      []byte // the body, or its first bytes if truncated
 	truncated bool   // resp.Body has the bytes after data
 	cancel    context.CancelFunc
@@ -85,6 +89,7 @@
 	if r.resp != nil {
 		_ = r.resp.Body.Close()
 	}
+	r.buffer.release()
 	r.cancel()
 }
 
@@ -113,7 +118,12 @@
 		}
 		return ok
 	}
-	defer func() { go closePending(results, pending) }()
+	defer func() {
+		if fallback != nil {
+			fallback.close()
+		}
+		go closePending(results, pending)
+	}()
 	first, ok := c.pickFirstTarget(ctx)
 	if !ok {
 		c.failExhausted()
@@ -200,7 +210,7 @@
 // attempt sends the request to one target, reads the response and reports the outcome to the balancer.
 func (c *call) attempt(ctx context.Context, cancel context.CancelFunc, cand choice) *attemptResult {
 	begin := bootclock.Now()
-	res := &attemptResult{by: &cand, cancel: cancel}
+	res := c.newResult(&cand, cancel)
 	resp, err := c.forwarder.pool.Do(ctx, cand.Address, c.newRequest(cand))
 	if err == nil {
 		res.resp = resp
@@ -287,14 +297,17 @@
 	return nil
 }
 
-// readBody reads up to maxBufferedBody bytes of the body, and one more to detect a longer one.
+// newResult returns the result of an attempt that begins.
+func (c *call) newResult(by *choice, cancel context.CancelFunc) *attemptResult {
+	return &attemptResult{by: by, cancel: cancel, buffer: buffer{budget: &c.forwarder.buffers}}
+}
+
+// readBody reads up to maxBufferedBody bytes of the body, or less if the budget is used up, and one more to detect a
+// longer one.
 func (r *attemptResult) readBody() error {
-	data, err := io.ReadAll(io.LimitReader(r.resp.Body, maxBufferedBody+1))
-	if err != nil {
-		return err
-	}
-	r.data, r.truncated = data, len(data) > maxBufferedBody
-	return nil
+	err := r.buffer.read(r.resp.Body, maxBufferedBody+1)
+	r.data, r.truncated = r.buffer.data, !r.buffer.whole
+	return err
 }
 
 // reportLoad reports the load header of a target to the balancer. The header has the form
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -94,7 +94,8 @@
 		return false, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	res := &attemptResult{by: &cand, resp: resp}
+	res := s.newResult(&cand, func() {})
+	res.resp = resp
 	if err := s.checkHeader(res, cand); err != nil || res.kind == resultNotRun {
 		outcome := balance.Shed
 		s.sawRejection = s.sawRejection || err == nil
@@ -144,8 +145,10 @@
 
 // passOnWhole passes on a response whose length is known. Its results are those of attempt.
 func (s *eventStream) passOnWhole(by *choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
-	res := &attemptResult{by: by, resp: resp, cancel: func() {}}
+	res := s.newResult(by, func() {})
+	res.resp = resp
 	if err := res.readBody(); err != nil {
+		res.buffer.release()
 		s.finishAttempt(*by, balance.Failed, begin, err)
 		return false, nil
 	}
@@ -157,18 +160,22 @@
 // is allowed. If the header of an earlier response was already sent, the status cannot be passed on and
 // the attempt fails. Its results are those of attempt.
 func (s *eventStream) handleNonOK(cand choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	res := s.newResult(&cand, func() {})
+	res.resp = resp
+	err = res.readBody()
 	failure := resp.StatusCode >= http.StatusInternalServerError
 	if err != nil || failure && s.retryable() {
+		res.buffer.release()
 		s.finishAttempt(cand, balance.Failed, begin, err)
 		return false, nil
 	}
 	if s.headerSent {
+		res.buffer.release()
 		s.finishAttempt(cand, balance.Failed, begin, nil)
 		return false, nil
 	}
 	s.finishAttempt(cand, balance.OK, begin, nil)
-	return true, s.writeResponse(&attemptResult{by: &cand, resp: resp, data: data, cancel: func() {}})
+	return true, s.writeResponse(res)
 }
 
 // copyEvents passes on the events of one response, except those that the caller already has. If the response
