--- a/internal/crashes/reporter.go
+++ b/internal/crashes/reporter.go
@@ -17,6 +17,9 @@
 const (
 	// reportTimeout bounds the attempts to tell the state group of a crash or an answer.
 	reportTimeout = 3 * time.Second
+	// suspectWait is how long a request waits after the first crash under it for the end of another run. Most requests
+	// that crash a target do so sooner, and a sound one is answered sooner.
+	suspectWait = 150 * time.Millisecond
 	// trialTimeout bounds the wait for the grant of a trial.
 	trialTimeout = 200 * time.Millisecond
 	// answerQueueSize is the number of answers that wait to be told; the oldest are dropped, since a request that is
@@ -74,11 +77,7 @@
 // Judge returns the verdict on a request; a Trial has been granted. releases are the software versions of the targets
 // that could run the request.
 func (r *Reporter) Judge(ctx context.Context, f quarantine.Fingerprint, releases []string) quarantine.Judgement {
-	e, since, ok := r.view.QuarantineEntry(f)
-	if !ok {
-		return quarantine.Judgement{}
-	}
-	j := e.Judge(since, releases)
+	e, j := r.awaitVerdict(ctx, f, releases)
 	if j.Verdict == quarantine.Trial && !r.requestTrial(ctx, &e) {
 		j.Verdict, j.Wait = quarantine.Refuse, trialTimeout
 	}
@@ -93,6 +92,28 @@
 	return j
 }
 
+// awaitVerdict returns what is known of a request and the verdict. If a target has crashed under it just now, the request
+// may be in progress at another one, at whatever host: it waits until that one has crashed or answered, at most
+// suspectWait.
+func (r *Reporter) awaitVerdict(ctx context.Context, f quarantine.Fingerprint, releases []string) (quarantine.Entry, quarantine.Judgement) {
+	for {
+		changed := r.view.Changed()
+		e, since, ok := r.view.QuarantineEntry(f)
+		if !ok {
+			return e, quarantine.Judgement{}
+		}
+		j := e.Judge(since, releases)
+		if j.Verdict != quarantine.Careful || since >= suspectWait || ctx.Err() != nil {
+			return e, j
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(suspectWait - since):
+		}
+	}
+}
+
 // requestTrial asks for a trial and reports whether it is granted.
 func (r *Reporter) requestTrial(ctx context.Context, e *quarantine.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -202,3 +202,32 @@
 		t.Errorf("status %d with %d runs for the trial of another release, want 502 and 1", status, runs.Load())
 	}
 }
+
+// Guards against a request that reaches a further target while its fate at another one, at another host, is not known yet.
+func TestSuspectWaitsForItsOtherRun(t *testing.T) {
+	const otherRun = 40 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		ends   func(g *crashGroup, f quarantine.Fingerprint)
+		status int
+		runs   int64
+	}{
+		{"second crash", func(g *crashGroup, f quarantine.Fingerprint) {
+			_ = g.ReportCrash(context.Background(), quarantine.Crash{Fingerprint: f, Instance: quarantine.Instance{Target: "y"}})
+		}, http.StatusServiceUnavailable, 0},
+		{"answer", func(g *crashGroup, f quarantine.Fingerprint) { _ = g.ReportAnswer(context.Background(), f) }, http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, g, runs := newCrashForwarder(t, answer)
+			post, host := newCaller(t, f, newRoute(routes.Idempotent, 3))
+			request := quarantine.Request{Method: http.MethodPost, Host: host, URI: "/x", Body: []byte("body"), Length: 4}
+			_ = g.ReportCrash(t.Context(), quarantine.Crash{Fingerprint: request.Fingerprint(), Instance: quarantine.Instance{Target: "x"}})
+			time.AfterFunc(otherRun, func() { c.ends(g, request.Fingerprint()) })
+			begin := time.Now()
+			status, body, _ := post()
+			if took := time.Since(begin); status != c.status || runs.Load() != c.runs || took < otherRun {
+				t.Errorf("status %d (%s), %d runs after %s; want %d and %d after %s", status, body, runs.Load(), took, c.status, c.runs, otherRun)
+			}
+		})
+	}
+}
