--- a/internal/crashes/reporter.go
+++ b/internal/crashes/reporter.go
@@ -64,7 +64,7 @@
 
 // Start implements kernel.Service.
 func (r *Reporter) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go("crashes/answers", r.reportAnswers)
+	k.Go("crashes/answers", func(ctx context.Context) error { return r.answers.Consume(ctx, r.reportAnswer) })
 	return nil
 }
 
@@ -152,17 +152,6 @@
 	}
 }
 
-func (r *Reporter) reportAnswers(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case f := <-r.answers.C():
-			r.reportAnswer(ctx, f)
-		}
-	}
-}
-
 // reportAnswer tells the state group of one answer unless the request is cleared meanwhile.
 func (r *Reporter) reportAnswer(ctx context.Context, f quarantine.Fingerprint) {
 	if e, _, ok := r.view.QuarantineEntry(f); !ok || e.Crashes == 0 {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,10 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"fuchsiaflow/errs"
-	"fuchsiaflow/internal/bootclock"
 )
 
 const (
@@ -118,183 +115,6 @@
 	Framed bool
 }
 
-// Pool is a pool of idle connections by address. It is safe for concurrent use.
-type Pool struct {
-	// MaxIdlePerAddress is the maximum number of idle connections of an address.
-	MaxIdlePerAddress int
-
-	// now includes the time during which this machine is suspended, because targets close idle
-	// connections meanwhile.
-	now func() time.Time
-
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	dialed uint64
-}
-
-// conn is a connection to a target.
-type conn struct {
-	net.Conn
-	addr      string
-	head      *headLimiter // source of r
-	r         *bufio.Reader
-	expiresAt time.Time // when an idle connection may no longer be reused
-	reused    bool      // whether it has served a request before
-}
-
-// NewPool returns an empty pool.
-func NewPool(maxIdle int) *Pool {
-	return &Pool{MaxIdlePerAddress: maxIdle, now: bootclock.Now, idle: make(map[string][]*conn)}
-}
-
-// Dialed returns the number of dial attempts.
-func (p *Pool) Dialed() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed
-}
-
-// HasIdle reports whether an unexpired idle connection to the address exists.
-func (p *Pool) HasIdle(addr string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[addr]
-	return len(list) > 0 && p.now().Before(list[len(list)-1].expiresAt)
-}
-
-// takeIdle removes and returns a usable idle connection, the latest first. It returns nil if there
-// is none.
-func (p *Pool) takeIdle(addr string) *conn {
-	for {
-		p.mu.Lock()
-		list := p.idle[addr]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
-		p.mu.Unlock()
-		if p.now().Before(c.expiresAt) && c.noPendingInput() {
-			return c
-		}
-		_ = c.Close()
-	}
-}
-
-// putIdle adds an idle connection, or closes it if the address has enough.
-func (p *Pool) putIdle(c *conn) {
-	c.reused = true
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= p.MaxIdlePerAddress {
-		_ = c.Close()
-		return
-	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
-}
-
-// CloseIdle closes all idle connections to an address.
-func (p *Pool) CloseIdle(addr string) {
-	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
-	}
-}
-
-// CloseExpired closes the expired idle connections.
-func (p *Pool) CloseExpired() {
-	now := p.now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for addr, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.expiresAt) {
-				kept = append(kept, c)
-			} else {
-				_ = c.Close()
-			}
-		}
-		if len(kept) == 0 {
-			delete(p.idle, addr)
-		} else {
-			p.idle[addr] = kept
-		}
-	}
-}
-
-// noPendingInput reports whether nothing has arrived on an idle connection, neither an end of file
-// nor unsolicited data.
-func (c *conn) noPendingInput() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && wouldBlock
-}
-
-func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, &RequestError{Address: addr, Phase: "dial", Cause: shortCause(err)}
-	}
-	return newConn(nc, addr), nil
-}
-
-// Refuses reports whether an address refuses connections: no process listens there. A connection that is opened instead
-// is kept for reuse.
-func (p *Pool) Refuses(ctx context.Context, addr string) bool {
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
-	nc, err := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	c := newConn(nc, addr)
-	c.expiresAt = p.now().Add(defaultIdleTimeout)
-	p.putIdle(c)
-	c.reused = false
-	return false
-}
-
-func newConn(nc net.Conn, addr string) *conn {
-	head := &headLimiter{source: nc}
-	return &conn{Conn: nc, addr: addr, head: head, r: bufio.NewReaderSize(head, bufferBytes)}
-}
-
-// headLimiter limits how much is read while the header of a response is expected.
-type headLimiter struct {
-	source  io.Reader
-	limited bool
-	budget  int // bytes left
-}
-
-// begin allows maxHeadBytes until end is called.
-func (l *headLimiter) begin() { l.limited, l.budget = true, maxHeadBytes }
-
-// end removes the limit.
-func (l *headLimiter) end() { l.limited = false }
-
 // Read implements io.Reader. It returns errs.Corrupt when the limit is exceeded.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.limited {
@@ -496,7 +316,7 @@
 			_ = x.conn.Close()
 			return
 		}
-		x.conn.expiresAt = x.pool.now().Add(idleTimeout)
+		x.conn.expiresAt, x.conn.reused = x.pool.now().Add(idleTimeout), true
 		x.pool.putIdle(x.conn)
 	})
 }
--- a/internal/kernel/ring.go
+++ b/internal/kernel/ring.go
@@ -82,3 +82,15 @@
 
 // Dropped returns the number of elements that were rejected or dropped.
 func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
+
+// Consume calls fn with each value of the ring until ctx is done. It is the body of a task that serves the ring alone.
+func (r *Ring[T]) Consume(ctx context.Context, fn func(ctx context.Context, v T)) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case v := <-r.C():
+			fn(ctx, v)
+		}
+	}
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -99,24 +99,13 @@
 
 // Start implements kernel.Service.
 func (r *Reporter) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go("notices", r.run)
+	k.Go("notices", func(ctx context.Context) error { return r.queue.Consume(ctx, r.report) })
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (r *Reporter) Stop(context.Context) error { return nil }
 
-func (r *Reporter) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case d := <-r.queue.C():
-			r.report(ctx, d)
-		}
-	}
-}
-
 // report tells the state group of a notice unless the departure is known meanwhile.
 func (r *Reporter) report(ctx context.Context, d fleet.Departure) {
 	if r.view.HasDeparted(d) {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -105,7 +105,7 @@
 
 // Start implements kernel.Service.
 func (l *Limiter) Start(_ context.Context, k *kernel.Kernel) error {
-	k.Go("limits/tell", l.tellChanges)
+	k.Go("limits/tell", func(ctx context.Context) error { return l.queue.Consume(ctx, l.tell) })
 	k.Every("limits/prune", pruneInterval, func(context.Context) { l.prune() })
 	return nil
 }
--- a/internal/ratelimit/tell.go
+++ b/internal/ratelimit/tell.go
@@ -14,18 +14,7 @@
 	tellQueueSize = 256
 )
 
-// tellChanges tells the leader of changed limits that this host has seen.
-func (l *Limiter) tellChanges(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case limit := <-l.queue.C():
-			l.tell(ctx, limit)
-		}
-	}
-}
-
+// tell tells the leader of a changed limit that this host has seen.
 func (l *Limiter) tell(ctx context.Context, limit fleet.RateLimit) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
