forward: the test of a suspect's wait starts its clock before the timer

Traced: the test took the time after it had started the timer of 40 ms. The check is as strict: the same bound, measured from an earlier moment that cannot lie after the timer's.

--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -222,8 +222,8 @@
 			post, host := newCaller(t, f, newRoute(routes.Idempotent, 3))
 			request := quarantine.Request{Method: http.MethodPost, Host: host, URI: "/x", Body: []byte("body"), Length: 4}
 			_ = g.ReportCrash(t.Context(), quarantine.Crash{Fingerprint: request.Fingerprint(), Instance: quarantine.Instance{Target: "x"}})
-			time.AfterFunc(otherRun, func() { c.ends(g, request.Fingerprint()) })
 			begin := time.Now()
+			time.AfterFunc(otherRun, func() { c.ends(g, request.Fingerprint()) })
 			status, body, _ := post()
 			if took := time.Since(begin); status != c.status || runs.Load() != c.runs || took < otherRun {
 				t.Errorf("status %d (%s), %d runs after %s; want %d and %d after %s", status, body, runs.Load(), took, c.status, c.runs, otherRun)
