store, control: the calls of operators and targets are a package of their own

Ruled out: a change of behaviour; the code is moved, and reads its view, client and clock through Options. Change: internal/control, with the reports of targets in a file of their own; the tests of package store run against it unchanged but for the type that they hold. Measured: the tests of internal/store and platform pass. Conclusion: no change for callers.

--- a/internal/store/calls.go
+++ b/internal/control/calls.go
@@ -1,4 +1,4 @@
-package store
+package control
 
 import (
 	"context"
@@ -51,7 +51,7 @@
 // refused at once with errs.Unavailable, so that the caller tries another host.
 func (c *Control) do(caller context.Context, kind callKind, run func(context.Context) error) (*controlCall, error) {
 	call := &controlCall{control: c, kind: kind, caller: caller, begin: bootclock.Now()}
-	if err := c.st.reachesGroup(); err != nil {
+	if err := c.reachesGroup(); err != nil {
 		return call, err
 	}
 	ctx, cancel := context.WithTimeout(caller, callTimeout)
@@ -69,8 +69,8 @@
 
 // reachesGroup returns errs.Unavailable if this host hears no majority of the voters, so that it can neither serve a
 // call nor pass it on to a leader.
-func (st *Store) reachesGroup() error {
-	if st.group.IsLeader() || bootclock.Now().Sub(st.started) < startPeriod || st.view.QuorumAge(st.opts.Settings.IP) < quorumLossAfter {
+func (c *Control) reachesGroup() error {
+	if c.opts.Leads() || bootclock.Now().Sub(c.started) < startPeriod || c.opts.View.QuorumAge(c.opts.SelfIP) < quorumLossAfter {
 		return nil
 	}
 	return &errs.Unavailable{Resource: "state group", Reason: "this host hears no majority of the voters", Outcome: errs.NotRun}
@@ -78,22 +78,22 @@
 
 // finish counts the call and logs it: as a warning if it failed.
 func (c *controlCall) finish(message string, err error, args ...any) {
-	st := c.control.st
+	control := c.control
 	took := bootclock.Now().Sub(c.begin)
 	result := callResultOK
 	if err != nil {
 		result = string(errs.CodeOf(err))
 	}
-	st.calls.results.Inc(string(c.kind), result)
-	st.calls.seconds.Observe(took.Seconds(), string(c.kind))
-	leader, term := st.view.Leader()
+	control.metrics.results.Inc(string(c.kind), result)
+	control.metrics.seconds.Observe(took.Seconds(), string(c.kind))
+	leader, term := control.opts.View.Leader()
 	args = append(args, "took_ms", took.Milliseconds(), "caller_gone", c.caller.Err() != nil, "leader", leader, "term", term,
-		"quorum_age_ms", st.view.QuorumAge(st.opts.Settings.IP).Milliseconds())
+		"quorum_age_ms", control.opts.View.QuorumAge(control.opts.SelfIP).Milliseconds())
 	if err != nil {
-		st.opts.Log.Warn(message, append(args, "error", err.Error())...)
+		control.opts.Log.Warn(message, append(args, "error", err.Error())...)
 		return
 	}
-	st.opts.Log.Info(message, args...)
+	control.opts.Log.Info(message, args...)
 }
 
 // finishRead is finish for a call that changes nothing. It logs failures only.
@@ -102,6 +102,6 @@
 		c.finish(message, err, args...)
 		return
 	}
-	c.control.st.calls.results.Inc(string(c.kind), callResultOK)
-	c.control.st.calls.seconds.Observe(bootclock.Now().Sub(c.begin).Seconds(), string(c.kind))
+	c.control.metrics.results.Inc(string(c.kind), callResultOK)
+	c.control.metrics.seconds.Observe(bootclock.Now().Sub(c.begin).Seconds(), string(c.kind))
 }
--- a/internal/store/departures_test.go
+++ b/internal/store/departures_test.go
@@ -10,19 +10,26 @@
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/settings"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/storage"
 )
 
+// testStore is a store host and the calls that it serves.
+type testStore struct {
+	*control.Control
+	st *Store
+}
+
 // startSingleStore starts the only store host of a system. It returns the calls of operators and targets, and a
 // function that stops the host.
-func startSingleStore(t *testing.T, dir string, peerPort int) (c *Control, stop func()) {
+func startSingleStore(t *testing.T, dir string, peerPort int) (c *testStore, stop func()) {
 	t.Helper()
 	s := &settings.Role{Host: "h", IP: "127.0.0.1", PeerPort: peerPort, Seeds: []string{"127.0.0.1"}, Bootstrap: true, DataDir: dir,
 		Listen: settings.RoleListen{Control: "127.0.0.1:0"}, Timing: settings.RoleTiming{Grace: time.Second}}
-	st, err := New(Options{Settings: s, Control: func(*Control) http.Handler { return http.NotFoundHandler() },
+	st, err := New(Options{Settings: s, Control: func(*control.Control) http.Handler { return http.NotFoundHandler() },
 		Log: slog.New(slog.DiscardHandler), Metrics: observe.NewMetrics(), Tracing: observe.NewNoopTracing(), FS: storage.OS{}})
 	if err != nil {
 		t.Fatal(err)
@@ -35,7 +42,7 @@
 		defer cancel()
 		_ = st.Shutdown(ctx)
 	}
-	return &Control{st: st}, stop
+	return &testStore{st.calls, st}, stop
 }
 
 func freePort(t *testing.T) int {
@@ -66,9 +73,9 @@
 	ready := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 7, Sequence: 5}
 	draining := ready
 	draining.State, draining.Sequence = fleet.Draining, 6
-	departures := map[string]func(c *Control) error{
-		"deregistered": func(c *Control) error { return c.DeregisterTarget(t.Context(), "t") },
-		"draining":     func(c *Control) error { return c.HandleHeartbeat(t.Context(), draining) },
+	departures := map[string]func(c *testStore) error{
+		"deregistered": func(c *testStore) error { return c.DeregisterTarget(t.Context(), "t") },
+		"draining":     func(c *testStore) error { return c.HandleHeartbeat(t.Context(), draining) },
 	}
 	for name, depart := range departures {
 		t.Run(name, func(t *testing.T) {
@@ -98,7 +105,8 @@
 
 // Guards against a departure that is acknowledged although no restart would keep it.
 func TestDepartureIsNotAcknowledgedWithoutLeader(t *testing.T) {
-	c := &Control{st: mustNewStore(t, t.TempDir(), observe.NewMetrics())}
+	st := mustNewStore(t, t.TempDir(), observe.NewMetrics())
+	c := &testStore{st.calls, st}
 	target := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Draining, Incarnation: 7, Sequence: 5}
 	if err := c.HandleHeartbeat(t.Context(), target); errs.CodeOf(err) != errs.CodeUnavailable {
 		t.Errorf("got error %v, want errs.Unavailable", err)
@@ -114,7 +122,7 @@
 func TestNoticesOfTwoHostsAreADeparture(t *testing.T) {
 	dir, port := t.TempDir(), freePort(t)
 	ready := fleet.Target{ID: "t", Service: "s", Address: "127.0.0.9:1", State: fleet.Ready, Incarnation: 7, Sequence: 5}
-	notice := func(c *Control, host string) {
+	notice := func(c *testStore, host string) {
 		command := storestate.EncodeCommand(&storestate.Command{NoticeDeparture: &storestate.NoticeDeparture{
 			Departure: fleet.Departure{Target: "t", Incarnation: 7}, Host: host}})
 		awaitNil(t, "notice of "+host, func() error {
@@ -122,7 +130,7 @@
 			return err
 		})
 	}
-	checkServing := func(c *Control, want int, when string) {
+	checkServing := func(c *testStore, want int, when string) {
 		t.Helper()
 		awaitNil(t, "heartbeat", func() error { return c.HandleHeartbeat(t.Context(), ready) })
 		if got := len(c.st.view.Serving("s")); got != want {
@@ -194,7 +202,7 @@
 	if list := c.st.view.Serving("s"); len(list) != 0 {
 		t.Errorf("serving: %+v", list)
 	}
-	committed := c.st.departures.covers(fleet.Departure{Target: "t", Incarnation: 7})
+	committed := c.st.departures.Covers(fleet.Departure{Target: "t", Incarnation: 7})
 	applied := false // once the only replica has been elected
 	c.st.stateMachine.View(func(s *storestate.State) { applied = s.Departures().Covers("t", 7) })
 	if committed && !applied {
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/settings"
 	"fuchsiaflow/storage"
@@ -31,7 +32,7 @@
 	t.Helper()
 	s := &settings.Role{Host: "h", IP: "127.0.0.1", PeerPort: 1, Seeds: []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}, Bootstrap: true,
 		DataDir: dir, ToleratedDiskLosses: 1, Timing: settings.RoleTiming{Grace: time.Second}}
-	st, err := New(Options{Settings: s, Control: func(*Control) http.Handler { return http.NotFoundHandler() },
+	st, err := New(Options{Settings: s, Control: func(*control.Control) http.Handler { return http.NotFoundHandler() },
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: m, Tracing: observe.NewNoopTracing(), FS: storage.OS{}})
 	if err != nil {
 		t.Fatalf("open: %v", err)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,6 +19,7 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
@@ -60,7 +61,7 @@
 	Headers      dialect.Headers
 	EngineClient dialect.EngineClient
 	// Control returns the HTTP handler of the calls of operators and targets.
-	Control func(*Control) http.Handler
+	Control func(*control.Control) http.Handler
 	Log     *slog.Logger
 	Metrics *observe.Metrics
 	Tracing *observe.Tracing
@@ -78,17 +79,16 @@
 	stateMachine *runner.StateMachine
 	leaderClient *stateclient.Client
 	stores       *storeRegistry
-	departures   *storedDepartures
+	departures   *control.Departures
 	rateLimits   *ratelimit.Allocator // used while this replica leads
 	limiter      *ratelimit.Limiter
 	grpc         *grpc.Server
-	control      *http.Server
+	calls        *control.Control // of operators, trainers and targets
+	server       *http.Server     // serves calls
 	runner       *runner.Runner
 	forwarder    *forward.Forwarder // sends the scoring calls of the runner
 	// admission decides whether there is memory for another job.
 	admission admission
-	calls     *callMetrics
-	started   time.Time
 	done      chan struct{} // closed when the host stops
 	// leaderSince is when this replica was last seen to become the leader, in nanoseconds of bootclock;
 	// 0 if it never was.
@@ -98,8 +98,8 @@
 // New opens or creates the replica in the data directory. The host takes part after Start.
 func New(o Options) (*Store, error) {
 	s := o.Settings
-	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: newStoredDepartures(),
-		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes), calls: newCallMetrics(o.Metrics), started: bootclock.Now()}
+	st := &Store{opts: o, kernel: kernel.New(o.Log), done: make(chan struct{}), stores: newStoreRegistry(), departures: control.NewDepartures(),
+		rateLimits: ratelimit.NewAllocator(), admission: newAdmission(s.MemoryBytes)}
 	st.view = clusterview.NewView(o.Log, s.Seeds)
 	link := transport.New(st.peer, o.Log)
 	fs := instrumentedFS{FS: o.FS, syncSeconds: o.Metrics.Histogram("storage_sync_seconds", "Duration of a file sync of the state group, in seconds.", observe.SecondsBuckets)}
@@ -117,6 +117,8 @@
 	}
 	st.pool = rolehost.NewClientPool(s, st.replica.ID, o.Log, o.Tracing)
 	st.leaderClient = stateclient.New(st.view, s.IP, st, st.peer)
+	st.calls = control.New(control.Options{View: st.view, Client: st.leaderClient, SelfIP: s.IP, Leads: st.group.IsLeader, Stopping: st.stopping,
+		Departures: st.departures, Log: o.Log, Metrics: o.Metrics})
 	st.grpc = rolehost.NewGRPCServer(o.Log, o.Tracing)
 	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
 	st.forwarder = forward.New(o.Headers, st.view, st.limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
@@ -153,7 +155,7 @@
 
 // handleCommittedDeparture processes a departure that the state group has stored.
 func (st *Store) handleCommittedDeparture(d fleet.Departure) {
-	st.departures.add(d)
+	st.departures.Add(d)
 	st.view.RecordDeparture(d, "own replica")
 }
 
@@ -237,14 +239,14 @@
 	if err != nil {
 		return &errs.Unavailable{Resource: "control address", Reason: err.Error()}
 	}
-	st.control = rolehost.NewHTTPServer(st.opts.Control(&Control{st: st}))
-	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(st.control, listener) })
+	st.server = rolehost.NewHTTPServer(st.opts.Control(st.calls))
+	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(st.server, listener) })
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (c controlService) Stop(ctx context.Context) error {
-	return rolehost.ShutdownServer(ctx, c.st.control)
+	return rolehost.ShutdownServer(ctx, c.st.server)
 }
 
 // registerMetrics registers the gauges of the replica and of the batch jobs.
