--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -65,8 +65,8 @@
 // Run runs an entry host until the process is told to stop.
 func (c *entryCommand) Run() error {
 	return runRole("entry", c.roleFlags, func(s *settings.Role, log *slog.Logger, m *observe.Metrics, t *observe.Tracing) (roleHost, error) {
-		return entry.New(entry.Options{Settings: s, Headers: platform.Headers, Front: platform.NewFrontHandler, Ready: platform.NewReadinessHandler, Log: log, Metrics: m,
-			Tracing: t})
+		return entry.New(entry.Options{Settings: s, Headers: platform.Headers, Front: platform.NewFrontHandler, Ready: platform.NewReadinessHandler,
+			Control: platform.NewControlHandler, Log: log, Metrics: m, Tracing: t})
 	})
 }
 
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -37,6 +37,7 @@
 	CodeQuotaExceeded   Code = "quota_exceeded"
 	CodeUnavailable     Code = "unavailable"
 	CodeNotLeader       Code = "not_leader"
+	CodeRedirect        Code = "redirect"
 	CodeDeadline        Code = "deadline_exceeded"
 	CodeInterrupted     Code = "interrupted"
 	CodeCorrupt         Code = "corrupt"
@@ -203,6 +204,17 @@
 // FailureOutcome implements Failure.
 func (e *NotLeader) FailureOutcome() Outcome { return NotRun }
 
+// Redirect reports a call that another host has to take. Address is the IP:port to which the caller repeats it.
+type Redirect struct{ Resource, Address string }
+
+func (e *Redirect) Error() string { return fmt.Sprintf("%s is taken at %s", e.Resource, e.Address) }
+
+// FailureCode implements Failure.
+func (e *Redirect) FailureCode() Code { return CodeRedirect }
+
+// FailureOutcome implements Failure.
+func (e *Redirect) FailureOutcome() Outcome { return NotRun }
+
 // Deadline reports an operation that exceeded its deadline. An empty Outcome means Unknown.
 type Deadline struct {
 	Operation string
--- a/errs/wire.go
+++ b/errs/wire.go
@@ -31,6 +31,7 @@
 	CodeQuotaExceeded:   {http.StatusTooManyRequests, codes.ResourceExhausted},
 	CodeUnavailable:     {http.StatusServiceUnavailable, codes.Unavailable},
 	CodeNotLeader:       {http.StatusServiceUnavailable, codes.FailedPrecondition},
+	CodeRedirect:        {http.StatusTemporaryRedirect, codes.FailedPrecondition},
 	CodeDeadline:        {http.StatusGatewayTimeout, codes.DeadlineExceeded},
 	CodeInterrupted:     {http.StatusBadGateway, codes.Unknown},
 	CodeCorrupt:         {http.StatusInternalServerError, codes.DataLoss},
--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -49,6 +49,7 @@
 
 // Event is one message of a watch stream.
 type Event struct {
+	// From is the store host that sent the event. It is empty in events of other hosts; see ServeDirectory.
 	From StoreHost `cbor:"1,keyasint"`
 	// Leader is the replica that leads the state group in Term, if the sender knows it.
 	Leader string `cbor:"2,keyasint,omitempty"`
@@ -72,6 +73,9 @@
 	Quarantine []quarantine.Entry `cbor:"11,keyasint,omitempty"`
 }
 
+// isDirectory reports whether the event only lists the store hosts that a host without a replica hears.
+func (e *Event) isDirectory() bool { return e.From.ReplicaID == "" }
+
 // omitUnchanged returns the event to send after previous, without the header if it is unchanged.
 func (e *Event) omitUnchanged(previous *Event) Event {
 	if e.From != previous.From || e.Leader != previous.Leader || e.Term != previous.Term || !slices.Equal(e.Voters, previous.Voters) ||
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -138,7 +138,9 @@
 	for _, s := range e.Stores {
 		changed = v.recordStore(now, s) || changed
 	}
-	v.lastEvent[e.From.IP()] = now
+	if !e.isDirectory() {
+		v.lastEvent[e.From.IP()] = now
+	}
 	if e.Leader != "" && e.Term >= v.term {
 		v.leaderHeard = now
 		if len(e.Voters) > 0 {
--- a/internal/clusterview/voters.go
+++ b/internal/clusterview/voters.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"fuchsiaflow/internal/bootclock"
@@ -95,3 +96,18 @@
 	slices.Sort(ages)
 	return ages
 }
+
+// HeardStores returns the store hosts that sent an event to this host within maxAge, sorted by IP address.
+func (v *View) HeardStores(maxAge time.Duration) []StoreHost {
+	now := bootclock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []StoreHost
+	for ip, s := range v.stores {
+		if at, ok := v.lastEvent[ip]; ok && now.Sub(at) <= maxAge {
+			list = append(list, s.StoreHost)
+		}
+	}
+	slices.SortFunc(list, func(a, b StoreHost) int { return strings.Compare(a.IP(), b.IP()) })
+	return list
+}
--- a/internal/clusterview/watch.go
+++ b/internal/clusterview/watch.go
@@ -161,9 +161,7 @@
 // store host, Serve also adds it to the view: after a restart of all hosts, it may be the only one
 // that knows the members of the state group, and no other host would discover it.
 func Serve(v *View, r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent], source Source) error {
-	if sender, ok := rpc.SenderFromContext(stream.Context()); ok && r.Store {
-		v.RecordStore(StoreHost{ReplicaID: sender.Host})
-	}
+	recordWatchingStore(v, r, stream)
 	var revision, departureRevision, rateRevision, quarantineRevision, version uint64
 	var previous Event
 	for {
@@ -192,3 +190,28 @@
 		}
 	}
 }
+
+// recordWatchingStore adds the client of a watch to the view if it is a store host.
+func recordWatchingStore(v *View, r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) {
+	if sender, ok := rpc.SenderFromContext(stream.Context()); ok && r.Store {
+		v.RecordStore(StoreHost{ReplicaID: sender.Host})
+	}
+}
+
+// ServeDirectory sends the store hosts that this host hears until the stream ends or done is closed. It serves the
+// watches of a host that is a seed without being a store host: others find the store hosts through it.
+func ServeDirectory(v *View, r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent], done <-chan struct{}) error {
+	recordWatchingStore(v, r, stream)
+	for {
+		if err := stream.Send(&rpc.WatchEvent{Event: Encode(Event{Stores: v.HeardStores(watchTimeout)})}); err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-done:
+			return nil
+		case <-time.After(watchHeartbeat):
+		}
+	}
+}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -24,10 +24,18 @@
 // callResultOK is the result of a successful call in metrics. That of a failed one is its error code.
 const callResultOK = "ok"
 
+// Results of the redirection of a target's report in metrics.
+const (
+	redirectSent   = "sent"
+	redirectFailed = "no store host heard"
+)
+
 // callMetrics counts the calls that the state group has to answer.
 type callMetrics struct {
 	results *observe.Counter
 	seconds *observe.Histogram
+	// redirects counts the reports of targets that this host does not record itself.
+	redirects *observe.Counter
 }
 
 func newCallMetrics(m *observe.Metrics) *callMetrics {
@@ -36,6 +44,8 @@
 	return &callMetrics{
 		results: m.Counter("control_calls_total", "Calls of operators, trainers and leaving targets by their result: ok, or the code of the error.", kind, observe.Label{Name: "result"}),
 		seconds: m.Histogram("control_call_seconds", "Time from a call to its answer.", observe.SecondsBuckets, kind),
+		redirects: m.Counter("control_redirects_total", "Reports of targets that were redirected to a store host, by result.",
+			observe.Label{Name: "result", Values: []string{redirectSent, redirectFailed}}),
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,5 +1,6 @@
-// Package control serves the calls of operators, trainers and targets. Calls of operators and trainers are passed to the
-// leader of the state group; reports of targets are recorded in the view of the host.
+// Package control serves the calls of operators, trainers and targets. Any host takes calls of operators and trainers,
+// and passes them to the leader of the state group. Store hosts record the reports of targets, and other hosts redirect
+// them there.
 package control
 
 import (
@@ -19,15 +20,19 @@
 // an answer.
 const callTimeout = 950 * time.Millisecond
 
-// Options configures a Control. All fields are required.
+// Options configures a Control. All fields are required unless their comment says otherwise.
 type Options struct {
 	View   *clusterview.View
 	Client *stateclient.Client // calls the leader of the state group
 	SelfIP string              // IP address of this host
+	// Port is the port of these calls, the same on all hosts that take them.
+	Port string
 	// Leads reports whether this host leads the state group.
 	Leads func() bool
 	// Stopping reports whether this host takes no more calls.
-	Stopping   func() bool
+	Stopping func() bool
+	// Departures are those that the state group is known to have stored. It is nil on a host without a replica, which
+	// redirects the reports of targets to store hosts.
 	Departures *Departures
 	Log        *slog.Logger
 	Metrics    *observe.Metrics
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -10,6 +10,9 @@
 // HandleHeartbeat processes a heartbeat of a target. If the target is draining, it returns errs.Unavailable
 // unless the departure is stored and reaches the other hosts, so that the target also tells another host.
 func (c *Control) HandleHeartbeat(ctx context.Context, t fleet.Target) error {
+	if !c.recordsTargets() {
+		return c.redirect(t.ID)
+	}
 	c.opts.View.UpdateTarget(t)
 	if t.State == fleet.Ready {
 		return nil
@@ -21,6 +24,9 @@
 // that the target tries a host that knows it, and if the departure is not stored or does not reach the other hosts.
 // The same holds for a target that has just started anew, since the call may be a late one of its earlier incarnation.
 func (c *Control) DeregisterTarget(ctx context.Context, id string) error {
+	if !c.recordsTargets() {
+		return c.redirect(id)
+	}
 	if c.opts.View.JustRestarted(id) {
 		return c.refuseDeparture(fleet.Departure{Target: id}, "the target has just started anew; its earlier incarnation may have sent the call")
 	}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"google.golang.org/grpc"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/control"
+	"fuchsiaflow/internal/kernel"
+	"fuchsiaflow/internal/rolehost"
+	"fuchsiaflow/internal/rpc"
+	"fuchsiaflow/internal/storestate"
+)
+
+// newControl returns the calls of operators, trainers and targets. They are taken until the host stops, because the
+// lists of callers lag.
+func (e *Entry) newControl() *control.Control {
+	never := func() bool { return false }
+	s := e.opts.Settings
+	return control.New(control.Options{View: e.view, Client: e.stateClient, SelfIP: s.IP, Port: s.Listen.ControlPort(), Leads: never, Stopping: never,
+		Log: e.opts.Log, Metrics: e.opts.Metrics})
+}
+
+// controlService serves the control interface. It does nothing on a host without an address for it.
+type controlService struct {
+	e      *Entry
+	server *http.Server
+}
+
+// Start implements kernel.Service.
+func (c *controlService) Start(_ context.Context, k *kernel.Kernel) error {
+	address := c.e.opts.Settings.Listen.Control
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &errs.Unavailable{Resource: "control address " + address, Reason: err.Error()}
+	}
+	c.server = rolehost.NewHTTPServer(c.e.opts.Control(c.e.newControl()))
+	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(c.server, listener) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (c *controlService) Stop(ctx context.Context) error {
+	return rolehost.ShutdownServer(ctx, c.server)
+}
+
+// peerServer implements the methods of the gRPC service Peer that other hosts call on a seed: any host that serves the
+// control interface may be one.
+type peerServer struct {
+	rpc.UnimplementedPeerServer
+	e    *Entry
+	grpc *grpc.Server
+	done chan struct{} // closed when the host stops
+}
+
+func newPeerServer(e *Entry) *peerServer { return &peerServer{e: e, done: make(chan struct{})} }
+
+// Start implements kernel.Service.
+func (p *peerServer) Start(_ context.Context, k *kernel.Kernel) error {
+	s := p.e.opts.Settings
+	if s.Listen.Control == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", clusterview.Address(s.IP, s.EffectivePeerListenPort()))
+	if err != nil {
+		return &errs.Unavailable{Resource: "peer address", Reason: err.Error()}
+	}
+	p.grpc = rolehost.NewGRPCServer(p.e.opts.Log, p.e.opts.Tracing)
+	rpc.RegisterPeerServer(p.grpc, p)
+	k.Go("peer/serve", func(context.Context) error {
+		if err := p.grpc.Serve(listener); err != nil {
+			return &errs.Unavailable{Resource: "peer server", Reason: err.Error()}
+		}
+		return nil
+	})
+	return nil
+}
+
+// Stop implements kernel.Service. Nothing that the server sends is needed later.
+func (p *peerServer) Stop(context.Context) error {
+	close(p.done)
+	if p.grpc != nil {
+		p.grpc.Stop()
+	}
+	return nil
+}
+
+// Watch implements rpc.PeerServer.
+func (p *peerServer) Watch(r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent]) error {
+	return clusterview.ServeDirectory(p.e.view, r, stream, p.done)
+}
+
+// Propose implements rpc.PeerServer.
+func (p *peerServer) Propose(_ context.Context, r *rpc.ProposeRequest) (*rpc.ProposeReply, error) {
+	return nil, p.notLeader(r.Group)
+}
+
+// Read implements rpc.PeerServer.
+func (p *peerServer) Read(_ context.Context, r *rpc.ReadRequest) (*rpc.ReadReply, error) {
+	return nil, p.notLeader(r.Group)
+}
+
+// notLeader returns errs.NotLeader with the address of the leader that this host knows.
+func (p *peerServer) notLeader(group string) error {
+	leader, _ := p.e.view.Leader()
+	return &errs.NotLeader{Group: group, Leader: clusterview.ReplicaIP(leader)}
+}
+
+// Present implements rpc.PeerServer.
+func (p *peerServer) Present(context.Context, *rpc.PresentRequest) (*rpc.PresentReply, error) {
+	return nil, p.notLeader(storestate.Group)
+}
+
+// DemandShare implements rpc.PeerServer.
+func (p *peerServer) DemandShare(context.Context, *rpc.DemandShareRequest) (*rpc.DemandShareReply, error) {
+	return nil, p.notLeader(storestate.Group)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,5 +1,5 @@
 // Package entry implements an entry host. It accepts requests, forwards them to targets, and passes
-// calls about batch jobs on to the store hosts. It stores nothing on disk.
+// calls about batch jobs and calls of operators on to the store hosts. It stores nothing on disk.
 package entry
 
 import (
@@ -12,6 +12,7 @@
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/crashes"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
@@ -65,8 +66,10 @@
 	Headers  dialect.Headers
 	// Front and Ready return the handlers for callers' requests and for the load balancer's
 	// readiness checks.
-	Front   func(*Entry) http.Handler
-	Ready   func(*Entry) http.Handler
+	Front func(*Entry) http.Handler
+	Ready func(*Entry) http.Handler
+	// Control returns the handler of the calls of operators, trainers and targets.
+	Control func(*control.Control) http.Handler
 	Log     *slog.Logger
 	Metrics *observe.Metrics
 	Tracing *observe.Tracing
@@ -111,6 +114,8 @@
 		{"crashes", crashReporter},
 		{"forwarder", e.forwarder},
 		{"notices", notice.NewReporter(e.view, e.stateClient.NoticeDeparture, o.Log, o.Metrics)},
+		{"peer-server", newPeerServer(e)},
+		{"control", &controlService{e: e}},
 		{"http", httpService{e}},
 	}
 	for _, v := range services {
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -12,17 +12,17 @@
 
 // Role holds the settings of a host with a single role: an entry host accepts client requests, and
 // a store host keeps the replicated state and runs batch jobs. Both discover the other hosts
-// through a few seed addresses of store hosts.
+// through a few seed addresses of hosts that serve the control interface.
 type Role struct {
 	Host          string `json:"host"`
 	FailureDomain string `json:"failure_domain"`
 	IP            string `json:"ip"`
-	// PeerPort is the port at which the gRPC server of every store host is reachable.
+	// PeerPort is the port at which the gRPC servers of other hosts are reachable.
 	PeerPort int `json:"peer_port"`
 	// PeerListenPort is the local listen port of a store host behind a proxy or an address
 	// translation; 0 means PeerPort.
 	PeerListenPort int `json:"peer_listen_port"`
-	// Seeds are the IP addresses of some store hosts.
+	// Seeds are the IP addresses of some hosts that serve the control interface: at the first start store hosts.
 	Seeds []string `json:"seeds"`
 	// Bootstrap is set when the whole system starts for the first time, with empty disks. The
 	// seeds then form the initial group.
@@ -45,6 +45,15 @@
 	Metrics string `json:"metrics"`
 }
 
+// ControlPort returns the port of the control interface, which is the same on all hosts, or "" if it is not served.
+func (l *RoleListen) ControlPort() string {
+	_, port, err := net.SplitHostPort(l.Control)
+	if err != nil {
+		return ""
+	}
+	return port
+}
+
 // RoleTiming holds the time limits that the deployment sets.
 type RoleTiming struct {
 	// Grace is the time that the process has to exit after it is asked to stop.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -117,7 +117,7 @@
 	}
 	st.pool = rolehost.NewClientPool(s, st.replica.ID, o.Log, o.Tracing)
 	st.leaderClient = stateclient.New(st.view, s.IP, st, st.peer)
-	st.calls = control.New(control.Options{View: st.view, Client: st.leaderClient, SelfIP: s.IP, Leads: st.group.IsLeader, Stopping: st.stopping,
+	st.calls = control.New(control.Options{View: st.view, Client: st.leaderClient, SelfIP: s.IP, Port: s.Listen.ControlPort(), Leads: st.group.IsLeader, Stopping: st.stopping,
 		Departures: st.departures, Log: o.Log, Metrics: o.Metrics})
 	st.grpc = rolehost.NewGRPCServer(o.Log, o.Tracing)
 	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
