--- a/internal/runner/partialtext.go
+++ b/internal/runner/partialtext.go
@@ -15,6 +15,7 @@
 	lastEventID uint64 // ID of the last event, 0 before the first
 	eventCount  int
 	versions    []uint64 // weight versions that generated the text, ascending
+	release     string   // software version of the engines that generated the text
 	// committed is the prefix of the text that is committed.
 	committed jobs.Prefix
 	// proposedEvents is the number of events included in the last proposal.
@@ -24,6 +25,14 @@
 	updatedAt                   time.Time // end of the last run, or load from the committed state
 }
 
+// events returns the number of events of a text, 0 for nil.
+func (p *partialText) events() int {
+	if p == nil {
+		return 0
+	}
+	return p.eventCount
+}
+
 // remainingTokens estimates the number of output tokens still to be generated. If the text already
 // reaches the client's estimate, the item is a long one, and half of its present length is assumed.
 func (p *partialText) remainingTokens(estimate int) int {
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -30,12 +30,12 @@
 	return p
 }
 
-// partialFor returns the text from which a run resumes, or an empty one if it starts from the
-// beginning.
-func (r *Runner) partialFor(j *openJob, t *schedule.Task) *partialText {
+// partialFor returns the text from which a run at an engine resumes, or an empty one if it starts from the
+// beginning. A text goes on only at the software version that began it: what two of them write does not fit together.
+func (r *Runner) partialFor(j *openJob, t *schedule.Task, engine *fleet.Target) *partialText {
 	p := r.usablePartial(j, t.Item)
-	if p == nil || p.requiredVersion(j) != t.PinnedVersion {
-		return &partialText{}
+	if p == nil || p.requiredVersion(j) != t.PinnedVersion || p.release != engine.Release {
+		return &partialText{release: engine.Release}
 	}
 	return p
 }
@@ -79,7 +79,11 @@
 		r.sched.DelayEngine(now, a.Engine, errs.RetryAfterOf(err))
 		return
 	}
-	p := r.partialFor(j, &a.Task)
+	discarded := r.partials[key.Item].events()
+	p := r.partialFor(j, &a.Task, &t)
+	if p.eventCount > 0 {
+		discarded = 0
+	}
 	delete(r.partials, key.Item)
 	r.metrics.itemWaitTime.Observe(now.Sub(j.items[key.Item].waitingSince).Seconds())
 	ctx, cancel := context.WithCancel(r.ctx)
@@ -89,7 +93,7 @@
 	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir}
 	r.runs[key] = rn
 	term, resumedEvents := r.term, p.eventCount
-	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "version", t.Weights[j.Model],
+	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "discarded", discarded, "release", t.Release, "version", t.Weights[j.Model],
 		"waited_ms", now.Sub(j.items[key.Item].waitingSince).Milliseconds())
 	r.kernel.Go("runner/run", func(context.Context) error {
 		ctx, span := r.opts.Tracing.StartClientSpan(ctx, "run item", attribute.String("job", key.Job), attribute.String("item", key.Item),
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/jobs"
@@ -125,13 +126,29 @@
 		resume        bool
 	}{{true, 4, true}, {true, 0, false}, {false, 0, true}} {
 		j := &openJob{Job: &jobs.Job{ID: "j", SingleVersion: c.singleVersion}}
-		got := r.partialFor(j, &schedule.Task{Job: "j", Item: "item", SingleVersion: c.singleVersion, PinnedVersion: c.pinnedVersion})
+		got := r.partialFor(j, &schedule.Task{Job: "j", Item: "item", SingleVersion: c.singleVersion, PinnedVersion: c.pinnedVersion}, &fleet.Target{})
 		if resumed := got == stored; resumed != c.resume || !resumed && got.eventCount > 0 {
 			t.Errorf("%+v: run starts after %d events", c, got.eventCount)
 		}
 	}
 }
 
+// Guards against a text that goes on at another software version than the one that began it, and against a text without
+// a version, as an earlier build stored it, that goes on at one.
+func TestRunRestartsAtAnotherSoftwareVersion(t *testing.T) {
+	for _, c := range []struct {
+		stored, engine string
+		resume         bool
+	}{{"v1", "v1", true}, {"v1", "v2", false}, {"", "v1", false}, {"v1", "", false}, {"", "", true}} {
+		stored := &partialText{text: []byte("e1"), lastEventID: 1, eventCount: 1, versions: []uint64{4}, release: c.stored}
+		r := &Runner{partials: map[string]*partialText{"item": stored}}
+		got := r.partialFor(&openJob{Job: &jobs.Job{ID: "j"}}, &schedule.Task{Job: "j", Item: "item"}, &fleet.Target{Release: c.engine})
+		if resumed := got == stored; resumed != c.resume || got.release != c.engine {
+			t.Errorf("%+v: run starts after %d events at version %q", c, got.eventCount, got.release)
+		}
+	}
+}
+
 // endlessEvents returns an engine that sends valid events until the connection is closed.
 func endlessEvents(first int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/runner/scoring.go
+++ b/internal/runner/scoring.go
@@ -44,7 +44,7 @@
 // If another open job has stored a complete text of the item meanwhile, that text is scored.
 func (r *Runner) storeCompleteText(j *openJob, it *openItem, p *partialText, prefix jobs.Prefix) {
 	progress := storestate.ItemProgress{Job: j.ID, Item: it.ID, Offset: prefix.Len, BaseRevision: prefix.Revision,
-		Partial: jobs.PartialText{Text: jobs.NewText(p.text[prefix.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions,
+		Partial: jobs.PartialText{Text: jobs.NewText(p.text[prefix.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions, Release: p.release,
 			Complete: true, Revision: r.nextRevision()}}
 	command := &storestate.Command{Progress: &storestate.Progress{Items: []storestate.ItemProgress{progress}}}
 	r.propose(command, func(_ time.Time, reply storestate.Reply) {
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -137,6 +137,9 @@
 	// Revision identifies the text among all texts that were ever stored for the item. It is chosen by
 	// the writer; 0 if the text was not stored by AppendText.
 	Revision uint64 `cbor:"6,keyasint,omitempty"`
+	// Release is the software version of the engines that generated the text. Only engines of the same version may
+	// continue it.
+	Release string `cbor:"7,keyasint,omitempty"`
 }
 
 // Prefix identifies the stored text that a new part continues. The zero Prefix is empty: the part is the
