--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -40,6 +40,9 @@
 	WeightVersionField string
 	// LastEventID carries the ID of the last event that the caller has received.
 	LastEventID string
+	// Resumes are the names of the header in which a caller that takes a stream up names its request that brought the
+	// first event.
+	Resumes []string
 	// RetryAfter carries the time after which the caller may retry, in seconds.
 	RetryAfter string
 	// CallerKey carries the key of the caller; absent on routes without keys.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,7 @@
 	e.forwarder = forward.New(o.Headers, e.view, limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	crashReporter := crashes.NewReporter(e.view, e.stateClient, o.Log, o.Metrics)
 	e.forwarder.UseCrashReporter(crashReporter)
+	e.forwarder.UseStreamOrigins(e.stateClient)
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
 	services := []struct {
 		name    string
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,9 @@
 	// crashes keeps requests under which targets crash in quarantine; nil if none are kept there.
 	crashes *crashes.Reporter
 
+	// origins stores what began a stream; nil if callers cannot take streams up.
+	origins StreamOrigins
+
 	// buffers bounds what bodies hold in memory.
 	buffers bufferBudget
 
@@ -150,6 +153,7 @@
 	attempts      int           // attempts started
 	serverErrors  int           // answers with status 500
 	suspicion     suspicion
+	binding       // of a stream
 }
 
 // Serve forwards a request that matches a route of the configuration with the given version. The timeout
@@ -354,6 +358,9 @@
 		"outcome", outcome, "attempts", c.attempts, "sent", c.possibleRuns, "took_ms", took.Milliseconds(),
 		"left_ms", c.deadline.Sub(bootclock.Now()).Milliseconds()}
 	args = append(args, by.logArgs(c.startedAt)...)
+	if c.bound {
+		args = append(args, "release", c.release)
+	}
 	if c.suspicion.careful {
 		args = append(args, "fingerprint", string(c.fingerprint()), "crashes", c.suspicion.known+c.suspicion.crashes)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -22,7 +22,7 @@
 )
 
 var headers = dialect.Headers{RequestID: "Id", Deadline: "Deadline-Ms", ExpectedInstance: "Expect-Instance", Instance: "Instance", ServerStamp: "Stamp",
-	NotRun: "Not-Run", Load: "Load", WeightVersion: "Versions", LastEventID: "Last-Event-Id", RetryAfter: "Retry-After",
+	NotRun: "Not-Run", Load: "Load", WeightVersion: "Versions", LastEventID: "Last-Event-Id", Resumes: []string{"Resumes"}, RetryAfter: "Retry-After",
 	Leaving: []string{"Leaving"}, RateLimit: []string{"Limit"}}
 
 // targetBehavior handles a request at a test target. It calls run if the request runs.
--- /dev/null
+++ b/internal/forward/origin_test.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiaflow/errs"
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/origins"
+	"fuchsiaflow/routes"
+)
+
+// storedOrigins is a StreamOrigins in memory.
+type storedOrigins struct {
+	known map[string]origins.Origin
+	err   error
+}
+
+func (s *storedOrigins) RecordOrigin(_ context.Context, o origins.Origin) error {
+	if s.err == nil {
+		s.known[o.Stream] = o
+	}
+	return s.err
+}
+
+func (s *storedOrigins) Origin(_ context.Context, stream string) (origins.Origin, bool, error) {
+	o, known := s.known[stream]
+	return o, known, s.err
+}
+
+// continueStream streams the event after the last one that the caller has.
+func continueStream(w http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	next := "1"
+	if r.Header.Get("Last-Event-Id") == "1" {
+		next = "2"
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	writeStream(w, r.Header.Get("Id"), "s", http.StatusOK, fmt.Sprintf("id: %s\ndata: x\n\n", next))
+}
+
+// askStream sends a request for a stream through a real server.
+func askStream(t *testing.T, f *Forwarder, route *routes.Route, id, lastEvent, resumes string) (status int, body string, took time.Duration) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, route, 1) }))
+	defer s.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", id)
+	req.Header.Set("Deadline-Ms", "2000")
+	if lastEvent != "" {
+		req.Header.Set("Last-Event-Id", lastEvent)
+	}
+	if resumes != "" {
+		req.Header.Set("Resumes", resumes)
+	}
+	begin := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(data), time.Since(begin)
+}
+
+// Guards against a stream that goes on although the version that began it is in doubt or gone, against a refusal that
+// the caller waits for, and against a target that gets a refused request.
+func TestStreamInDoubtIsRefusedAtOnce(t *testing.T) {
+	voters := &clusterview.Event{From: clusterview.StoreHost{ReplicaID: "10.0.0.1~a"}, Leader: "10.0.0.1~a", Term: 1, Voters: []string{"10.0.0.1~a"}}
+	origin := func(service, release string) *storedOrigins {
+		return &storedOrigins{known: map[string]origins.Origin{"first": {Stream: "first", Service: service, Release: release}}}
+	}
+	for name, c := range map[string]struct {
+		origins  *storedOrigins
+		releases []string // of the targets
+		resumes  string
+		isolated bool
+		want     int
+	}{
+		"its version serves":             {origin("s", "v1"), []string{"v1", "v2"}, "first", false, http.StatusOK},
+		"its version is gone":            {origin("s", "v1"), []string{"v2", "v2"}, "first", false, http.StatusServiceUnavailable},
+		"another service began it":       {origin("other", "v1"), []string{"v1", "v1"}, "first", false, http.StatusServiceUnavailable},
+		"its origin is not known":        {origin("s", "v1"), []string{"v1", "v1"}, "unknown", false, http.StatusServiceUnavailable},
+		"the state group fails":          {&storedOrigins{err: &errs.Unavailable{Resource: "leader"}}, []string{"v1", "v1"}, "first", false, http.StatusServiceUnavailable},
+		"this host is cut off":           {origin("s", "v1"), []string{"v1", "v1"}, "first", true, http.StatusServiceUnavailable},
+		"not named, one version":         {origin("s", "v1"), []string{"v1", "v1"}, "", false, http.StatusOK},
+		"not named, several versions":    {origin("s", "v1"), []string{"v1", "v2"}, "", false, http.StatusServiceUnavailable},
+		"not named, this host cut off":   {origin("s", "v1"), []string{"v1", "v1"}, "", true, http.StatusServiceUnavailable},
+		"versions are not ordered":       {origin("s", "v10"), []string{"v9", "v10"}, "first", false, http.StatusOK},
+		"a version without name serves":  {origin("s", ""), []string{"", "v1"}, "first", false, http.StatusOK},
+		"no version without name serves": {origin("s", ""), []string{"v2", "v1"}, "first", false, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, runs := newForwarder(t, continueStream, continueStream)
+			f.UseStreamOrigins(c.origins)
+			f.started = f.started.Add(-warmupPeriod) // all targets are known
+			if !c.isolated {
+				f.view.Merge(voters)
+			}
+			for i, target := range f.view.Serving("s") {
+				target.Release, target.Sequence = c.releases[i], 2
+				f.view.UpdateTarget(target)
+			}
+			r := newRoute(routes.Stream, 2)
+			r.Resumable = true
+			status, body, took := askStream(t, f, r, "next", "1", c.resumes)
+			if status != c.want {
+				t.Errorf("status %d, %q, want %d", status, body, c.want)
+			}
+			if status == http.StatusOK && body != "id: 2\ndata: x\n\n" {
+				t.Errorf("the caller gets %q", body)
+			}
+			if status != http.StatusOK && (runs.Load() > 0 || took > 300*time.Millisecond) {
+				t.Errorf("refused after %s and %d runs", took, runs.Load())
+			}
+		})
+	}
+}
+
+// Guards against a stream whose origin is stored only after its caller has an event, or as another version than that
+// of the target that made it.
+func TestOriginIsStoredBeforeTheFirstEvent(t *testing.T) {
+	f, _ := newForwarder(t, continueStream)
+	stored := &storedOrigins{known: make(map[string]origins.Origin)}
+	f.UseStreamOrigins(stored)
+	f.view.Merge(&clusterview.Event{From: clusterview.StoreHost{ReplicaID: "10.0.0.1~a"}, Leader: "10.0.0.1~a", Term: 1, Voters: []string{"10.0.0.1~a"}})
+	target := fleet.Target{ID: "a", Service: "s", Address: f.view.Serving("s")[0].Address, Domain: "d", State: fleet.Ready, Slots: 6, Sequence: 2, Release: "v7"}
+	f.view.UpdateTarget(target)
+	r := newRoute(routes.Stream, 2)
+	r.Resumable = true
+	if status, body, _ := askStream(t, f, r, "first", "", ""); status != http.StatusOK || body != "id: 1\ndata: x\n\n" {
+		t.Fatalf("status %d, %q", status, body)
+	}
+	if want := (origins.Origin{Stream: "first", Service: "s", Release: "v7"}); stored.known["first"] != want {
+		t.Errorf("stored %+v, want %+v", stored.known["first"], want)
+	}
+}
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -34,7 +34,7 @@
 	var list []balance.Candidate
 	c.limitWait = 0
 	for _, t := range c.forwarder.view.Serving(c.service) {
-		if c.suspicion.excludes(&t) {
+		if c.suspicion.excludes(&t) || !c.allows(t.Release) {
 			continue
 		}
 		wait, limited := c.forwarder.limiter.RefusedFor(t.ID, t.Incarnation)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,15 +29,21 @@
 	headerSent  bool       // the response header was sent to the caller
 	by          *choice    // target whose response header was sent
 	span        trace.Span // span of the current attempt
+	// recorded is closed when the origin of the stream is stored; nil if no event waits for that.
+	recorded   <-chan struct{}
+	waitsUntil time.Time // end of the wait for a target of the version that the stream is bound to; zero if it does not wait
 }
 
 // stream forwards server-sent events as they arrive. If the route is resumable, an interrupted stream
-// is resumed at another target after the last complete event.
+// is resumed after the last complete event, at another target of the same software version.
 func (c *call) stream(ctx context.Context) error {
 	s := &eventStream{call: c}
 	if id, err := strconv.ParseUint(c.req.Header.Get(c.forwarder.headers.LastEventID), 10, 64); err == nil {
 		s.lastEventID = id
 	}
+	if s.resumesStream() && !s.bindToOrigin(ctx) {
+		return nil
+	}
 	// Only the first attempt waits for a target during the warmup period.
 	pick := func() (choice, bool) { return c.pickFirstTarget(ctx) }
 	for {
@@ -46,6 +52,9 @@
 		if !ok && c.possibleRuns == 0 && c.attempts > 0 && c.waitForCapacity(ctx) {
 			cand, ok = c.pickTarget(ctx)
 		}
+		if !ok {
+			cand, ok = s.awaitRelease(ctx)
+		}
 		if !ok {
 			return s.failStream(ctx)
 		}
@@ -67,6 +76,10 @@
 		return s.abort("interrupted", http.StatusOK, s.by, nil)
 	case ctx.Err() != nil:
 		return s.failTimeout()
+	case s.bound && s.possibleRuns == 0 && !s.releaseServes():
+		s.awaitCrashReports()
+		s.refuse(retryAfterNoTarget, "no target of the version that began the stream is left; it has to begin anew")
+		return nil
 	}
 	s.failExhausted()
 	return nil
@@ -116,10 +129,12 @@
 	}
 	if !s.headerSent {
 		s.headerSent, s.by = true, &cand
+		s.bindToTarget(&cand)
 		copyResponseHeader(s.w.Header(), resp.Header)
 		s.w.WriteHeader(resp.StatusCode)
 		s.flush()
 	}
+	s.waitsUntil = time.Time{}
 	err = s.copyEvents(resp, resumes)
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
@@ -203,6 +218,7 @@
 		if resumes && !e.IsComment() && !s.follows(e.ID) {
 			return &errs.Corrupt{What: "resumed stream", Detail: fmt.Sprintf("event %d follows event %d", e.ID, s.lastEventID)}
 		}
+		s.awaitRecord()
 		if err := s.write(e.Raw); err != nil {
 			return err
 		}
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -15,6 +15,7 @@
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/origins"
 	"fuchsiaflow/quarantine"
 )
 
@@ -165,6 +166,21 @@
 	return err == nil && r.Changed, err
 }
 
+// RecordOrigin stores what began a stream.
+func (c *Client) RecordOrigin(ctx context.Context, o origins.Origin) error {
+	_, err := c.propose(ctx, &storestate.Command{RecordOrigin: &o})
+	return err
+}
+
+// Origin returns what began a stream, if that is stored.
+func (c *Client) Origin(ctx context.Context, stream string) (o origins.Origin, known bool, err error) {
+	a, err := c.read(ctx, &storestate.Query{Origin: stream})
+	if err != nil || a.Origin == nil {
+		return origins.Origin{}, false, err
+	}
+	return *a.Origin, true, nil
+}
+
 // SubmitJob stores a batch job and reports whether the job is new.
 func (c *Client) SubmitJob(ctx context.Context, j jobs.Job) (bool, error) {
 	r, err := c.propose(ctx, &storestate.Command{SubmitJob: &j})
--- a/internal/storestate/snapshot.go
+++ b/internal/storestate/snapshot.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/origins"
 	"fuchsiaflow/quarantine"
 )
 
@@ -36,6 +37,8 @@
 	Notices    []fleet.Notice    `cbor:"8,keyasint,omitempty"`
 	// Quarantine holds the requests under which targets have crashed.
 	Quarantine []quarantine.Entry `cbor:"9,keyasint,omitempty"`
+	// Origins holds what began the newest streams, the oldest first.
+	Origins []origins.Origin `cbor:"10,keyasint,omitempty"`
 }
 
 // entryHeader is the entry of a batch job without its results.
@@ -105,7 +108,7 @@
 
 // WriteSnapshot writes a snapshot of the state.
 func (s *State) WriteSnapshot(w io.Writer) error {
-	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All(), Quarantine: s.quarantine.All()}
+	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All(), Quarantine: s.quarantine.All(), Origins: s.origins.All()}
 	entries := header.Jobs.Entries
 	header.Jobs.Entries = nil
 	header.EntryCount = len(entries)
@@ -153,6 +156,7 @@
 	restored.departures = fleet.NewDepartures(header.Departures)
 	restored.notices = fleet.NewNotices(header.Notices)
 	restored.quarantine = quarantine.NewTable(header.Quarantine)
+	restored.origins = origins.NewTable(header.Origins)
 	*s = *restored
 	return nil
 }
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -11,6 +11,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/origins"
 	"fuchsiaflow/quarantine"
 )
 
@@ -37,6 +38,8 @@
 	RecordCrash  *quarantine.Crash `cbor:"12,keyasint,omitempty"`
 	RecordAnswer *RecordAnswer     `cbor:"13,keyasint,omitempty"`
 	GrantTrial   *GrantTrial       `cbor:"14,keyasint,omitempty"`
+	// RecordOrigin stores what began a stream.
+	RecordOrigin *origins.Origin `cbor:"15,keyasint,omitempty"`
 }
 
 // RecordAnswer clears a request that a target has answered.
@@ -158,12 +161,14 @@
 	departures *fleet.Departures
 	notices    *fleet.Notices // notices that too few hosts have seen
 	quarantine *quarantine.Table
+	origins    *origins.Table
 	index      uint64 // log index of the last command
 }
 
 // New returns the state before the first command.
 func New() *State {
-	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil), notices: fleet.NewNotices(nil), quarantine: quarantine.NewTable(nil)}
+	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil), notices: fleet.NewNotices(nil), quarantine: quarantine.NewTable(nil),
+		origins: origins.NewTable(nil)}
 }
 
 // Encode returns the encoding of a reply, query or answer. Commands are encoded by EncodeCommand.
@@ -242,6 +247,8 @@
 		return Reply{Changed: s.quarantine.RecordAnswer(s.index, c.RecordAnswer.Fingerprint)}
 	case c.GrantTrial != nil:
 		return Reply{Changed: s.quarantine.GrantTrial(s.index, c.GrantTrial.Fingerprint, c.GrantTrial.Revision)}
+	case c.RecordOrigin != nil:
+		return Reply{Changed: s.origins.Record(*c.RecordOrigin)}
 	}
 	return Reply{NotFound: true}
 }
@@ -285,6 +292,8 @@
 	Results    *ReadPage       `cbor:"2,keyasint,omitempty"`
 	Body       *ReadBody       `cbor:"3,keyasint,omitempty"`
 	Retirement *ReadRetirement `cbor:"4,keyasint,omitempty"`
+	// Origin is the ID of the stream whose origin is asked for.
+	Origin string `cbor:"5,keyasint,omitempty"`
 }
 
 // ReadPage reads results of a job; see jobs.Table.Read.
@@ -323,6 +332,8 @@
 	Emptied bool `cbor:"6,keyasint,omitempty"`
 	// TooFew reports that too few store hosts would remain without the host.
 	TooFew bool `cbor:"7,keyasint,omitempty"`
+	// Origin is what began the stream of the query; nil if it is not known.
+	Origin *origins.Origin `cbor:"9,keyasint,omitempty"`
 }
 
 // Answer answers a query from the state of this replica. For a ReadRetirement the caller has to set
@@ -337,6 +348,11 @@
 	case q.Body != nil:
 		body, err := s.jobs.Body(q.Body.Job, q.Body.Item)
 		return Answer{Body: body, NotFound: err != nil}
+	case q.Origin != "":
+		if o, known := s.origins.Get(q.Origin); known {
+			return Answer{Origin: &o}
+		}
+		return Answer{}
 	case q.Retirement != nil:
 		address := s.retiring[q.Retirement.Host]
 		return Answer{Retiring: address != "", Address: address}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -167,6 +167,11 @@
 	return ""
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service == service && d.Weight > 0 })
+}
+
 // AttemptLimit returns the maximum number of targets that a request may be sent to; it is at least 1.
 func (r *Route) AttemptLimit() int { return max(r.MaxAttempts, 1) }
 
