forward: a caller that leaves a stream does not count as a failure of its target

What callers saw: 503, all targets have failed, on streaming routes while all targets were sound. Cause: an attempt of a stream that ended since its caller had left was reported to the balancer as failed, so the target was left out for up to seconds. Two callers that leave are enough at one target. Plain requests report such an attempt as cancelled. Change: such an attempt is reported as cancelled. The test passes, 5 of 5 with the race detector.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -27,6 +27,7 @@
 	*call
 	lastEventID uint64     // ID of the last event passed on or already held by the caller
 	headerSent  bool       // the response header was sent to the caller
+	writeFailed bool       // an event could not be sent to the caller
 	by          *choice    // target whose response header was sent
 	span        trace.Span // span of the current attempt
 	// recorded is closed when the origin of the stream is stored; nil if no event waits for that.
@@ -231,12 +232,16 @@
 // write sends a part of the stream to the caller.
 func (s *eventStream) write(part []byte) error {
 	if _, err := s.w.Write(part); err != nil {
+		s.writeFailed = true
 		return &errs.Interrupted{Operation: "stream to the caller", Reason: err.Error()}
 	}
 	s.flush()
 	return nil
 }
 
+// callerHasLeft reports whether the connection to the caller is closed.
+func (s *eventStream) callerHasLeft() bool { return s.writeFailed || s.req.Context().Err() != nil }
+
 // follows reports whether the event of an ID, 0 if it has none, is the one after the last event. A caller without
 // an event yet may get a first event of any ID.
 func (s *eventStream) follows(id uint64) bool {
@@ -245,9 +250,13 @@
 
 func (s *eventStream) flush() { _ = http.NewResponseController(s.w).Flush() }
 
-// finishAttempt ends the span of an attempt and reports its outcome to the balancer.
+// finishAttempt ends the span of an attempt and reports its outcome to the balancer. A target is not to blame for an
+// attempt that ends because the caller has left.
 func (s *eventStream) finishAttempt(cand choice, o balance.Outcome, begin time.Time, err error) {
 	observe.EndSpan(s.span, err)
+	if o == balance.Failed && s.callerHasLeft() {
+		o = balance.Cancelled
+	}
 	took := bootclock.Now().Sub(begin)
 	if crash := s.reportCrash(s.req.Context(), &cand, err); crash != nil {
 		s.suspicion.add(crash)
