runner: the test of an item in two open jobs has both run before either text is whole

Cause: a race of the test. It submits two jobs with the same item one after the other and takes for granted that the second one is running before the text of the first is whole. Otherwise the second job takes up the stored text, as it should, and the test waits for a second text that nobody generates. Change: no text ends before both jobs generate one. Checks and bounds are as before. Conclusion: the product is not at fault here.

--- a/internal/runner/scoring_test.go
+++ b/internal/runner/scoring_test.go
@@ -143,8 +143,11 @@
 func TestItemOfTwoOpenJobsIsScoredInBoth(t *testing.T) {
 	c := newTestCluster(t)
 	c.addTarget("s", "scoring", c.serveScoring)
-	c.hooks(nil, func(int, http.ResponseWriter) bool {
+	bothRun := func() { // no text is complete before both jobs generate one
 		c.await("second text", func() bool { generations, _, _ := c.counts(); return generations >= 2 })
+	}
+	c.hooks(bothRun, func(int, http.ResponseWriter) bool {
+		bothRun()
 		time.Sleep(100 * time.Millisecond) // the second text is proposed while the first one is stored
 		return false
 	})
