fakes: no announcement of a target arrives after that of its departure

Cause: a race of the test. An announcement that begins before Leave may be on its way when the departure is announced; the test allowed it 5 ms to arrive, which a busy machine exceeds. Change: Leave waits for the announcements in progress before it announces the departure, as a target that stops should. The test needs no pause any more, and also asks that the departure is the last request of all. Conclusion: the product is not at fault here.

--- a/internal/fakes/fakes_test.go
+++ b/internal/fakes/fakes_test.go
@@ -284,13 +284,17 @@
 	if err := s.Leave(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(5 * time.Millisecond) // an announcement in progress may still arrive
 	before := count("a/v1/targets/announce") + count("b/v1/targets/announce")
 	time.Sleep(30 * time.Millisecond)
 	after := count("a/v1/targets/announce") + count("b/v1/targets/announce")
 	if left := count("a/v1/targets/s/leave") + count("b/v1/targets/s/leave"); left != 1 || before != after {
 		t.Errorf("left %d times, %d announcements after that", left, after-before)
 	}
+	mu.Lock()
+	defer mu.Unlock()
+	if last := requests[len(requests)-1]; !strings.HasSuffix(last, "/leave") {
+		t.Errorf("the last request is %s, want that of the departure", last)
+	}
 }
 
 // Guards against counters that miss a violation: each case injects one fault into the answers of an
--- a/internal/fakes/target.go
+++ b/internal/fakes/target.go
@@ -55,6 +55,9 @@
 	client       *hostClient
 	loadedModels func() map[string]uint64 // called without holding mu
 
+	// announcing is held for reading while an announcement is sent, so that none arrives after that of the departure.
+	announcing sync.RWMutex
+
 	mu                  sync.Mutex
 	slots               chan struct{}
 	incarnation         uint64
@@ -146,6 +149,8 @@
 	// A host that does not answer must not delay the next announcement for long.
 	ctx, cancel := context.WithTimeout(ctx, max(t.opts.AnnounceInterval, announceInterval))
 	defer cancel()
+	t.announcing.RLock()
+	defer t.announcing.RUnlock()
 	loaded := t.loadedModels()
 	t.mu.Lock()
 	a := Announcement{ID: t.opts.ID, Incarnation: t.incarnation, FailureDomain: t.opts.FailureDomain, Pool: t.opts.Pool,
@@ -161,13 +166,10 @@
 	}
 }
 
-// Leave tells a host that the target leaves and waits until all its requests have ended. The target
-// still serves requests that arrive later, and DelaysAfterLeave reports them.
+// Leave ends the announcements, tells a host that the target leaves and waits until all its requests have ended. The
+// target still serves requests that arrive later, and DelaysAfterLeave reports them.
 func (t *target) Leave(ctx context.Context) error {
-	t.mu.Lock()
-	t.leftAt = time.Now()
-	body := map[string]uint64{"incarnation": t.incarnation}
-	t.mu.Unlock()
+	body := map[string]uint64{"incarnation": t.endAnnouncements()}
 	var err error
 	for range max(1, len(t.opts.Hosts)) {
 		if err = t.client.post(ctx, "/v1/targets/"+t.opts.ID+"/leave", nil, body, nil); err == nil {
@@ -185,6 +187,16 @@
 	return nil
 }
 
+// endAnnouncements waits for the announcements in progress and lets no further one begin. It returns the incarnation.
+func (t *target) endAnnouncements() (incarnation uint64) {
+	t.announcing.Lock()
+	defer t.announcing.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leftAt = time.Now()
+	return t.incarnation
+}
+
 // ID returns the target ID.
 func (t *target) ID() string { return t.opts.ID }
 
