--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/crashes"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/notice"
@@ -18,9 +19,11 @@
 const (
 	// crashProbeTimeout bounds the dial that tells a crashed target from one that has closed a single connection.
 	crashProbeTimeout = 100 * time.Millisecond
-	// crashReportWait is how long the answer to a request under which targets have crashed waits for the reports of
-	// these crashes, so that they are known where its caller comes next.
-	crashReportWait = 100 * time.Millisecond
+	// crashReportWait is how long the failure of a request under which targets have crashed waits until the reports of
+	// these crashes are stored, so that they are known where its caller comes next. It exceeds an election.
+	crashReportWait = time.Second
+	// failureReserve is the time before the deadline of a request at which its failure is answered at the latest.
+	failureReserve = 50 * time.Millisecond
 )
 
 // outcomeQuarantined is the outcome of a request that is refused because targets crash while they run it.
@@ -115,13 +118,21 @@
 		Instance: quarantine.Instance{Target: cand.ID, Incarnation: cand.Incarnation, Release: cand.Release}})
 }
 
-// awaitCrashReports waits until the crashes during the call are stored, at most crashReportWait.
+// awaitCrashReports waits until the crashes during the call are stored, at most crashReportWait, and leaves time to
+// answer. A host that is cut off from the state group does not wait in vain.
 func (c *call) awaitCrashReports() {
-	limit := time.After(crashReportWait)
+	if len(c.suspicion.reports) == 0 || c.forwarder.isIsolated() {
+		return
+	}
+	limit := time.NewTimer(min(crashReportWait, c.deadline.Sub(bootclock.Now())-failureReserve))
+	defer limit.Stop()
 	for _, report := range c.suspicion.reports {
 		select {
 		case <-report:
-		case <-limit:
+		case <-c.req.Context().Done():
+			return
+		case <-limit.C:
+			c.forwarder.log.Warn("failure answered before the crashes under the request are stored", "request", c.id, "crashes", c.suspicion.crashes)
 			return
 		}
 	}
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -26,6 +26,7 @@
 // crashGroup is a state group in the process.
 type crashGroup struct {
 	view  *clusterview.View
+	delay time.Duration // until a crash is stored
 	mu    sync.Mutex
 	table *quarantine.Table
 	index uint64
@@ -41,6 +42,7 @@
 }
 
 func (g *crashGroup) ReportCrash(_ context.Context, c quarantine.Crash) error {
+	time.Sleep(g.delay)
 	g.apply(func(index uint64) bool { return g.table.RecordCrash(index, c) })
 	return nil
 }
@@ -231,3 +233,37 @@
 		})
 	}
 }
+
+// Guards against a failure that is answered before the crashes under its request are known elsewhere, and against one
+// that comes late because they never are.
+func TestFailureWaitsUntilCrashesAreStored(t *testing.T) {
+	const deadline = 700 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		delay    time.Duration
+		cutOff   bool
+		min, max time.Duration
+	}{
+		{name: "slow state group", delay: 300 * time.Millisecond, min: 300 * time.Millisecond, max: deadline},
+		{name: "no state group within the deadline", delay: 2 * time.Second, min: deadline - 2*failureReserve, max: deadline},
+		{name: "host cut off", delay: 2 * time.Second, cutOff: true, max: deadline / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f, g, _ := newCrashForwarder(t, nil, nil, nil)
+			g.delay = c.delay
+			if !c.cutOff {
+				voter := clusterview.StoreHost{ReplicaID: "10.0.0.1~a"}
+				g.view.Merge(&clusterview.Event{From: voter, Leader: voter.ReplicaID, Term: 1, Voters: []string{voter.ReplicaID}})
+			}
+			route := newRoute(routes.Idempotent, 3)
+			route.Timeout = deadline
+			post, _ := newCaller(t, f, route)
+			begin := time.Now()
+			status, body, _ := post()
+			if took := time.Since(begin); status != http.StatusBadGateway || took < c.min || took > c.max {
+				t.Errorf("status %d (%s) after %s, want 502 after %s to %s", status, body, took, c.min, c.max)
+			}
+		})
+	}
+}
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -25,9 +25,6 @@
 	recordTimeout = 3 * time.Second
 	// originTimeout bounds the read of an origin; it exceeds an election.
 	originTimeout = 1500 * time.Millisecond
-	// isolationAge is the time without events from a majority of the voters after which a host neither stores nor reads
-	// origins.
-	isolationAge = 1500 * time.Millisecond
 	// releasePatience is how long a stream that is bound to a version waits for a target of it that is free. Callers
 	// abandon a stream after a gap of two seconds.
 	releasePatience = time.Second
@@ -102,7 +99,7 @@
 
 // readOrigin reads the origin of a stream from the state group. A host that is cut off fails at once.
 func (s *eventStream) readOrigin(ctx context.Context, first string) (origins.Origin, bool, error) {
-	if s.forwarder.view.MajorityAge() > isolationAge {
+	if s.forwarder.isIsolated() {
 		return origins.Origin{}, false, &errs.Unavailable{Resource: "state group", Reason: "this host hears no majority of the voters", Outcome: errs.NotRun}
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -119,7 +116,7 @@
 			return "", false
 		}
 	}
-	if len(list) == 0 || s.forwarder.view.MajorityAge() > isolationAge {
+	if len(list) == 0 || s.forwarder.isIsolated() {
 		return "", false
 	}
 	return list[0].Release, true
@@ -139,7 +136,7 @@
 	if !s.bound {
 		s.bind(cand.Release, "answer", "")
 	}
-	if s.forwarder.origins == nil || s.forwarder.view.MajorityAge() > isolationAge {
+	if s.forwarder.origins == nil || s.forwarder.isIsolated() {
 		return
 	}
 	o := origins.Origin{Stream: s.id, Service: s.service, Release: s.release}
