--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -181,7 +181,7 @@
 		}
 		if p := r.usablePartial(j, id); p != nil {
 			resumed++
-			t.RemainingTokens, t.PinnedVersion = p.remainingTokens(it.ExpectedOutputTokens), p.requiredVersion(j)
+			t.RemainingTokens, t.PinnedVersion, t.Partial = p.remainingTokens(it.ExpectedOutputTokens), p.requiredVersion(j), p.scheduled()
 		}
 		tasks = append(tasks, t)
 	}
--- a/internal/runner/partialtext.go
+++ b/internal/runner/partialtext.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiaflow/jobs"
+	"fuchsiaflow/schedule"
 )
 
 // partialText is the text that was generated for an item so far. During a run, the goroutine of the run
@@ -36,12 +37,16 @@
 // remainingTokens estimates the number of output tokens still to be generated. If the text already
 // reaches the client's estimate, the item is a long one, and half of its present length is assumed.
 func (p *partialText) remainingTokens(estimate int) int {
-	const tokensPerEvent = 43 // typical value; only the relative order of the estimates matters
-	generated := p.eventCount * tokensPerEvent
-	if left := estimate - generated; left > tokensPerEvent {
+	generated := p.eventCount * schedule.TokensPerEvent
+	if left := estimate - generated; left > schedule.TokensPerEvent {
 		return left
 	}
-	return max(generated/2, tokensPerEvent)
+	return max(generated/2, schedule.TokensPerEvent)
+}
+
+// scheduled returns the text as the scheduler knows it.
+func (p *partialText) scheduled() schedule.Partial {
+	return schedule.Partial{Events: p.eventCount, Release: p.release}
 }
 
 // requiredVersion returns the weight version that a resumed run must use, or 0 for any.
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -48,7 +48,17 @@
 	cancel     context.CancelFunc
 	stopReason string // why the runner stopped it; empty if it did not
 	itemRun    *itemRun
-	committing bool // a proposal of a part of the text is pending
+	discarded  *partialText // text that the run does not go on with; nil if there is none
+	committing bool         // a proposal of a part of the text is pending
+}
+
+// text returns the text of the item after the run. A run that started from the beginning and made nothing leaves the
+// text that there was.
+func (rn *activeRun) text() *partialText {
+	if rn.discarded != nil && rn.itemRun.output.eventCount == 0 {
+		return rn.discarded
+	}
+	return rn.itemRun.output
 }
 
 // runResult describes the end of a run.
@@ -79,10 +89,10 @@
 		r.sched.DelayEngine(now, a.Engine, errs.RetryAfterOf(err))
 		return
 	}
-	discarded := r.partials[key.Item].events()
+	discarded := r.partials[key.Item]
 	p := r.partialFor(j, &a.Task, &t)
-	if p.eventCount > 0 {
-		discarded = 0
+	if p == discarded {
+		discarded = nil
 	}
 	delete(r.partials, key.Item)
 	r.metrics.itemWaitTime.Observe(now.Sub(j.items[key.Item].waitingSince).Seconds())
@@ -90,10 +100,10 @@
 	ir := &itemRun{headers: r.opts.Headers, pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, output: p,
 		beforeSend: func() error { return r.checkAccepts(&t) }, onAnswer: func(status int, header http.Header) { r.recordNotice(&t, key, status, header) },
 		deadline: max(j.deadline.Sub(now), minRunDeadline)}
-	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir}
+	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir, discarded: discarded}
 	r.runs[key] = rn
 	term, resumedEvents := r.term, p.eventCount
-	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "discarded", discarded, "release", t.Release, "version", t.Weights[j.Model],
+	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "discarded", discarded.events(), "release", t.Release, "version", t.Weights[j.Model],
 		"waited_ms", now.Sub(j.items[key.Item].waitingSince).Milliseconds())
 	r.kernel.Go("runner/run", func(context.Context) error {
 		ctx, span := r.opts.Tracing.StartClientSpan(ctx, "run item", attribute.String("job", key.Job), attribute.String("item", key.Item),
@@ -155,7 +165,7 @@
 		return
 	}
 	delete(r.runs, rn.key)
-	ir.output.updatedAt = now
+	rn.text().updatedAt = now
 	if res.version > 0 {
 		r.sched.RecordLoaded(now, rn.engine, ir.job.Model, res.version)
 	}
@@ -167,7 +177,7 @@
 	j := r.jobs[rn.key.Job]
 	ir.output.complete = res.complete
 	if j == nil || j.items[rn.key.Item] == nil {
-		r.partials[rn.key.Item] = ir.output
+		r.partials[rn.key.Item] = rn.text()
 		return
 	}
 	if res.complete && j.AllowsVersions(ir.output.versions) {
@@ -175,12 +185,13 @@
 		r.finishText(now, j, j.items[rn.key.Item], ir.output)
 		return
 	}
-	r.rescheduleItem(now, j, rn.key, ir, res)
+	r.rescheduleItem(now, j, rn, res)
 }
 
 // rescheduleItem queues an item again whose run ended without the complete text, or terminates it if
 // the engine rejected it, it failed too often, or its route was removed meanwhile.
-func (r *Runner) rescheduleItem(now time.Time, j *openJob, key schedule.Key, ir *itemRun, res runResult) {
+func (r *Runner) rescheduleItem(now time.Time, j *openJob, rn *activeRun, res runResult) {
+	key := rn.key
 	it := j.items[key.Item]
 	switch {
 	case res.status == http.StatusUnprocessableEntity:
@@ -199,17 +210,18 @@
 		r.terminate(key, "route was removed")
 		return
 	}
-	r.partials[key.Item] = ir.output
-	if mustRestart(it, ir, res) {
+	r.partials[key.Item] = rn.text()
+	if mustRestart(it, rn.itemRun, res) {
 		delete(r.partials, key.Item)
 	}
 	it.waitingSince = now
-	remainingTokens, requiredVersion := 0, uint64(0) // 0 keeps the scheduler's estimate
+	remainingTokens, requiredVersion, partial := 0, uint64(0), schedule.Partial{} // 0 keeps the scheduler's estimate
 	if p := r.usablePartial(j, key.Item); p != nil {
-		remainingTokens, requiredVersion = p.remainingTokens(it.ExpectedOutputTokens), p.requiredVersion(j)
+		remainingTokens, requiredVersion, partial = p.remainingTokens(it.ExpectedOutputTokens), p.requiredVersion(j), p.scheduled()
 	} else {
 		delete(r.partials, key.Item)
 	}
+	r.sched.SetPartial(now, key, partial)
 	r.sched.EndRun(now, key, res.outcome, remainingTokens, requiredVersion)
 }
 
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -241,3 +241,18 @@
 		t.Error("an engine that cannot be reached counts as one that does not continue the text")
 	}
 }
+
+// Guards against a text that is lost since an engine of another software version refuses the item, or breaks off before
+// its first event.
+func TestTextIsKeptUntilAnotherOneBegins(t *testing.T) {
+	for events, want := range []string{"v1", "v2"} {
+		rn := &activeRun{itemRun: &itemRun{output: &partialText{eventCount: events, release: "v2"}}, discarded: &partialText{eventCount: 20, release: "v1"}}
+		if got := rn.text(); got.release != want {
+			t.Errorf("after a run of %d events the text of %s is left, want that of %s", events, got.release, want)
+		}
+	}
+	rn := &activeRun{itemRun: &itemRun{output: &partialText{release: "v2"}}}
+	if got := rn.text(); got != rn.itemRun.output {
+		t.Errorf("a run without an earlier text leaves %+v", got)
+	}
+}
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -127,7 +127,7 @@
 	if e.assignedModel != t.Model {
 		score += fullOccupancySlowdown // prefer engines that are assigned to the model
 	}
-	return score * e.speed.expectedGap(now, medianGap)
+	return score * e.speed.expectedGap(now, medianGap) * t.restartFactor(e)
 }
 
 // occupancy returns the fraction of slots in use if that many additional runs were started.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -62,6 +62,9 @@
 	RemainingTokens int
 	PromptTokens    int
 	Deadline        time.Time
+	// Partial is the text from which a run may go on.
+	Partial      Partial
+	partialSince time.Time // when the task began to wait with Partial; zero if it has not yet
 }
 
 // Key identifies a task.
@@ -246,7 +249,7 @@
 				t.PinnedVersion = 0 // no engine can complete the partial text any more
 				e = s.bestEngine(now, t, free)
 			}
-			if e == nil {
+			if e == nil || t.startsAnew(e) && s.awaitsRelease(now, t) {
 				remaining = append(remaining, t)
 				continue
 			}
@@ -353,15 +356,12 @@
 			if r.stopRequested || !r.engine.speed.fresh(now) || r.engine.speed.averageGap < slowGap {
 				continue // no engine is so much faster; the search below costs a visit of every engine
 			}
-			task := *r.task
-			if task.SingleVersion {
-				task.PinnedVersion = r.engine.versions[task.Model] // the version that generated the partial text
-			}
+			task := r.taskAfterMove(now)
 			dest := s.bestEngine(now, &task, s.enginesByID())
 			if dest == nil || dest == r.engine || dest.RateLimit > 0 || dest.freeSlots()-claimedSlots[dest.ID] <= 0 {
 				continue
 			}
-			if r.engine.speed.averageGap < minMoveSpeedup*dest.speed.expectedGap(now, s.medianGap) {
+			if r.engine.speed.averageGap < minMoveSpeedup*dest.speed.expectedGap(now, s.medianGap)*task.restartFactor(dest) {
 				continue
 			}
 			r.stopRequested = true
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -34,7 +34,6 @@
 }
 
 const (
-	tokensPerEvent = 43
 	// idleEngineGap is the time between two events of a run that is alone on its engine, and
 	// fullEngineSlowdown the factor by which it grows when all slots are in use.
 	idleEngineGap      = 28 * time.Millisecond
@@ -188,7 +187,7 @@
 	it := m.item(a.Task.Key())
 	it.engine = a.Engine
 	prompt := fmt.Sprintf("%s/%s/%d", a.Engine, a.Task.Job, it.group)
-	prefill := int(it.generated * tokensPerEvent)
+	prefill := int(it.generated * TokensPerEvent)
 	if !m.cachedPrompts[prompt] {
 		m.cachedPrompts[prompt] = true
 		prefill += a.Task.PromptTokens
@@ -249,7 +248,7 @@
 			estimate := length * math.Exp(w.estimateSigma*m.rng.NormFloat64())
 			minVersion := uint64(max(t.step-1, 1))
 			j.tasks = append(j.tasks, Task{Job: j.id, Item: id, Service: "s", Model: w.model, MinVersion: minVersion,
-				Group: fmt.Sprintf("%s-%02d", j.id, g), RemainingTokens: int(estimate * tokensPerEvent), PromptTokens: 1000, Deadline: now.Add(w.deadline)})
+				Group: fmt.Sprintf("%s-%02d", j.id, g), RemainingTokens: int(estimate * TokensPerEvent), PromptTokens: 1000, Deadline: now.Add(w.deadline)})
 		}
 	}
 	if m.changeTasks != nil {
