clusterview, forward: one place decides when a host is cut off; the choice of a stream's target is a function of its own

Ruled out: a change of behaviour; the bound is 1.5 s in both, and the order of the choices is as before. Change: clusterview.IsolationAge and View.IsIsolated; eventStream.nextTarget. Conclusion: no change for callers.

--- a/internal/clusterview/voters.go
+++ b/internal/clusterview/voters.go
@@ -45,6 +45,13 @@
 	return !v.leaderHeard.IsZero()
 }
 
+// IsolationAge is the time without events from a majority of the voters after which a host counts as cut off from the
+// state group: it can neither write nor read there. It exceeds an election.
+const IsolationAge = 1500 * time.Millisecond
+
+// IsIsolated reports whether this host, which has no replica, is cut off from the state group.
+func (v *View) IsIsolated() bool { return v.MajorityAge() > IsolationAge }
+
 // MajorityAge returns the time within which more than half of the voters of the state group have
 // sent an event, or targetExpiry if no voter is known. A host that receives events from fewer voters
 // is cut off from the state group, while one that receives them from a majority may learn of the next
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -6,6 +6,7 @@
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/observe"
 )
 
@@ -69,18 +70,13 @@
 	return call, run(ctx)
 }
 
-const (
-	// quorumLossAfter is the time without events from a majority of the voters after which a host cannot serve calls:
-	// three heartbeats of the watches. It exceeds an election.
-	quorumLossAfter = 1500 * time.Millisecond
-	// startPeriod is the time after the start of a host in which it may not have heard the voters yet.
-	startPeriod = 3 * time.Second
-)
+// startPeriod is the time after the start of a host in which it may not have heard the voters yet.
+const startPeriod = 3 * time.Second
 
 // reachesGroup returns errs.Unavailable if this host hears no majority of the voters, so that it can neither serve a
 // call nor pass it on to a leader.
 func (c *Control) reachesGroup() error {
-	if c.opts.Leads() || bootclock.Now().Sub(c.started) < startPeriod || c.opts.View.QuorumAge(c.opts.SelfIP) < quorumLossAfter {
+	if c.opts.Leads() || bootclock.Now().Sub(c.started) < startPeriod || c.opts.View.QuorumAge(c.opts.SelfIP) < clusterview.IsolationAge {
 		return nil
 	}
 	return &errs.Unavailable{Resource: "state group", Reason: "this host hears no majority of the voters", Outcome: errs.NotRun}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -121,7 +121,7 @@
 // awaitCrashReports waits until the crashes during the call are stored, at most crashReportWait, and leaves time to
 // answer. A host that is cut off from the state group does not wait in vain.
 func (c *call) awaitCrashReports() {
-	if len(c.suspicion.reports) == 0 || c.forwarder.isIsolated() {
+	if len(c.suspicion.reports) == 0 || c.forwarder.view.IsIsolated() {
 		return
 	}
 	limit := time.NewTimer(min(crashReportWait, c.deadline.Sub(bootclock.Now())-failureReserve))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -206,13 +206,6 @@
 	return c.roundTrip(ctx)
 }
 
-// isolationAge is the time without events from a majority of the voters after which a host counts as cut off from the
-// state group. It exceeds an election.
-const isolationAge = 1500 * time.Millisecond
-
-// isIsolated reports whether this host can neither store anything in the state group nor read from it.
-func (f *Forwarder) isIsolated() bool { return f.view.MajorityAge() > isolationAge }
-
 // retryable reports whether another attempt may be started now.
 func (c *call) retryable() bool {
 	if !c.body.complete || c.possibleRuns >= c.route.AttemptLimit() || c.suspicion.stopped() {
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -99,7 +99,7 @@
 
 // readOrigin reads the origin of a stream from the state group. A host that is cut off fails at once.
 func (s *eventStream) readOrigin(ctx context.Context, first string) (origins.Origin, bool, error) {
-	if s.forwarder.isIsolated() {
+	if s.forwarder.view.IsIsolated() {
 		return origins.Origin{}, false, &errs.Unavailable{Resource: "state group", Reason: "this host hears no majority of the voters", Outcome: errs.NotRun}
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -116,7 +116,7 @@
 			return "", false
 		}
 	}
-	if len(list) == 0 || s.forwarder.isIsolated() {
+	if len(list) == 0 || s.forwarder.view.IsIsolated() {
 		return "", false
 	}
 	return list[0].Release, true
@@ -136,7 +136,7 @@
 	if !s.bound {
 		s.bind(cand.Release, "answer", "")
 	}
-	if s.forwarder.origins == nil || s.forwarder.isIsolated() {
+	if s.forwarder.origins == nil || s.forwarder.view.IsIsolated() {
 		return
 	}
 	o := origins.Origin{Stream: s.id, Service: s.service, Release: s.release}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -45,17 +45,8 @@
 	if s.resumesStream() && !s.bindToOrigin(ctx) {
 		return nil
 	}
-	// Only the first attempt waits for a target during the warmup period.
-	pick := func() (choice, bool) { return c.pickFirstTarget(ctx) }
 	for {
-		cand, ok := pick()
-		pick = func() (choice, bool) { return c.pickTarget(ctx) }
-		if !ok && c.possibleRuns == 0 && c.attempts > 0 && c.waitForCapacity(ctx) {
-			cand, ok = c.pickTarget(ctx)
-		}
-		if !ok {
-			cand, ok = s.awaitRelease(ctx)
-		}
+		cand, ok := s.nextTarget(ctx)
 		if !ok {
 			return s.failStream(ctx)
 		}
@@ -69,6 +60,26 @@
 	}
 }
 
+// nextTarget chooses the target of the next attempt. Only the first one waits for a target during the warmup period, and
+// only a stream that is bound to a version for one of that version.
+func (s *eventStream) nextTarget(ctx context.Context) (choice, bool) {
+	if s.attempts == 0 {
+		if cand, ok := s.pickFirstTarget(ctx); ok {
+			return cand, true
+		}
+		return s.awaitRelease(ctx)
+	}
+	if cand, ok := s.pickTarget(ctx); ok {
+		return cand, true
+	}
+	if s.possibleRuns == 0 && s.waitForCapacity(ctx) {
+		if cand, ok := s.pickTarget(ctx); ok {
+			return cand, true
+		}
+	}
+	return s.awaitRelease(ctx)
+}
+
 // failStream ends a stream for which no more attempts are possible. It returns AbortedResponse if the
 // header was sent.
 func (s *eventStream) failStream(ctx context.Context) error {
