--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,6 +26,7 @@
 type eventStream struct {
 	*call
 	lastEventID uint64     // ID of the last event passed on or already held by the caller
+	unnumbered  bool       // an event without an ID was passed on, after which nobody can tell where to go on
 	headerSent  bool       // the response header was sent to the caller
 	writeFailed bool       // an event could not be sent to the caller
 	by          *choice    // target whose response header was sent
@@ -54,7 +55,7 @@
 		if finished, err := s.attempt(ctx, cand); finished {
 			return err
 		}
-		if ctx.Err() != nil || !c.retryable() {
+		if ctx.Err() != nil || !c.retryable() || s.unnumbered {
 			return s.failStream(ctx)
 		}
 	}
@@ -237,6 +238,7 @@
 		if e.ID > 0 {
 			s.lastEventID = e.ID
 		}
+		s.unnumbered = s.unnumbered || e.ID == 0 && len(e.Data) > 0
 	}
 }
 
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -102,3 +102,33 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at another target although events without IDs tell nobody where it was broken off.
+func TestStreamOfEventsWithoutIDsIsNotResumed(t *testing.T) {
+	for name, sent := range map[string]string{
+		"no IDs":             "data: one\n\n",
+		"ID, then without":   firstEvent + "data: one and a half\n\n",
+		"without, then ID":   "data: one\n\n" + firstEvent,
+		"comment beside one": ": alive\n\ndata: one\n\n",
+		"text as a comment":  "event: x\ndata: one\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The balancer may pick either target first: both break off.
+			breaksOff := func(w http.ResponseWriter, r *http.Request, run func()) {
+				run()
+				if last := r.Header.Get("Last-Event-Id"); last != "" {
+					writeStream(w, "q1", "s", http.StatusOK, "id: 2\ndata: two\n\n")
+					return
+				}
+				writeStream(w, r.Header.Get("Id"), "s", http.StatusOK, sent)
+				panic(http.ErrAbortHandler)
+			}
+			f, _ := newForwarder(t, breaksOff, breaksOff)
+			r := newRoute(routes.Stream, 2)
+			r.Resumable = true
+			if _, body, err := exchange(t, f, r); body != sent || err == nil {
+				t.Errorf("the caller gets %q, error %v; want only %q, broken off", body, err, sent)
+			}
+		})
+	}
+}
