--- a/internal/control/redirect.go
+++ b/internal/control/redirect.go
@@ -25,10 +25,13 @@
 	heard := c.opts.View.HeardStores(redirectSilence)
 	if len(heard) == 0 {
 		c.metrics.redirects.Inc(redirectFailed)
+		c.opts.Log.Warn("report of target refused", "target", target, "reason", redirectFailed, "majority_age_ms", c.opts.View.MajorityAge().Milliseconds())
 		return &errs.Unavailable{Resource: "report of target " + target, Reason: "this host hears no store host", Outcome: errs.NotRun}
 	}
 	c.metrics.redirects.Inc(redirectSent)
-	return &errs.Redirect{Resource: "report of target " + target, Address: net.JoinHostPort(storeFor(target, heard).IP(), c.opts.Port)}
+	store := storeFor(target, heard).IP()
+	c.opts.Log.Info("report of target redirected", "target", target, "store", store, "heard", len(heard))
+	return &errs.Redirect{Resource: "report of target " + target, Address: net.JoinHostPort(store, c.opts.Port)}
 }
 
 // storeFor chooses a store host for a target by rendezvous hashing, so that the reports of a target reach the same
