--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -126,7 +126,9 @@
 	}
 	limit := time.NewTimer(min(crashReportWait, c.deadline.Sub(bootclock.Now())-failureReserve))
 	defer limit.Stop()
-	for _, report := range c.suspicion.reports {
+	reports := c.suspicion.reports
+	c.suspicion.reports = nil // they are awaited once
+	for _, report := range reports {
 		select {
 		case <-report:
 		case <-c.req.Context().Done():
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/crashes"
@@ -66,6 +68,9 @@
 	return 0
 }
 
+// errCrash is the value with which a behavior panics to crash its target.
+var errCrash = errors.New("the target crashes")
+
 // newCrashForwarder returns a forwarder with a state group and a target for each behavior. A target whose behavior is
 // nil crashes when it runs a request: its process is gone.
 func newCrashForwarder(t *testing.T, behaviors ...targetBehavior) (*Forwarder, *crashGroup, *atomic.Int64) {
@@ -85,6 +90,13 @@
 				_ = s.Close()
 				return
 			}
+			defer func() {
+				if v := recover(); v == errCrash {
+					_ = s.Close()
+				} else if v != nil {
+					panic(v)
+				}
+			}()
 			b(w, r, func() { runs.Add(1) })
 		})
 		go func() { _ = s.Serve(l) }()
@@ -267,3 +279,25 @@
 		})
 	}
 }
+
+// Guards against a broken stream that ends before the crashes under its request are known where its caller comes next.
+func TestBrokenStreamWaitsUntilCrashesAreStored(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	crashMidway := func(w http.ResponseWriter, r *http.Request, run func()) {
+		run()
+		writeStream(w, r.Header.Get("Id"), "s", http.StatusOK, firstEvent)
+		time.Sleep(20 * time.Millisecond) // the event arrives before the connection ends
+		panic(errCrash)
+	}
+	f, g, runs := newCrashForwarder(t, crashMidway, crashMidway, crashMidway)
+	g.delay = delay
+	voter := clusterview.StoreHost{ReplicaID: "10.0.0.1~a"}
+	g.view.Merge(&clusterview.Event{From: voter, Leader: voter.ReplicaID, Term: 1, Voters: []string{voter.ReplicaID}})
+	route := newRoute(routes.Stream, 3)
+	route.Resumable = true
+	begin := time.Now()
+	_, body, err := exchange(t, f, route)
+	if took := time.Since(begin); body != firstEvent || err == nil || runs.Load() != quarantine.SuspectCrashes || took < delay {
+		t.Errorf("%q, error %v after %s and %d runs; want the first event, an end that is no regular one after %s, and %d runs", body, err, took, runs.Load(), delay, quarantine.SuspectCrashes)
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -84,13 +84,15 @@
 // failStream ends a stream for which no more attempts are possible. It returns AbortedResponse if the
 // header was sent.
 func (s *eventStream) failStream(ctx context.Context) error {
+	if ctx.Err() == nil {
+		s.awaitCrashReports()
+	}
 	switch {
 	case s.headerSent:
 		return s.abort("interrupted", http.StatusOK, s.by, nil)
 	case ctx.Err() != nil:
 		return s.failTimeout()
 	case s.bound && s.possibleRuns == 0 && !s.releaseServes():
-		s.awaitCrashReports()
 		s.refuse(retryAfterNoTarget, "no target of the version that began the stream is left; it has to begin anew")
 		return nil
 	}
