--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -66,10 +66,15 @@
 func (c *entryCommand) Run() error {
 	return runRole("entry", c.roleFlags, func(s *settings.Role, log *slog.Logger, m *observe.Metrics, t *observe.Tracing) (roleHost, error) {
 		return entry.New(entry.Options{Settings: s, Headers: platform.Headers, Front: platform.NewFrontHandler, Ready: platform.NewReadinessHandler,
-			Control: platform.NewControlHandler, Log: log, Metrics: m, Tracing: t})
+			Control: platform.NewControlHandler, EngineClient: newEngineClient(), Log: log, Metrics: m, Tracing: t})
 	})
 }
 
+// newEngineClient returns a client of engines.
+func newEngineClient() platform.EngineClient {
+	return platform.EngineClient{Client: &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxEngineHeaderBytes}}}
+}
+
 // Run runs a store host until the process is told to stop.
 func (c *storeCommand) Run() error {
 	return runRole("store", c.roleFlags, func(s *settings.Role, log *slog.Logger, m *observe.Metrics, t *observe.Tracing) (roleHost, error) {
@@ -77,8 +82,7 @@
 			return nil, &errs.Invalid{Path: "$.data_dir", Want: "a folder", Got: "none"}
 		}
 		s.PeerListenPort = c.PeerListenPort
-		client := &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxEngineHeaderBytes}}
-		return store.New(store.Options{Settings: s, Headers: platform.Headers, EngineClient: platform.EngineClient{Client: client}, Control: platform.NewControlHandler,
+		return store.New(store.Options{Settings: s, Headers: platform.Headers, EngineClient: newEngineClient(), Control: platform.NewControlHandler,
 			Log: log, Metrics: m, Tracing: t, FS: storage.OS{}})
 	})
 }
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -51,6 +51,8 @@
 
 // EngineReport is the state of an engine.
 type EngineReport struct {
+	// Incarnation is the start of the engine as in its heartbeats; 0 if it does not tell.
+	Incarnation int64
 	// AcceptedOrders is the number of orders that the engine has accepted since it started.
 	AcceptedOrders uint64
 	// Busy is set while an order is in progress.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
@@ -70,9 +71,11 @@
 	Ready func(*Entry) http.Handler
 	// Control returns the handler of the calls of operators, trainers and targets.
 	Control func(*control.Control) http.Handler
-	Log     *slog.Logger
-	Metrics *observe.Metrics
-	Tracing *observe.Tracing
+	// EngineClient asks targets which incarnation they are.
+	EngineClient dialect.EngineClient
+	Log          *slog.Logger
+	Metrics      *observe.Metrics
+	Tracing      *observe.Tracing
 }
 
 // Entry is one entry host.
@@ -101,6 +104,7 @@
 	crashReporter := crashes.NewReporter(e.view, e.stateClient, o.Log, o.Metrics)
 	e.forwarder.UseCrashReporter(crashReporter)
 	e.forwarder.UseStreamOrigins(e.stateClient)
+	e.forwarder.UseIdentities(identity.NewChecker(e.view, o.EngineClient, o.Log, o.Metrics))
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
 	services := []struct {
 		name    string
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,6 +26,7 @@
 	"fuchsiaflow/internal/crashes"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
@@ -90,7 +91,8 @@
 	crashes *crashes.Reporter
 
 	// origins stores what began a stream; nil if callers cannot take streams up.
-	origins StreamOrigins
+	origins    StreamOrigins
+	identities *identity.Checker // nil confirms everything
 
 	// buffers bounds what bodies hold in memory.
 	buffers bufferBudget
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -9,6 +9,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/origins"
 )
 
@@ -39,6 +40,10 @@
 	Origin(ctx context.Context, stream string) (o origins.Origin, known bool, err error)
 }
 
+// UseIdentities lets streams go on only at targets, and after targets, that have not started anew with another version
+// meanwhile. It must be called before the first request.
+func (f *Forwarder) UseIdentities(c *identity.Checker) { f.identities = c }
+
 // UseStreamOrigins lets callers take streams up. It must be called before the first request; without it, streams go on
 // within one request only.
 func (f *Forwarder) UseStreamOrigins(o StreamOrigins) { f.origins = o }
@@ -78,6 +83,9 @@
 	case !known:
 		s.refuse(retryAfterNoTarget, "the version that began the stream is not known; it has to begin anew")
 		return false
+	case o.Service == "", !s.forwarder.identities.Confirms(ctx, identity.Claim{Target: o.Target, Incarnation: o.Incarnation, Release: o.Release, AnsweredAt: o.AnsweredAt}):
+		s.refuse(retryAfterNoTarget, "the target that began the stream has started anew, perhaps with another version; the stream has to begin anew")
+		return false
 	case !s.route.LeadsTo(o.Service):
 		s.refuse(retryAfterNoTarget, "the route no longer leads to the service that began the stream; it has to begin anew")
 		return false
@@ -139,9 +147,13 @@
 	if s.forwarder.origins == nil || s.forwarder.view.IsIsolated() {
 		return
 	}
-	o := origins.Origin{Stream: s.id, Service: s.service, Release: s.release}
+	s.recorded = s.record(origins.Origin{Stream: s.id, Service: s.service, Release: s.release, Target: cand.ID, Incarnation: cand.Incarnation,
+		AnsweredAt: s.answeredAt.UnixMilli()})
+}
+
+// record starts to store the origin of a stream. The returned channel is closed when that has ended.
+func (s *eventStream) record(o origins.Origin) <-chan struct{} {
 	recorded := make(chan struct{})
-	s.recorded = recorded
 	go func() {
 		defer close(recorded)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.req.Context()), recordTimeout)
@@ -150,6 +162,30 @@
 			s.forwarder.log.Warn("origin of a stream not stored", "request", o.Stream, "release", o.Release, "error", err.Error())
 		}
 	}()
+	return recorded
+}
+
+// confirms reports whether a target is still the incarnation that it was chosen as.
+func (s *eventStream) confirms(cand *choice) bool {
+	return s.forwarder.identities.Confirms(s.req.Context(), newClaim(cand))
+}
+
+func newClaim(cand *choice) identity.Claim {
+	return identity.Claim{Target: cand.ID, Incarnation: cand.Incarnation, Release: cand.Release}
+}
+
+// checkWriter asks the target of a broken attempt whether it was the incarnation that it was chosen as. If not, nobody can
+// tell which version made its events: the stream ends, and is not taken up.
+func (s *eventStream) checkWriter(cand *choice) {
+	claim := newClaim(cand)
+	claim.AnsweredAt = s.answeredAt.UnixMilli()
+	if !s.route.Resumable || s.callerHasLeft() || s.forwarder.identities.Confirms(s.req.Context(), claim) {
+		return
+	}
+	s.inDoubt = true
+	if s.forwarder.origins != nil {
+		s.record(origins.Origin{Stream: s.id}) // of no service
+	}
 }
 
 // awaitRecord waits until the origin is stored, or for recordPatience. It does nothing after the first event.
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -7,23 +7,37 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/identity"
+	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/origins"
 	"fuchsiaflow/routes"
 )
 
 // storedOrigins is a StreamOrigins in memory.
 type storedOrigins struct {
+	mu    sync.Mutex
 	known map[string]origins.Origin
 	err   error
 }
 
+// get returns the stored origin of a stream.
+func (s *storedOrigins) get(stream string) origins.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[stream]
+}
+
 func (s *storedOrigins) RecordOrigin(_ context.Context, o origins.Origin) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.err == nil {
 		s.known[o.Stream] = o
 	}
@@ -31,6 +45,8 @@
 }
 
 func (s *storedOrigins) Origin(_ context.Context, stream string) (origins.Origin, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	o, known := s.known[stream]
 	return o, known, s.err
 }
@@ -46,8 +62,19 @@
 	writeStream(w, r.Header.Get("Id"), "s", http.StatusOK, fmt.Sprintf("id: %s\ndata: x\n\n", next))
 }
 
-// askStream sends a request for a stream through a real server.
+// askStream sends a request for a stream through a real server. The stream must not break off.
 func askStream(t *testing.T, f *Forwarder, route *routes.Route, id, lastEvent, resumes string) (status int, body string, took time.Duration) {
+	t.Helper()
+	begin := time.Now()
+	status, body, err := tryStream(t, f, route, id, lastEvent, resumes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status, body, time.Since(begin)
+}
+
+// tryStream is askStream, and returns an error if the stream breaks off.
+func tryStream(t *testing.T, f *Forwarder, route *routes.Route, id, lastEvent, resumes string) (status int, body string, err error) {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, route, 1) }))
 	defer s.Close()
@@ -63,17 +90,13 @@
 	if resumes != "" {
 		req.Header.Set("Resumes", resumes)
 	}
-	begin := time.Now()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp.StatusCode, string(data), time.Since(begin)
+	return resp.StatusCode, string(data), err
 }
 
 // Guards against a stream that goes on although the version that began it is in doubt or gone, against a refusal that
@@ -144,7 +167,81 @@
 	if status, body, _ := askStream(t, f, r, "first", "", ""); status != http.StatusOK || body != "id: 1\ndata: x\n\n" {
 		t.Fatalf("status %d, %q", status, body)
 	}
-	if want := (origins.Origin{Stream: "first", Service: "s", Release: "v7"}); stored.known["first"] != want {
-		t.Errorf("stored %+v, want %+v", stored.known["first"], want)
+	got := stored.get("first")
+	if age := time.Since(time.UnixMilli(got.AnsweredAt)); age < 0 || age > time.Minute {
+		t.Errorf("answered %s ago", age)
+	}
+	got.AnsweredAt = 0
+	if want := (origins.Origin{Stream: "first", Service: "s", Release: "v7", Target: "a"}); got != want {
+		t.Errorf("stored %+v, want %+v", got, want)
+	}
+}
+
+// startsAnew is an engine client of targets that state the given incarnations, in turn.
+type startsAnew struct{ incarnations []int64 }
+
+func (s *startsAnew) FetchReport(context.Context, string, string) (dialect.EngineReport, error) {
+	incarnation := s.incarnations[0]
+	if len(s.incarnations) > 1 {
+		s.incarnations = s.incarnations[1:]
+	}
+	return dialect.EngineReport{Incarnation: incarnation}, nil
+}
+
+func (s *startsAnew) SendOrder(context.Context, string, dialect.Order) (dialect.OrderResult, error) {
+	return dialect.OrderUnknown, nil
+}
+
+// Guards against streams that go on although the target that made the last part, or the one that is to make the next, has
+// started anew under its ID, perhaps with another version.
+func TestStreamDoesNotGoOnAfterTargetHasStartedAnew(t *testing.T) {
+	const known, later = 1000, 2000
+	breaksOff := func(w http.ResponseWriter, r *http.Request, run func()) {
+		if r.Header.Get("Last-Event-Id") != "" {
+			continueStream(w, r, run)
+			return
+		}
+		interruptedStream(w, r, run)
+	}
+	for name, c := range map[string]struct {
+		stated  []int64 // by the targets, in turn
+		resumes bool    // the caller takes the stream up
+		status  int
+		body    string
+		doubt   bool // the origin is in doubt afterwards
+	}{
+		"nobody":                       {[]int64{known}, false, http.StatusOK, firstEvent + "id: 2\ndata: x\n\n", false},
+		"the one that broke off":       {[]int64{later}, false, http.StatusOK, firstEvent, true},
+		"all that could go on":         {[]int64{known, later}, false, http.StatusOK, firstEvent, false},
+		"taken up, nobody":             {[]int64{known}, true, http.StatusOK, "id: 2\ndata: x\n\n", false},
+		"taken up, the one that began": {[]int64{later}, true, http.StatusServiceUnavailable, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := newForwarder(t, breaksOff, breaksOff)
+			stored := &storedOrigins{known: map[string]origins.Origin{"first": {Stream: "first", Service: "s", Release: "v1", Target: "a", Incarnation: known}}}
+			f.UseStreamOrigins(stored)
+			f.UseIdentities(identity.NewChecker(f.view, &startsAnew{c.stated}, f.log, observe.NewMetrics()))
+			f.started = f.started.Add(-warmupPeriod) // all targets are known
+			f.view.Merge(&clusterview.Event{From: clusterview.StoreHost{ReplicaID: "10.0.0.1~a"}, Leader: "10.0.0.1~a", Term: 1, Voters: []string{"10.0.0.1~a"}})
+			for _, target := range f.view.Serving("s") {
+				target.Release, target.Sequence, target.Incarnation = "v1", 2, known
+				f.view.UpdateTarget(target)
+			}
+			r := newRoute(routes.Stream, 2)
+			r.Resumable = true
+			id, lastEvent, resumes := "q1", "", ""
+			if c.resumes {
+				id, lastEvent, resumes = "next", "1", "first"
+			}
+			status, body, err := tryStream(t, f, r, id, lastEvent, resumes)
+			if status != c.status || status == http.StatusOK && body != c.body || (err == nil) != (c.body != firstEvent) {
+				t.Errorf("status %d, %q, error %v; want %d, %q", status, body, err, c.status, c.body)
+			}
+			time.Sleep(10 * time.Millisecond) // the origin is stored in the background
+			if o := stored.get(id); c.doubt != (o.Service == "" && o.Stream == id) {
+				t.Errorf("origin %+v, want one in doubt: %v", o, c.doubt)
+			}
+		})
 	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -27,9 +27,11 @@
 	*call
 	lastEventID uint64     // ID of the last event passed on or already held by the caller
 	unnumbered  bool       // an event without an ID was passed on, after which nobody can tell where to go on
+	inDoubt     bool       // the version that made the last events is not known
 	headerSent  bool       // the response header was sent to the caller
 	writeFailed bool       // an event could not be sent to the caller
 	by          *choice    // target whose response header was sent
+	answeredAt  time.Time  // when the response of the current attempt began, by the time of day
 	span        trace.Span // span of the current attempt
 	// recorded is closed when the origin of the stream is stored; nil if no event waits for that.
 	recorded   <-chan struct{}
@@ -55,7 +57,7 @@
 		if finished, err := s.attempt(ctx, cand); finished {
 			return err
 		}
-		if ctx.Err() != nil || !c.retryable() || s.unnumbered {
+		if ctx.Err() != nil || !c.retryable() || s.unnumbered || s.inDoubt {
 			return s.failStream(ctx)
 		}
 	}
@@ -105,6 +107,10 @@
 func (s *eventStream) attempt(ctx context.Context, cand choice) (finished bool, err error) {
 	begin := bootclock.Now()
 	ctx, s.span = s.startSpan(ctx, cand.ID)
+	if s.lastEventID > 0 && s.bound && !s.confirms(&cand) {
+		s.finishAttempt(cand, balance.Shed, begin, &errs.Unavailable{Resource: "target " + cand.ID, Reason: "it has started anew", Outcome: errs.NotRun})
+		return false, nil
+	}
 	req := s.newRequest(cand)
 	if s.lastEventID > 0 {
 		req.Header.Set(s.forwarder.headers.LastEventID, strconv.FormatUint(s.lastEventID, 10))
@@ -138,6 +144,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.handleNonOK(cand, resp, begin)
 	}
+	s.answeredAt = time.Now()
 	resumes := s.headerSent
 	if !resumes && resp.ContentLength >= 0 && !isEventStream(resp) {
 		return s.passOnWhole(&cand, resp, begin)
@@ -150,6 +157,7 @@
 		s.flush()
 	}
 	s.waitsUntil = time.Time{}
+	before := s.lastEventID
 	err = s.copyEvents(resp, resumes)
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
@@ -158,6 +166,9 @@
 		return true, nil
 	}
 	s.finishAttempt(cand, balance.Failed, begin, err)
+	if s.lastEventID > before {
+		s.checkWriter(&cand)
+	}
 	return false, nil
 }
 
--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/sse"
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/schedule"
@@ -43,8 +44,12 @@
 	address string
 	// beforeSend returns an error if the target announced its departure while the connection was opened, and
 	// onAnswer is called with each answer of the target to this run. Both may be nil.
-	beforeSend   func() error
-	onAnswer     func(status int, header http.Header)
+	beforeSend func() error
+	onAnswer   func(status int, header http.Header)
+	// identities tells whether the writer of the text, and engine, are still who they were.
+	identities   *identity.Checker
+	engine       identity.Claim // of the engine at present
+	writer       identity.Claim // of the engine since its answer began
 	deadline     time.Duration
 	output       *partialText
 	version      uint64 // weight version of the next event
@@ -76,6 +81,9 @@
 // run streams the item until it is complete, the stream is interrupted or ctx is done.
 func (ir *itemRun) run(ctx context.Context) runResult {
 	ir.startedAt = bootclock.Now()
+	if res, ok := ir.checkIdentities(ctx); !ok {
+		return res
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := time.AfterFunc(firstEventTimeout, cancel)
@@ -99,6 +107,35 @@
 	return res
 }
 
+// checkIdentities checks before a text is resumed that its last writer, and the engine, have not started anew with another
+// version since they were chosen. ok is false if the run must not begin.
+func (ir *itemRun) checkIdentities(ctx context.Context) (res runResult, ok bool) {
+	if ir.output.lastEventID == 0 {
+		return runResult{}, true
+	}
+	if !ir.identities.Confirms(ctx, ir.output.writer) {
+		return runResult{outcome: schedule.Refused, err: &UnknownWriter{Engine: ir.output.writer.Target, Item: ir.item.ID}}, false
+	}
+	if !ir.identities.Confirms(ctx, ir.engine) {
+		return runResult{outcome: schedule.Refused, err: &errs.Unavailable{Resource: "engine " + ir.target, Reason: "it has started anew", Outcome: errs.NotRun}}, false
+	}
+	return runResult{}, true
+}
+
+// UnknownWriter reports a text whose last part is of an engine that has started anew, perhaps with another version. Nobody
+// can tell which version wrote it.
+type UnknownWriter struct{ Engine, Item string }
+
+func (e *UnknownWriter) Error() string {
+	return fmt.Sprintf("engine %s, which wrote the last part of item %s, has started anew", e.Engine, e.Item)
+}
+
+// FailureCode implements errs.Failure.
+func (e *UnknownWriter) FailureCode() errs.Code { return errs.CodeCorrupt }
+
+// FailureOutcome implements errs.Failure.
+func (e *UnknownWriter) FailureOutcome() errs.Outcome { return errs.NotRun }
+
 // checkHeader checks the status and headers of the response. ok is false if there is no stream to read.
 func (ir *itemRun) checkHeader(resp *httpconn.Response) (res runResult, ok bool) {
 	res = runResult{status: resp.StatusCode, outcome: schedule.Broken}
@@ -128,6 +165,8 @@
 		return res, false
 	}
 	ir.version = v
+	ir.writer = ir.engine
+	ir.writer.AnsweredAt = time.Now().UnixMilli()
 	return res, true
 }
 
@@ -224,7 +263,7 @@
 		p.text = append(p.text, '\n')
 	}
 	p.text = append(p.text, ev.Data...)
-	p.lastEventID = ev.ID
+	p.lastEventID, p.writer = ev.ID, ir.writer
 	p.eventCount++
 	if ir.version > 0 && !slices.Contains(p.versions, ir.version) {
 		p.versions = slices.Sorted(slices.Values(append(slices.Clone(p.versions), ir.version)))
--- a/internal/runner/partialtext.go
+++ b/internal/runner/partialtext.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/schedule"
 )
@@ -17,6 +18,8 @@
 	eventCount  int
 	versions    []uint64 // weight versions that generated the text, ascending
 	release     string   // software version of the engines that generated the text
+	// writer is the engine that generated the last part; its zero value if that is not known.
+	writer identity.Claim
 	// committed is the prefix of the text that is committed.
 	committed jobs.Prefix
 	// proposedEvents is the number of events included in the last proposal.
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
 )
@@ -60,7 +61,8 @@
 	p.proposedEvents = p.eventCount // a rejected part is proposed again only with new events
 	return storestate.ItemProgress{Job: ir.job.ID, Item: ir.item.ID, Offset: p.committed.Len, BaseRevision: p.committed.Revision, Partial: jobs.PartialText{
 		Text: jobs.NewText(p.text[p.committed.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions,
-		Release: p.release}}, true
+		Release: p.release, Writer: p.writer.Target, WriterIncarnation: p.writer.Incarnation,
+		WriterAnsweredAt: p.writer.AnsweredAt}}, true
 }
 
 // setCommitted records that a prefix of the text is committed.
@@ -87,6 +89,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &partialText{text: text, lastEventID: p.LastEventID, eventCount: p.EventCount, versions: p.Versions, release: p.Release, committed: jobs.Prefix{Revision: p.Revision, Len: len(text)}, proposedEvents: p.EventCount,
+	return &partialText{text: text, lastEventID: p.LastEventID, eventCount: p.EventCount, versions: p.Versions, release: p.Release, writer: identity.Claim{Target: p.Writer, Incarnation: p.WriterIncarnation, Release: p.Release, AnsweredAt: p.WriterAnsweredAt}, committed: jobs.Prefix{Revision: p.Revision, Len: len(text)}, proposedEvents: p.EventCount,
 		complete: p.Complete, completeCommitted: p.Complete}, nil
 }
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -12,6 +12,7 @@
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/ratelimit"
@@ -99,6 +100,7 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	ir := &itemRun{headers: r.opts.Headers, pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, output: p,
 		beforeSend: func() error { return r.checkAccepts(&t) }, onAnswer: func(status int, header http.Header) { r.recordNotice(&t, key, status, header) },
+		identities: r.identities, engine: identity.Claim{Target: t.ID, Incarnation: t.Incarnation, Release: t.Release},
 		deadline: max(j.deadline.Sub(now), minRunDeadline)}
 	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir, discarded: discarded}
 	r.runs[key] = rn
@@ -230,7 +232,8 @@
 // no engine can continue would make engine after engine look broken.
 func mustRestart(it *openItem, ir *itemRun, res runResult) bool {
 	var endless *EndlessText
-	if errors.As(res.err, &endless) {
+	var unknown *UnknownWriter
+	if errors.As(res.err, &endless) || errors.As(res.err, &unknown) {
 		return true
 	}
 	if res.outcome != schedule.Broken || res.status != http.StatusOK || ir.eventCount > 0 || ir.output.eventCount == 0 {
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,8 +13,11 @@
 	"time"
 
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/identity"
+	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/schedule"
 )
@@ -256,3 +260,49 @@
 		t.Errorf("a run without an earlier text leaves %+v", got)
 	}
 }
+
+// statedStart is an engine client of engines that all state the same start.
+type statedStart struct {
+	noOrders
+	incarnation int64
+}
+
+func (s statedStart) FetchReport(context.Context, string, string) (dialect.EngineReport, error) {
+	return dialect.EngineReport{Incarnation: s.incarnation}, nil
+}
+
+// Guards against a text that goes on although the engine that wrote the last part, or the one that is to go on, has
+// started anew under its ID, perhaps with another version.
+func TestTextDoesNotGoOnAfterEngineHasStartedAnew(t *testing.T) {
+	const known, later = 1000, 2000
+	claim := func(engine string) identity.Claim {
+		return identity.Claim{Target: engine, Incarnation: known, Release: "v1"}
+	}
+	for name, c := range map[string]struct {
+		events   int
+		writer   identity.Claim
+		stated   int64
+		ok       bool
+		restarts bool // the text is discarded
+	}{
+		"the same starts":                  {3, claim("w"), known, true, false},
+		"the writer has started anew":      {3, claim("w"), later, false, true},
+		"the engine has started anew":      {3, identity.Claim{}, later, false, false},
+		"no text":                          {0, identity.Claim{}, later, true, false},
+		"the engine goes on with its own":  {3, claim("e"), known, true, false},
+		"its own, and it has started anew": {3, claim("e"), later, false, true},
+		"text of a build without a writer": {3, identity.Claim{}, known, true, false},
+		"writer of which nothing is known": {3, claim("x"), known, true, false},
+	} {
+		view := clusterview.NewView(slog.New(slog.DiscardHandler), nil)
+		for _, id := range []string{"w", "e"} {
+			view.UpdateTarget(fleet.Target{ID: id, Service: "s", Address: "10.0.0.1:1", State: fleet.Ready, Slots: 1, Incarnation: known, Sequence: 1, Release: "v1"})
+		}
+		ir := &itemRun{output: &partialText{lastEventID: uint64(c.events), eventCount: c.events, writer: c.writer}, engine: claim("e"),
+			identities: identity.NewChecker(view, statedStart{incarnation: c.stated}, slog.New(slog.DiscardHandler), observe.NewMetrics())}
+		res, ok := ir.checkIdentities(t.Context())
+		if ok != c.ok || !ok && (res.outcome != schedule.Refused || mustRestart(&openItem{}, ir, res) != c.restarts) {
+			t.Errorf("%s: ok %v, %+v; want %v, and the text discarded: %v", name, ok, res, c.ok, c.restarts)
+		}
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -17,6 +17,7 @@
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/httpconn"
+	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/ratelimit"
@@ -73,11 +74,12 @@
 // Runner schedules and runs the items of batch jobs while this replica leads. Only the
 // goroutine of loop accesses its state, except for the atomic fields. It implements kernel.Service.
 type Runner struct {
-	opts    Options
-	pool    *httpconn.Pool
-	metrics *metrics
-	events  *kernel.Ring[func(now time.Time)]
-	kernel  *kernel.Kernel
+	opts       Options
+	pool       *httpconn.Pool
+	identities *identity.Checker
+	metrics    *metrics
+	events     *kernel.Ring[func(now time.Time)]
+	kernel     *kernel.Kernel
 
 	firstSeen map[string]time.Time // when this replica first saw each job
 
@@ -114,6 +116,7 @@
 	r := &Runner{opts: o, pool: httpconn.NewPool(maxIdleConns), firstSeen: make(map[string]time.Time),
 		events: kernel.NewRing[func(time.Time)]("runner/events", eventQueueSize, kernel.Block)}
 	r.metrics = newMetrics(o.Metrics, r.pool)
+	r.identities = identity.NewChecker(o.View, o.EngineClient, o.Log, o.Metrics)
 	return r
 }
 
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -140,6 +140,11 @@
 	// Release is the software version of the engines that generated the text. Only engines of the same version may
 	// continue it.
 	Release string `cbor:"7,keyasint,omitempty"`
+	// Writer and WriterIncarnation name the engine that generated the last part, in an answer that began at
+	// WriterAnsweredAt, in Unix milliseconds.
+	Writer            string `cbor:"8,keyasint,omitempty"`
+	WriterIncarnation int64  `cbor:"9,keyasint,omitempty"`
+	WriterAnsweredAt  int64  `cbor:"10,keyasint,omitempty"`
 }
 
 // Prefix identifies the stored text that a new part continues. The zero Prefix is empty: the part is the
--- a/origins/origins.go
+++ b/origins/origins.go
@@ -17,6 +17,11 @@
 	// Service and Release are the service and the software version of the target that made it.
 	Service string `cbor:"2,keyasint"`
 	Release string `cbor:"3,keyasint,omitempty"`
+	// Target and Incarnation name that target, so that others can ask it whether it has started anew since.
+	Target      string `cbor:"4,keyasint,omitempty"`
+	Incarnation int64  `cbor:"5,keyasint,omitempty"`
+	// AnsweredAt is when its answer began, in Unix milliseconds.
+	AnsweredAt int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Table holds the origins of the newest streams. It is not safe for concurrent use.
