routes, settings, dialect: types for client accounts, duties and scaling

Cause: client accounts, usage reports, the number of targets and fair shares are built side by side and need common types. Nothing uses the new fields yet, so that nothing is served differently. Ruled out: keys themselves in the distributed configuration, since a key must reach no peer. Measured: go vet, staticcheck and the tests of the touched packages pass. Conclusion: the parts can be built on these types.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,10 @@
 	// HoldsAddress is set by a host that has seen the target go on reporting after another one, which claims to be
 	// started later, has claimed its address.
 	HoldsAddress bool `cbor:"13,keyasint,omitempty"`
+	// Spot is set if the target may be taken away at any time.
+	Spot bool `cbor:"14,keyasint,omitempty"`
+	// LeavesIn is the time from the report until a draining target ends; 0 if it is not known.
+	LeavesIn time.Duration `cbor:"15,keyasint,omitempty"`
 	// Source names where this host has the report from, and ReportedAt is when the target made it, by the clock of
 	// this host. Both are local.
 	Source     string    `cbor:"-"`
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -47,6 +47,10 @@
 	RetryAfter string
 	// CallerKey carries the key of the caller; absent on routes without keys.
 	CallerKey string
+	// Account carries the name of the client account to which the key of a request belongs. Only the system sets it.
+	Account string
+	// DutyHolder and FencingToken carry the holder of a duty in its calls to the platform.
+	DutyHolder, FencingToken string
 }
 
 // EngineReport is the state of an engine.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -208,7 +208,7 @@
 
 // Forward passes a request on to a target of the route and writes the answer.
 func (e *Entry) Forward(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) {
-	e.forwarder.Serve(w, r, route, version)
+	e.forwarder.Serve(w, r, route, version, forward.Caller{})
 }
 
 // SubmitJob stores a batch job. A timeout of 0 or more than submitTimeout is replaced by submitTimeout.
--- a/internal/forward/caller_test.go
+++ b/internal/forward/caller_test.go
@@ -29,7 +29,9 @@
 func TestCallersThatLeaveStreamsDoNotBlameTheTarget(t *testing.T) {
 	f, _ := newForwarder(t, endlessStream)
 	f.started = f.started.Add(-warmupPeriod)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, newRoute(routes.Stream, 2), 1) }))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		f.Serve(w, req, newRoute(routes.Stream, 2), 1, Caller{})
+	}))
 	defer s.Close()
 	for i := range 20 {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -120,7 +120,7 @@
 // the address of the server.
 func newCaller(t *testing.T, f *Forwarder, route *routes.Route) (post func() (status int, body, retryAfter string), host string) {
 	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.Serve(w, r, route, 1) }))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.Serve(w, r, route, 1, Caller{}) }))
 	t.Cleanup(s.Close)
 	return func() (int, string, string) {
 		hearVoter(f.view)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -133,8 +133,20 @@
 	f.balancer.Retain(ids)
 }
 
+// Caller is who sent a request.
+type Caller struct {
+	// Account is the client account of the caller; empty if the request needed no key.
+	Account string
+	// Priority is the priority of the account; 0 is the highest.
+	Priority int
+	// HidesKey is set if the configuration has client accounts: no header with a key, or with an account that the caller
+	// names, may reach a target.
+	HidesKey bool
+}
+
 // call is a caller's request in progress.
 type call struct {
+	caller        Caller
 	forwarder     *Forwarder
 	route         *routes.Route
 	service       string
@@ -161,8 +173,10 @@
 // Serve forwards a request that matches a route of the configuration with the given version. The timeout
 // is the route's, or the caller's deadline if that is shorter. If the response cannot be completed, Serve
 // panics with http.ErrAbortHandler, which closes the connection to the caller.
-func (f *Forwarder) Serve(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) {
-	if err := f.newCall(w, r, route, version).run(); err != nil {
+func (f *Forwarder) Serve(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64, caller Caller) {
+	c := f.newCall(w, r, route, version)
+	c.caller = caller
+	if err := c.run(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -105,7 +105,7 @@
 // exchange is send for a response that may be incomplete: err is that of its body.
 func exchange(t *testing.T, f *Forwarder, r *routes.Route) (resp *http.Response, body string, err error) {
 	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1) }))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1, Caller{}) }))
 	defer s.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -76,7 +76,7 @@
 // tryStream is askStream, and returns an error if the stream breaks off.
 func tryStream(t *testing.T, f *Forwarder, route *routes.Route, id, lastEvent, resumes string) (status int, body string, err error) {
 	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, route, 1) }))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, route, 1, Caller{}) }))
 	defer s.Close()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/x", strings.NewReader("body"))
 	if err != nil {
--- a/internal/forward/span_test.go
+++ b/internal/forward/span_test.go
@@ -35,7 +35,7 @@
 	f, _ := newForwarder(t, abortConnection, answer)
 	f.tracing = tracing
 	r := newRoute(routes.Idempotent, 2)
-	traced := tracing.Middleware(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1) }))
+	traced := tracing.Middleware(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { f.Serve(w, req, r, 1, Caller{}) }))
 	statuses := make(map[string]int) // number of attempt spans by status code
 	for range 20 {
 		req := httptest.NewRequest(http.MethodPost, "/x", nil)
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -34,7 +34,39 @@
 	MemoryBytes int64      `json:"memory_bytes"`
 	Listen      RoleListen `json:"listen"`
 	Timing      RoleTiming `json:"timing"`
-	Log         Log        `json:"log"`
+	// MaxOpenFiles is the number of file descriptors that the process may open; 0 means that it is not known.
+	MaxOpenFiles int `json:"max_open_files"`
+	// Platform is the API of the platform; its zero value means that there is none.
+	Platform PlatformAPI `json:"platform"`
+	// Revocation tells what a host without contact to the state group does with keys.
+	Revocation Revocation `json:"revocation"`
+	// Usage tells when the usage of client accounts is reported.
+	Usage Usage `json:"usage"`
+	Log   Log   `json:"log"`
+}
+
+// PlatformAPI describes the API of the platform.
+type PlatformAPI struct {
+	Address string `json:"address"` // IP:port
+	// CallsPerSecond is the number of calls a second that the platform accepts from all hosts together.
+	CallsPerSecond float64 `json:"calls_per_second"`
+	// ReportsUsage and OrdersTargets are set if the system has to report usage and may order targets.
+	ReportsUsage  bool `json:"reports_usage"`
+	OrdersTargets bool `json:"orders_targets"`
+}
+
+// Revocation tells how long keys stay valid on a host that hears no majority of the voters.
+type Revocation struct {
+	// Strict makes such a host refuse requests that need a key after Within. Otherwise it goes on with the last
+	// configuration that it knows.
+	Strict bool          `json:"strict"`
+	Within time.Duration `json:"within"`
+}
+
+// Usage tells when the usage of client accounts is reported.
+type Usage struct {
+	Window   time.Duration `json:"window"`    // length of a window
+	DueAfter time.Duration `json:"due_after"` // time from the end of a window until its report is due
 }
 
 // RoleListen holds the listen addresses of a host. An interface with an empty address is not served.
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -71,6 +71,8 @@
 	// WantedGroups is the number of complete groups that the client waits for; 0 means all items.
 	WantedGroups int    `cbor:"8,keyasint,omitempty"`
 	Items        []Item `cbor:"9,keyasint"`
+	// Owner is the client account that submitted the job; empty if no key was needed.
+	Owner string `cbor:"10,keyasint,omitempty"`
 }
 
 // Validate returns errs.Invalid if the job cannot be accepted.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -36,6 +36,8 @@
 	Routes   []Route   `cbor:"2,keyasint"`
 	Services []Service `cbor:"3,keyasint"`
 	Limits   Limits    `cbor:"4,keyasint"`
+	// Accounts are the client accounts. If there are any, requests need the key of one, except on public routes.
+	Accounts []Account `cbor:"5,keyasint,omitempty"`
 }
 
 // Limits holds the size limits and timeouts for client requests.
@@ -71,6 +73,8 @@
 	Sticky bool `cbor:"13,keyasint"`
 	// Resumable is set if another target can continue a stream after its last event.
 	Resumable bool `cbor:"14,keyasint"`
+	// Public is set if requests need no key although the configuration has client accounts.
+	Public bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Destination is a service and its weight among the destinations of a route.
@@ -91,6 +95,8 @@
 	// KVCacheTokens is the capacity of an engine's KV cache in tokens.
 	KVCacheTokens int      `cbor:"5,keyasint"`
 	Models        []string `cbor:"6,keyasint"`
+	// Scale bounds the number of targets that the system may order; nil if it orders none.
+	Scale *Scale `cbor:"7,keyasint,omitempty"`
 }
 
 // Validate returns an errs.Invalid for the first invalid value of the configuration, or nil.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -62,6 +62,10 @@
 	RemainingTokens int
 	PromptTokens    int
 	Deadline        time.Time
+	// Account is the client account that the task belongs to, empty without accounts, and AccountPriority its priority; 0
+	// is the highest.
+	Account         string
+	AccountPriority int
 	// Partial is the text from which a run may go on.
 	Partial      Partial
 	partialSince time.Time // when the task began to wait with Partial; zero if it has not yet
