--- a/errs/errs.go
+++ b/errs/errs.go
@@ -75,11 +75,19 @@
 // FailureOutcome implements Failure.
 func (e *Invalid) FailureOutcome() Outcome { return NotRun }
 
-// Unauthenticated reports a missing or wrong bearer token. It never contains the token.
-type Unauthenticated struct{ Realm string }
+// Unauthenticated reports a missing or wrong credential. It never contains the credential.
+type Unauthenticated struct {
+	Realm string
+	// Credential is what is missing or wrong. An empty Credential means a bearer token.
+	Credential string
+}
 
 func (e *Unauthenticated) Error() string {
-	return fmt.Sprintf("missing or wrong bearer token for %s", e.Realm)
+	credential := e.Credential
+	if credential == "" {
+		credential = "bearer token"
+	}
+	return fmt.Sprintf("missing or wrong %s for %s", credential, e.Realm)
 }
 
 // FailureCode implements Failure.
--- a/routes/account.go
+++ b/routes/account.go
@@ -2,7 +2,12 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
+	"strings"
 	"time"
+	"unicode"
+
+	"fuchsiaflow/errs"
 )
 
 // KeyDigest identifies the key of a client account without revealing it: the first bytes of its SHA-256 digest.
@@ -22,6 +27,46 @@
 	Priority int `cbor:"3,keyasint,omitempty"`
 }
 
+// emptyKey is the digest of the empty key, which must belong to no account.
+var emptyKey = DigestKey("")
+
+// validateAccounts returns an errs.Invalid for the first invalid account, or nil. It names no key and no digest of one.
+func validateAccounts(list []Account) error {
+	names := make(map[string]bool, len(list))
+	owners := make(map[KeyDigest]int) // index of the account by key
+	for i := range list {
+		a, path := &list[i], fmt.Sprintf("$.accounts[%d]", i)
+		if err := validateAccountName(path+".name", a.Name, names); err != nil {
+			return err
+		}
+		names[a.Name] = true
+		for k, digest := range a.Keys {
+			keyPath := fmt.Sprintf("%s.keys[%d]", path, k)
+			if digest == emptyKey {
+				return &errs.Invalid{Path: keyPath, Want: "a key", Got: "an empty string"}
+			}
+			if owner, used := owners[digest]; used && owner != i {
+				return &errs.Invalid{Path: keyPath, Want: "a key of one account", Got: fmt.Sprintf("one that $.accounts[%d] has too", owner)}
+			}
+			owners[digest] = i
+		}
+	}
+	return nil
+}
+
+// validateAccountName checks a name that targets get in a header. names holds those of the accounts before it.
+func validateAccountName(path, name string, names map[string]bool) error {
+	switch {
+	case name == "":
+		return &errs.Invalid{Path: path, Want: "a name", Got: "an empty string"}
+	case name != strings.TrimSpace(name), strings.ContainsFunc(name, unicode.IsControl):
+		return invalidValue(path, "a name without control characters, and without spaces at its ends", name)
+	case names[name]:
+		return invalidValue(path, "a unique name", name)
+	}
+	return nil
+}
+
 // Scale bounds the number of targets of a service in each failure domain and states what they cost.
 type Scale struct {
 	// Min and Max bound the number of targets in a failure domain, spot targets included.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -117,7 +117,7 @@
 		}
 		matches[match] = true
 	}
-	return nil
+	return validateAccounts(c.Accounts)
 }
 
 func (r *Route) validate(path string, services map[string]bool) error {
