--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiaflow/accounts"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/quarantine"
@@ -45,7 +46,8 @@
 
 	log   *slog.Logger
 	seeds []string
-	table atomic.Pointer[routes.Table]
+	// tables are those of config; nil before the first configuration is known.
+	tables atomic.Pointer[Tables]
 
 	mu          sync.Mutex
 	config      Config
@@ -61,6 +63,12 @@
 	changed     chan struct{}        // closed and replaced at each change
 }
 
+// Tables are the look-up tables of one configuration.
+type Tables struct {
+	Routes   *routes.Table
+	Accounts *accounts.Table
+}
+
 type storeEntry struct {
 	StoreHost
 	lastSeen time.Time
@@ -76,7 +84,7 @@
 
 // isConfigured reports whether the configuration in force has a service.
 func (v *View) isConfigured(service string) bool {
-	table := v.table.Load()
+	table := v.Table()
 	if table == nil {
 		return false
 	}
@@ -104,8 +112,16 @@
 	return v.changed
 }
 
+// Tables returns the tables of the configuration in force, or nil before the first one is known.
+func (v *View) Tables() *Tables { return v.tables.Load() }
+
 // Table returns the routing table in force, or nil before the first configuration is known.
-func (v *View) Table() *routes.Table { return v.table.Load() }
+func (v *View) Table() *routes.Table {
+	if t := v.tables.Load(); t != nil {
+		return t.Routes
+	}
+	return nil
+}
 
 // ApplyConfig applies a committed configuration if its version is higher than that in force. The
 // parameter from names its source in the log.
@@ -120,9 +136,9 @@
 		v.log.Error("configuration cannot be decoded", "version", c.Version, "from", from, "error", err)
 		return
 	}
-	v.log.Info("configuration in force", "version", c.Version, "previous", v.config.Version, "from", from, "routes", len(decoded.Routes))
+	v.log.Info("configuration in force", "version", c.Version, "previous", v.config.Version, "from", from, "routes", len(decoded.Routes), "accounts", len(decoded.Accounts))
 	v.config = c
-	v.table.Store(routes.NewTable(decoded))
+	v.tables.Store(&Tables{Routes: routes.NewTable(decoded), Accounts: accounts.NewTable(decoded.Accounts)})
 	v.notify()
 }
 
@@ -403,12 +419,12 @@
 	}
 }
 
-// WaitConfig waits until a configuration is known and returns its routing table, or nil if ctx is
+// WaitConfig waits until a configuration is known and returns its tables, or nil if ctx is
 // done first.
-func (v *View) WaitConfig(ctx context.Context) *routes.Table {
+func (v *View) WaitConfig(ctx context.Context) *Tables {
 	for {
 		changed := v.Changed()
-		if t := v.Table(); t != nil {
+		if t := v.Tables(); t != nil {
 			return t
 		}
 		select {
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"fuchsiaflow/errs"
 )
@@ -53,6 +54,12 @@
 	DutyHolder, FencingToken string
 }
 
+// IdentifiesCaller reports whether a header, in any spelling, carries the key of a caller or a client account.
+func (h *Headers) IdentifiesCaller(name string) bool {
+	name = strings.TrimSpace(name)
+	return name != "" && (strings.EqualFold(name, h.CallerKey) || strings.EqualFold(name, h.Account))
+}
+
 // EngineReport is the state of an engine.
 type EngineReport struct {
 	// Incarnation is the start of the engine as in its heartbeats; 0 if it does not tell.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,7 +26,6 @@
 	"fuchsiaflow/internal/rpc"
 	"fuchsiaflow/internal/settings"
 	"fuchsiaflow/internal/stateclient"
-	"fuchsiaflow/jobs"
 	"fuchsiaflow/routes"
 )
 
@@ -86,6 +85,7 @@
 	pool        *rpc.Pool
 	stateClient *stateclient.Client
 	forwarder   *forward.Forwarder
+	refusals    *observe.Counter // requests refused for their key
 	front       *http.Server
 	ready       *http.Server
 	stopping    atomic.Bool
@@ -100,6 +100,7 @@
 	peer := func(host string) (rpc.PeerClient, error) { return e.pool.Peer(clusterview.ReplicaIP(host)) }
 	e.stateClient = stateclient.New(e.view, s.IP, nil, peer)
 	limiter := ratelimit.New(e.view, ratelimit.Leader{Call: e.stateClient.DemandShare}, o.Log, o.Metrics)
+	e.refusals = newRefusalCounter(o.Metrics)
 	e.forwarder = forward.New(o.Headers, e.view, limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	crashReporter := crashes.NewReporter(e.view, e.stateClient, o.Log, o.Metrics)
 	e.forwarder.UseCrashReporter(crashReporter)
@@ -168,11 +169,11 @@
 // Table returns the routes in force, or nil if there is no configuration yet.
 func (e *Entry) Table() *routes.Table { return e.view.Table() }
 
-// AwaitTable returns the routes in force. A host without a configuration waits for one for a fraction
+// AwaitTables returns the tables of the configuration in force. A host without a configuration waits for one for a fraction
 // of the caller's deadline, which is 0 if the caller states none. If none arrives in time, it returns
 // an *errs.Overloaded.
-func (e *Entry) AwaitTable(ctx context.Context, deadline time.Duration) (*routes.Table, error) {
-	if t := e.view.Table(); t != nil {
+func (e *Entry) AwaitTables(ctx context.Context, deadline time.Duration) (*clusterview.Tables, error) {
+	if t := e.view.Tables(); t != nil {
 		return t, nil
 	}
 	if deadline <= 0 {
@@ -191,78 +192,29 @@
 // store host that may have left the group long ago. It then returns a retryable error.
 func (e *Entry) NoRouteError(host, path string) error {
 	if !e.view.LeaderReported() {
-		return &errs.Overloaded{Resource: "host without a confirmed configuration", After: noConfigRetryAfter}
+		return errNotConfirmed
 	}
 	return &errs.NotFound{Kind: "route for", ID: host + path}
 }
 
-// LogRefusal logs a request that is answered with an error before a route was found for it.
-func (e *Entry) LogRefusal(id, host, path string, err error) {
+// errNotConfirmed is the error of a host that cannot know whether its configuration is the newest.
+var errNotConfirmed = &errs.Overloaded{Resource: "host without a confirmed configuration", After: noConfigRetryAfter}
+
+// LogRefusal logs a request that is answered with an error before it is forwarded: no route was found for it, or its key does
+// not allow it. args are further fields.
+func (e *Entry) LogRefusal(id, host, path string, err error, args ...any) {
 	version := uint64(0)
 	if t := e.view.Table(); t != nil {
 		version = t.Config.Version
 	}
-	e.opts.Log.Info("request refused", "request", id, "for_host", host, "path", path, "config", version,
+	args = append(args, "request", id, "for_host", host, "path", path, "config", version,
 		"outcome", string(errs.OutcomeOf(err)), "error", err.Error(), "leader_age_ms", e.view.LeaderAge().Milliseconds())
+	e.opts.Log.Info("request refused", args...)
 }
 
-// Forward passes a request on to a target of the route and writes the answer.
-func (e *Entry) Forward(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) {
-	e.forwarder.Serve(w, r, route, version, forward.Caller{})
-}
-
-// SubmitJob stores a batch job. A timeout of 0 or more than submitTimeout is replaced by submitTimeout.
-func (e *Entry) SubmitJob(ctx context.Context, j jobs.Job, timeout time.Duration) error {
-	if timeout <= 0 || timeout > submitTimeout {
-		timeout = submitTimeout
-	}
-	ctx, cancel := e.forwarder.Shutdown().Context(ctx, timeout)
-	defer cancel()
-	begin := time.Now()
-	fresh, err := e.stateClient.SubmitJob(ctx, j)
-	e.logCall("batch job submitted", err, begin, "job", j.ID, "model", j.Model, "step", j.TrainStep, "items", len(j.Items), "fresh", fresh)
-	return err
-}
-
-// JobResults returns the results of a batch job after the given position. If there are none, it waits for
-// up to the given time.
-func (e *Entry) JobResults(ctx context.Context, job string, after int, wait time.Duration) (jobs.Page, error) {
-	ctx, cancel := e.forwarder.Shutdown().Context(ctx, wait+readTimeout)
-	defer cancel()
-	begin := time.Now()
-	page, err := e.stateClient.JobResults(ctx, job, after, maxPageBytes, wait)
-	if err != nil {
-		e.logCall("results read", err, begin, "job", job, "after", after)
-	}
-	return page, err
-}
-
-// LogUnreadableResults logs an answer that was aborted because a text in it cannot be decoded.
-func (e *Entry) LogUnreadableResults(job string, after int, err error) {
-	leader, term := e.view.Leader()
-	e.opts.Log.Error("results unreadable", "job", job, "after", after, "leader", leader, "term", term, "error", err)
-}
-
-// ItemBody returns the body of an item that has no result yet.
-func (e *Entry) ItemBody(ctx context.Context, job, item string) ([]byte, error) {
-	ctx, cancel := e.forwarder.Shutdown().Context(ctx, readTimeout)
-	defer cancel()
-	begin := time.Now()
-	body, err := e.stateClient.ItemBody(ctx, job, item)
-	if err != nil {
-		e.logCall("item body read", err, begin, "job", job, "item", item)
-	}
-	return body, err
-}
-
-// EndJob ends a batch job.
-func (e *Entry) EndJob(ctx context.Context, job string) error {
-	ctx, cancel := e.forwarder.Shutdown().Context(ctx, submitTimeout)
-	defer cancel()
-	begin := time.Now()
-	err := e.stateClient.EndJob(ctx, job)
-	e.logCall("batch job ended", err, begin, "job", job)
-	return err
+// Forward passes a request of a caller that Admit has admitted on to a target of the route and writes the answer.
+func (e *Entry) Forward(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64, caller forward.Caller) {
+	e.forwarder.Serve(w, r, route, version, caller)
 }
 
 // logCall logs a call to a store host, as a warning if it failed.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,27 @@
 	HidesKey bool
 }
 
+// identify removes the key of the caller, and an account that it names, from the header of a request to a target, and sets the
+// account of the caller. Without client accounts it changes nothing.
+func (c *Caller) identify(h http.Header, names *dialect.Headers) {
+	if c.HidesKey {
+		h.Del(names.CallerKey)
+		h.Del(names.Account)
+	}
+	if c.Account != "" {
+		h.Set(names.Account, c.Account)
+	}
+}
+
+// identity returns what tells the caller from others: the account, or the key where there are no accounts. It is hashed into
+// the fingerprint of a request.
+func (c *Caller) identity(h http.Header, names *dialect.Headers) string {
+	if c.HidesKey || c.Account != "" {
+		return c.Account
+	}
+	return h.Get(names.CallerKey)
+}
+
 // call is a caller's request in progress.
 type call struct {
 	caller        Caller
@@ -249,6 +270,7 @@
 // sent if the target announces its departure while the connection is opened.
 func (c *call) newRequest(cand choice) *httpconn.Request {
 	h := endToEndHeaders(c.req.Header)
+	c.caller.identify(h, &c.forwarder.headers)
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
 	h.Set(c.forwarder.headers.ExpectedInstance, cand.ID)
@@ -374,6 +396,9 @@
 		"outcome", outcome, "attempts", c.attempts, "sent", c.possibleRuns, "took_ms", took.Milliseconds(),
 		"left_ms", c.deadline.Sub(bootclock.Now()).Milliseconds()}
 	args = append(args, by.logArgs(c.startedAt)...)
+	if c.caller.Account != "" {
+		args = append(args, "account", c.caller.Account)
+	}
 	if c.bound {
 		args = append(args, "release", c.release)
 	}
--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -183,7 +183,7 @@
 func (c *testCluster) resultsOf(job string) []jobs.Result {
 	var list []jobs.Result
 	c.stateMachine.View(func(s *storestate.State) {
-		page, _ := s.Jobs().Read(job, 0, 1<<20)
+		page, _ := s.Jobs().Read(jobs.Key{ID: job}, 0, 1<<20)
 		list = page.Results
 	})
 	return list
@@ -192,7 +192,7 @@
 func (c *testCluster) textIsCommitted() bool {
 	complete := false
 	c.stateMachine.View(func(s *storestate.State) {
-		p, ok := s.Jobs().PartialText("item")
+		p, ok := s.Jobs().PartialText(jobs.Key{ID: "item"})
 		complete = ok && p.Complete
 	})
 	return complete
--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -37,11 +37,13 @@
 // from eventCount on; all other fields belong to its goroutine.
 type itemRun struct {
 	headers dialect.Headers
-	pool    *httpconn.Pool
-	job     *openJob
-	item    jobs.Item
-	target  string
-	address string
+	// hidesKey is set if no header of the item with a key, or with an account, may reach the engine.
+	hidesKey bool
+	pool     *httpconn.Pool
+	job      *openJob
+	item     jobs.Item
+	target   string
+	address  string
 	// beforeSend returns an error if the target announced its departure while the connection was opened, and
 	// onAnswer is called with each answer of the target to this run. Both may be nil.
 	beforeSend func() error
@@ -66,8 +68,14 @@
 func (ir *itemRun) newRequest() *httpconn.Request {
 	h := make(http.Header, len(ir.item.Headers)+4)
 	for name, value := range ir.item.Headers {
+		if ir.hidesKey && ir.headers.IdentifiesCaller(name) {
+			continue
+		}
 		h.Set(name, value)
 	}
+	if ir.job.Owner != "" {
+		h.Set(ir.headers.Account, ir.job.Owner)
+	}
 	h.Set(ir.headers.RequestID, ir.item.ID)
 	h.Set(ir.headers.ExpectedInstance, ir.target)
 	h.Set(ir.headers.Deadline, strconv.FormatInt(ir.deadline.Milliseconds(), 10))
--- a/internal/runner/notice_test.go
+++ b/internal/runner/notice_test.go
@@ -67,7 +67,7 @@
 	c.await("stored failure", func() bool {
 		stored := 0
 		c.stateMachine.View(func(s *storestate.State) {
-			e, _ := s.Jobs().Entry("j")
+			e, _ := s.Jobs().Entry(jobs.Key{ID: "j"})
 			stored = e.Failures["item"]
 		})
 		return stored > 0
--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 // openJob is the runner's copy of a job that has not ended.
 type openJob struct {
 	*jobs.Job
+	id    string               // schedulerID of the job
 	items map[string]*openItem // without a result, by ID
 	// openInGroup is the number of items by group.
 	openInGroup map[string]int
@@ -35,6 +37,18 @@
 	textCompleteAt time.Time
 }
 
+// schedulerID returns the ID under which the scheduler and the queue of scoring calls know a job. It is unique among the jobs
+// of all client accounts, whatever IDs and names they have.
+func schedulerID(job jobs.Key) string {
+	return strconv.Itoa(len(job.Owner)) + ":" + job.Owner + job.ID
+}
+
+// taskKey returns the key of an item as the scheduler knows it.
+func (j *openJob) taskKey(item string) schedule.Key { return schedule.Key{Job: j.id, Item: item} }
+
+// logArgs returns the arguments of a log line about the job.
+func (j *openJob) logArgs(args ...any) []any { return j.Key().LogArgs(args...) }
+
 // removeItem removes an item that has a result or is about to get one.
 func (j *openJob) removeItem(id string) {
 	if it := j.items[id]; it != nil {
@@ -46,8 +60,8 @@
 // recordNewJobs records when this replica first saw each job. Job ages are measured from that time
 // on a monotonic clock.
 func (r *Runner) recordNewJobs(now time.Time) {
-	for _, id := range r.opts.StateMachine.TakeNewJobs() {
-		r.firstSeen[id] = now
+	for _, key := range r.opts.StateMachine.TakeNewJobs() {
+		r.firstSeen[key] = now
 	}
 }
 
@@ -63,11 +77,12 @@
 		r.opts.StateMachine.View(func(s *storestate.State) {
 			r.publishedVersions = s.Versions()
 			for _, e := range s.Jobs().Entries() {
+				id := schedulerID(e.Key())
 				if e.IsOpen() {
-					open[e.ID] = true
+					open[id] = true
 				}
 				r.reportDemand(e, table)
-				if e.IsOpen() && r.jobs[e.ID] == nil {
+				if e.IsOpen() && r.jobs[id] == nil {
 					added = append(added, r.newOpenJob(now, e, table))
 					r.restorePartials(s.Jobs(), e)
 				}
@@ -85,13 +100,32 @@
 	}
 	if table.Config.Version != r.routesVersion {
 		r.routesVersion = table.Config.Version
-		for _, key := range r.sched.Reroute(func(t *schedule.Task) string { return r.serviceOf(table, t.Key()) }) {
+		reroute := func(t *schedule.Task) string {
+			t.AccountPriority = r.accountPriority(t.Account)
+			return r.serviceOf(table, t.Key())
+		}
+		for _, key := range r.sched.Reroute(reroute) {
 			r.terminate(key, "route was removed")
 		}
 		r.rerouteScoring(table)
 	}
 }
 
+// accountPriority returns the priority that an account has by the configuration in force; 0 for no account.
+func (r *Runner) accountPriority(account string) int {
+	tables := r.opts.View.Tables()
+	if account == "" || tables == nil {
+		return 0
+	}
+	return tables.Accounts.Priority(account)
+}
+
+// hidesKey reports whether items of the job must not bring a key, or an account that their client names, to an engine.
+func (r *Runner) hidesKey(j *openJob) bool {
+	tables := r.opts.View.Tables()
+	return j.Owner != "" || tables != nil && tables.Accounts.NeedsKeys()
+}
+
 // reportDemand reports the tokens of each job to the scheduler once, including jobs that have
 // ended, so that a new leader divides the engines among the models as the previous one did.
 func (r *Runner) reportDemand(e *jobs.Entry, table *routes.Table) {
@@ -115,17 +149,17 @@
 func (r *Runner) newOpenJob(now time.Time, e *jobs.Entry, table *routes.Table) *openJob {
 	job := e.Job
 	job.Items = nil
-	j := &openJob{Job: &job, items: make(map[string]*openItem), openInGroup: make(map[string]int)}
+	j := &openJob{Job: &job, id: schedulerID(e.Key()), items: make(map[string]*openItem), openInGroup: make(map[string]int)}
 	for _, it := range e.Items {
 		if !e.HasResult(it.ID) {
 			j.items[it.ID] = &openItem{Item: it, failures: e.Failures[it.ID]}
 			j.openInGroup[it.Group]++
 		}
 	}
-	first, ok := r.firstSeen[e.ID]
+	first, ok := r.firstSeen[e.Key()]
 	if !ok {
 		first = now
-		r.firstSeen[e.ID] = now
+		r.firstSeen[e.Key()] = now
 	}
 	if route, ok := table.Match(e.Host, e.Path); ok {
 		j.routeName = route.Name
@@ -140,17 +174,18 @@
 // restorePartials loads the committed partial texts of a job's items, except those already in r.partials.
 func (r *Runner) restorePartials(table *jobs.Table, e *jobs.Entry) {
 	for _, it := range e.Items {
-		if r.partials[it.ID] != nil {
+		key := e.ItemKey(it.ID)
+		if r.partials[key] != nil {
 			continue
 		}
-		p, err := committedPartial(table, it.ID)
+		p, err := committedPartial(table, key)
 		if err != nil {
-			r.opts.Log.Error("cannot decode committed partial text; item restarts from the beginning", "job", e.ID, "item", it.ID, "error", err)
+			r.opts.Log.Error("cannot decode committed partial text; item restarts from the beginning", e.Key().LogArgs("item", it.ID, "error", err)...)
 			continue
 		}
 		if p != nil {
 			p.updatedAt = bootclock.Now()
-			r.partials[it.ID] = p
+			r.partials[key] = p
 		}
 	}
 }
@@ -158,13 +193,13 @@
 // addJob adds a job and its items to the scheduler. Items that no route matches are terminated, and those
 // whose text an earlier job or leader completed are finished.
 func (r *Runner) addJob(now time.Time, j *openJob, table *routes.Table) {
-	r.jobs[j.ID] = j
+	r.jobs[j.id] = j
 	var tasks []schedule.Task
 	var unrouted []schedule.Key
 	completeTexts := make(map[string]*partialText)
 	carriedOver, resumed := 0, 0
 	for id, it := range j.items {
-		key := schedule.Key{Job: j.ID, Item: id}
+		key := j.taskKey(id)
 		if p := r.usablePartial(j, id); p != nil && p.complete {
 			completeTexts[id] = p
 			continue
@@ -174,8 +209,9 @@
 			unrouted = append(unrouted, key)
 			continue
 		}
-		t := schedule.Task{Job: j.ID, Item: id, Service: service, Model: j.Model, MinVersion: j.MinVersion, SingleVersion: j.SingleVersion, Group: it.Group,
-			CarriedOver: r.knownItems[id], RemainingTokens: it.ExpectedOutputTokens, PromptTokens: it.PromptTokens, Deadline: j.deadline}
+		t := schedule.Task{Job: j.id, Item: id, Service: service, Model: j.Model, MinVersion: j.MinVersion, SingleVersion: j.SingleVersion, Group: it.Group,
+			CarriedOver: r.knownItems[j.ItemKey(id)], RemainingTokens: it.ExpectedOutputTokens, PromptTokens: it.PromptTokens, Deadline: j.deadline,
+			Account: j.Owner, AccountPriority: r.accountPriority(j.Owner)}
 		if t.CarriedOver {
 			carriedOver++
 		}
@@ -187,16 +223,16 @@
 	}
 	for id, it := range j.items {
 		it.waitingSince = now
-		r.knownItems[id] = true
+		r.knownItems[j.ItemKey(id)] = true
 	}
-	r.opts.Log.Info("batch job added to the scheduler", "job", j.ID, "model", j.Model, "step", j.TrainStep, "min_version", j.MinVersion, "wanted", j.WantedGroups,
-		"items", len(j.items), "carried", carriedOver, "resumed", resumed, "complete", len(completeTexts), "age_ms", now.Sub(r.firstSeen[j.ID]).Milliseconds(), "route", j.routeName)
-	r.sched.AddJob(j.ID, sortTasks(tasks))
+	r.opts.Log.Info("batch job added to the scheduler", j.logArgs("model", j.Model, "step", j.TrainStep, "min_version", j.MinVersion, "wanted", j.WantedGroups,
+		"items", len(j.items), "carried", carriedOver, "resumed", resumed, "complete", len(completeTexts), "age_ms", now.Sub(r.firstSeen[j.Key()]).Milliseconds(), "route", j.routeName)...)
+	r.sched.AddJob(j.id, sortTasks(tasks))
 	for _, key := range unrouted {
 		r.terminate(key, "no route matches")
 	}
 	for id, p := range completeTexts {
-		delete(r.partials, id)
+		delete(r.partials, j.ItemKey(id))
 		r.finishText(now, j, j.items[id], p)
 	}
 }
@@ -222,10 +258,11 @@
 		r.stopRun(key, "job ended")
 	}
 	for item := range j.items {
-		r.stopScoring(schedule.Key{Job: id, Item: item})
+		r.stopScoring(j.taskKey(item))
 	}
 	delete(r.jobs, id)
-	r.metrics.jobDuration.Observe(now.Sub(r.firstSeen[id]).Seconds())
-	r.opts.Log.Info("batch job removed from the scheduler", "job", id, "model", j.Model, "step", j.TrainStep, "age_ms", now.Sub(r.firstSeen[id]).Milliseconds(),
-		"unlisted", len(j.items), "waiting", waiting, "running", running)
+	age := now.Sub(r.firstSeen[j.Key()])
+	r.metrics.jobDuration.Observe(age.Seconds())
+	r.opts.Log.Info("batch job removed from the scheduler", j.logArgs("model", j.Model, "step", j.TrainStep, "age_ms", age.Milliseconds(),
+		"unlisted", len(j.items), "waiting", waiting, "running", running)...)
 }
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -59,7 +59,7 @@
 		return storestate.ItemProgress{}, false
 	}
 	p.proposedEvents = p.eventCount // a rejected part is proposed again only with new events
-	return storestate.ItemProgress{Job: ir.job.ID, Item: ir.item.ID, Offset: p.committed.Len, BaseRevision: p.committed.Revision, Partial: jobs.PartialText{
+	return storestate.ItemProgress{Job: ir.job.ID, Owner: ir.job.Owner, Item: ir.item.ID, Offset: p.committed.Len, BaseRevision: p.committed.Revision, Partial: jobs.PartialText{
 		Text: jobs.NewText(p.text[p.committed.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions,
 		Release: p.release, Writer: p.writer.Target, WriterIncarnation: p.writer.Incarnation,
 		WriterAnsweredAt: p.writer.AnsweredAt}}, true
@@ -80,7 +80,7 @@
 }
 
 // committedPartial returns the committed partial text of an item, or nil if there is none.
-func committedPartial(table *jobs.Table, item string) (*partialText, error) {
+func committedPartial(table *jobs.Table, item jobs.Key) (*partialText, error) {
 	p, ok := table.PartialText(item)
 	if !ok {
 		return nil, nil
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -24,7 +24,7 @@
 // usablePartial returns the partial text of an item, or nil if there is none or its weight versions
 // are not allowed in a result of the job.
 func (r *Runner) usablePartial(j *openJob, item string) *partialText {
-	p := r.partials[item]
+	p := r.partials[j.ItemKey(item)]
 	if p == nil || p.eventCount == 0 || !j.AllowsVersions(p.versions) {
 		return nil
 	}
@@ -90,25 +90,26 @@
 		r.sched.DelayEngine(now, a.Engine, errs.RetryAfterOf(err))
 		return
 	}
-	discarded := r.partials[key.Item]
+	itemKey := j.ItemKey(key.Item)
+	discarded := r.partials[itemKey]
 	p := r.partialFor(j, &a.Task, &t)
 	if p == discarded {
 		discarded = nil
 	}
-	delete(r.partials, key.Item)
+	delete(r.partials, itemKey)
 	r.metrics.itemWaitTime.Observe(now.Sub(j.items[key.Item].waitingSince).Seconds())
 	ctx, cancel := context.WithCancel(r.ctx)
-	ir := &itemRun{headers: r.opts.Headers, pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, output: p,
+	ir := &itemRun{headers: r.opts.Headers, hidesKey: r.hidesKey(j), pool: r.pool, job: j, item: j.items[key.Item].Item, target: t.ID, address: t.Address, output: p,
 		beforeSend: func() error { return r.checkAccepts(&t) }, onAnswer: func(status int, header http.Header) { r.recordNotice(&t, key, status, header) },
 		identities: r.identities, engine: identity.Claim{Target: t.ID, Incarnation: t.Incarnation, Release: t.Release},
 		deadline: max(j.deadline.Sub(now), minRunDeadline)}
 	rn := &activeRun{key: key, engine: a.Engine, cancel: cancel, itemRun: ir, discarded: discarded}
 	r.runs[key] = rn
 	term, resumedEvents := r.term, p.eventCount
-	r.opts.Log.Info("run started", "job", key.Job, "item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "discarded", discarded.events(), "release", t.Release, "version", t.Weights[j.Model],
-		"waited_ms", now.Sub(j.items[key.Item].waitingSince).Milliseconds())
+	r.opts.Log.Info("run started", j.logArgs("item", key.Item, "engine", a.Engine, "resumed_at", resumedEvents, "discarded", discarded.events(), "release", t.Release, "version", t.Weights[j.Model],
+		"waited_ms", now.Sub(j.items[key.Item].waitingSince).Milliseconds())...)
 	r.kernel.Go("runner/run", func(context.Context) error {
-		ctx, span := r.opts.Tracing.StartClientSpan(ctx, "run item", attribute.String("job", key.Job), attribute.String("item", key.Item),
+		ctx, span := r.opts.Tracing.StartClientSpan(ctx, "run item", attribute.String("job", j.ID), attribute.String("item", key.Item),
 			attribute.String("target", t.ID))
 		res := ir.run(ctx)
 		observe.EndSpan(span, res.err)
@@ -133,9 +134,10 @@
 // returnTask puts a task back that was assigned to an engine that takes no more work, and has the list of engines
 // updated before the next assignment.
 func (r *Runner) returnTask(now time.Time, a schedule.Assignment) {
-	r.sched.EndRun(now, a.Task.Key(), schedule.Stopped, 0, a.Task.PinnedVersion)
+	key := a.Task.Key()
+	r.sched.EndRun(now, key, schedule.Stopped, 0, a.Task.PinnedVersion)
 	r.reviewedAt = time.Time{}
-	r.opts.Log.Info("assignment withdrawn", "job", a.Task.Job, "item", a.Task.Item, "engine", a.Engine)
+	r.opts.Log.Info("assignment withdrawn", r.jobs[key.Job].logArgs("item", a.Task.Item, "engine", a.Engine)...)
 }
 
 // checkAccepts returns errs.Unavailable if the engine has announced its departure.
@@ -179,7 +181,7 @@
 	j := r.jobs[rn.key.Job]
 	ir.output.complete = res.complete
 	if j == nil || j.items[rn.key.Item] == nil {
-		r.partials[rn.key.Item] = rn.text()
+		r.partials[ir.job.ItemKey(rn.key.Item)] = rn.text()
 		return
 	}
 	if res.complete && j.AllowsVersions(ir.output.versions) {
@@ -205,23 +207,24 @@
 			r.terminate(key, "too many failed runs")
 			return
 		}
-		r.propose(&storestate.Command{ItemFailures: &storestate.ItemFailures{Job: key.Job, Item: key.Item, Count: it.failures}},
+		r.propose(&storestate.Command{ItemFailures: &storestate.ItemFailures{Job: j.ID, Owner: j.Owner, Item: key.Item, Count: it.failures}},
 			func(time.Time, storestate.Reply) {})
 	}
 	if table := r.opts.View.Table(); table != nil && r.serviceOf(table, key) == "" {
 		r.terminate(key, "route was removed")
 		return
 	}
-	r.partials[key.Item] = rn.text()
+	itemKey := j.ItemKey(key.Item)
+	r.partials[itemKey] = rn.text()
 	if mustRestart(it, rn.itemRun, res) {
-		delete(r.partials, key.Item)
+		delete(r.partials, itemKey)
 	}
 	it.waitingSince = now
 	remainingTokens, requiredVersion, partial := 0, uint64(0), schedule.Partial{} // 0 keeps the scheduler's estimate
 	if p := r.usablePartial(j, key.Item); p != nil {
 		remainingTokens, requiredVersion, partial = p.remainingTokens(it.ExpectedOutputTokens), p.requiredVersion(j), p.scheduled()
 	} else {
-		delete(r.partials, key.Item)
+		delete(r.partials, itemKey)
 	}
 	r.sched.SetPartial(now, key, partial)
 	r.sched.EndRun(now, key, res.outcome, remainingTokens, requiredVersion)
@@ -262,7 +265,7 @@
 // then proposed instead.
 func (r *Runner) commitText(j *openJob, item string, p *partialText, prefix jobs.Prefix, score string) {
 	result := jobs.Result{ID: item, State: jobs.Completed, Text: jobs.NewText(p.text[prefix.Len:]), Versions: p.versions, Score: score}
-	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Result: result, Offset: prefix.Len, BaseRevision: prefix.Revision}},
+	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Owner: j.Owner, Result: result, Offset: prefix.Len, BaseRevision: prefix.Revision}},
 		func(now time.Time, reply storestate.Reply) {
 			if !reply.Changed && prefix.Len > 0 {
 				r.commitText(j, item, p, jobs.Prefix{}, score)
@@ -274,15 +277,15 @@
 
 // commitResult commits a result without text.
 func (r *Runner) commitResult(j *openJob, result jobs.Result) {
-	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Result: result}},
+	r.propose(&storestate.Command{FinishItem: &storestate.FinishItem{Job: j.ID, Owner: j.Owner, Result: result}},
 		func(now time.Time, reply storestate.Reply) { r.resultCommitted(now, j, result, reply) })
 }
 
 // resultCommitted removes an item whose result is committed.
 func (r *Runner) resultCommitted(now time.Time, j *openJob, result jobs.Result, reply storestate.Reply) {
 	j.removeItem(result.ID)
-	r.opts.Log.Info("item result committed", "job", j.ID, "item", result.ID, "state", result.State, "versions", result.Versions,
-		"taken", reply.Changed, "left", len(j.items), "age_ms", now.Sub(r.firstSeen[j.ID]).Milliseconds())
+	r.opts.Log.Info("item result committed", j.logArgs("item", result.ID, "state", result.State, "versions", result.Versions,
+		"taken", reply.Changed, "left", len(j.items), "age_ms", now.Sub(r.firstSeen[j.Key()]).Milliseconds())...)
 }
 
 // terminate stops an item and commits a terminated result for it.
@@ -296,15 +299,15 @@
 	r.sched.RemoveTask(key)
 	r.stopScoring(key)
 	j.removeItem(key.Item)
-	r.opts.Log.Warn("item terminated", "job", key.Job, "item", key.Item, "reason", reason)
+	r.opts.Log.Warn("item terminated", j.logArgs("item", key.Item, "reason", reason)...)
 	r.commitResult(j, jobs.Result{ID: key.Item, State: jobs.Terminated})
 }
 
 // logRun logs the end of a run. resumedEvents is the number of events that the text had when the run
 // started.
 func (r *Runner) logRun(rn *activeRun, ir *itemRun, res runResult, resumedEvents int) {
-	args := []any{"job", rn.key.Job, "item", rn.key.Item, "engine", rn.engine, "outcome", outcomeName(res.outcome), "whole", res.complete,
-		"status", res.status, "resumed_at", resumedEvents, "events", ir.output.eventCount, "versions", ir.output.versions, "gap_ms", res.eventGap.Milliseconds()}
+	args := ir.job.logArgs("item", rn.key.Item, "engine", rn.engine, "outcome", outcomeName(res.outcome), "whole", res.complete,
+		"status", res.status, "resumed_at", resumedEvents, "events", ir.output.eventCount, "versions", ir.output.versions, "gap_ms", res.eventGap.Milliseconds())
 	if rn.stopReason != "" {
 		args = append(args, "reason", rn.stopReason)
 	}
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -123,7 +123,7 @@
 // is not pinned to the version of the stored text must start from the beginning.
 func TestRunRestartsWithoutPinnedVersion(t *testing.T) {
 	stored := &partialText{text: []byte("e1"), lastEventID: 1, eventCount: 1, versions: []uint64{4}}
-	r := &Runner{partials: map[string]*partialText{"item": stored}}
+	r := &Runner{partials: map[jobs.Key]*partialText{{ID: "item"}: stored}}
 	for _, c := range []struct {
 		singleVersion bool
 		pinnedVersion uint64
@@ -145,7 +145,7 @@
 		resume         bool
 	}{{"v1", "v1", true}, {"v1", "v2", false}, {"", "v1", false}, {"v1", "", false}, {"", "", true}} {
 		stored := &partialText{text: []byte("e1"), lastEventID: 1, eventCount: 1, versions: []uint64{4}, release: c.stored}
-		r := &Runner{partials: map[string]*partialText{"item": stored}}
+		r := &Runner{partials: map[jobs.Key]*partialText{{ID: "item"}: stored}}
 		got := r.partialFor(&openJob{Job: &jobs.Job{ID: "j"}}, &schedule.Task{Job: "j", Item: "item"}, &fleet.Target{Release: c.engine})
 		if resumed := got == stored; resumed != c.resume || got.release != c.engine {
 			t.Errorf("%+v: run starts after %d events at version %q", c, got.eventCount, got.release)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/ratelimit"
 	"fuchsiaflow/internal/storestate"
+	"fuchsiaflow/jobs"
 	"fuchsiaflow/schedule"
 )
 
@@ -81,7 +82,7 @@
 	events     *kernel.Ring[func(now time.Time)]
 	kernel     *kernel.Kernel
 
-	firstSeen map[string]time.Time // when this replica first saw each job
+	firstSeen map[jobs.Key]time.Time // when this replica first saw each job
 
 	electedTerm   uint64        // term in which this replica was elected, 0 if it does not lead
 	electedAt     time.Time     // when this replica saw that it leads in that term
@@ -93,10 +94,10 @@
 	ctx                context.Context
 	cancel             context.CancelFunc
 	sched              *schedule.Scheduler
-	jobs               map[string]*openJob
+	jobs               map[string]*openJob // by schedulerID
 	runs               map[schedule.Key]*activeRun
-	partials           map[string]*partialText // by item, while no run uses it
-	knownItems         map[string]bool         // items seen in earlier jobs
+	partials           map[jobs.Key]*partialText // by item, while no run uses it
+	knownItems         map[jobs.Key]bool         // items seen in earlier jobs
 	scoringQueue       *schedule.ScoringQueue
 	pendingScores      map[schedule.Key]*pendingScore // items whose call is in scoringQueue
 	orderStates        map[string]*orderState         // by engine
@@ -113,7 +114,7 @@
 
 // New returns a runner that is not started.
 func New(o Options) *Runner {
-	r := &Runner{opts: o, pool: httpconn.NewPool(maxIdleConns), firstSeen: make(map[string]time.Time),
+	r := &Runner{opts: o, pool: httpconn.NewPool(maxIdleConns), firstSeen: make(map[jobs.Key]time.Time),
 		events: kernel.NewRing[func(time.Time)]("runner/events", eventQueueSize, kernel.Block)}
 	r.metrics = newMetrics(o.Metrics, r.pool)
 	r.identities = identity.NewChecker(o.View, o.EngineClient, o.Log, o.Metrics)
@@ -224,7 +225,7 @@
 	r.ctx, r.cancel = context.WithCancel(r.kernel.Context())
 	r.sched = schedule.New()
 	r.jobs, r.runs = make(map[string]*openJob), make(map[schedule.Key]*activeRun)
-	r.partials, r.knownItems = make(map[string]*partialText), make(map[string]bool)
+	r.partials, r.knownItems = make(map[jobs.Key]*partialText), make(map[jobs.Key]bool)
 	r.scoringQueue, r.pendingScores = schedule.NewScoringQueue(), make(map[schedule.Key]*pendingScore)
 	r.orderStates, r.publishedVersions = make(map[string]*orderState), nil
 	r.syncedRevision, r.routesVersion, r.lastDemandSequence, r.revisionsInTerm = 0, 0, 0, 0
@@ -307,17 +308,17 @@
 			continue
 		}
 		for item := range j.items {
-			r.terminate(schedule.Key{Job: j.ID, Item: item}, "maximum age exceeded")
+			r.terminate(j.taskKey(item), "maximum age exceeded")
 		}
 	}
 	oldest := now
-	for id, first := range r.firstSeen {
+	for key, first := range r.firstSeen {
 		if first.Before(oldest) {
 			oldest = first
 		}
-		if r.jobs[id] == nil && now.Sub(first) > r.opts.KeepResults+retentionSlack {
-			delete(r.firstSeen, id)
-			r.propose(&storestate.Command{DropJob: &storestate.DropJob{Job: id}}, func(time.Time, storestate.Reply) {})
+		if r.jobs[schedulerID(key)] == nil && now.Sub(first) > r.opts.KeepResults+retentionSlack {
+			delete(r.firstSeen, key)
+			r.propose(&storestate.Command{DropJob: &storestate.DropJob{Job: key.ID, Owner: key.Owner}}, func(time.Time, storestate.Reply) {})
 		}
 	}
 	r.nextDropNanos.Store(int64(oldest.Add(r.opts.KeepResults + retentionSlack).Sub(now)))
--- a/internal/runner/scoring.go
+++ b/internal/runner/scoring.go
@@ -43,7 +43,7 @@
 // committed prefix. The command is refused if that is no longer stored; the complete text is then sent instead.
 // If another open job has stored a complete text of the item meanwhile, that text is scored.
 func (r *Runner) storeCompleteText(j *openJob, it *openItem, p *partialText, prefix jobs.Prefix) {
-	progress := storestate.ItemProgress{Job: j.ID, Item: it.ID, Offset: prefix.Len, BaseRevision: prefix.Revision,
+	progress := storestate.ItemProgress{Job: j.ID, Owner: j.Owner, Item: it.ID, Offset: prefix.Len, BaseRevision: prefix.Revision,
 		Partial: jobs.PartialText{Text: jobs.NewText(p.text[prefix.Len:]), LastEventID: p.lastEventID, EventCount: p.eventCount, Versions: p.versions, Release: p.release,
 			Complete: true, Revision: r.nextRevision()}}
 	command := &storestate.Command{Progress: &storestate.Progress{Items: []storestate.ItemProgress{progress}}}
@@ -69,19 +69,19 @@
 	}
 	var stored *partialText
 	var err error
-	r.opts.StateMachine.View(func(s *storestate.State) { stored, err = committedPartial(s.Jobs(), it.ID) })
+	r.opts.StateMachine.View(func(s *storestate.State) { stored, err = committedPartial(s.Jobs(), j.ItemKey(it.ID)) })
 	if err != nil || stored == nil || !stored.complete || !j.AllowsVersions(stored.versions) {
-		r.opts.Log.Info("complete text refused, stored again", "job", j.ID, "item", it.ID, "events", p.eventCount, "error", err)
+		r.opts.Log.Info("complete text refused, stored again", j.logArgs("item", it.ID, "events", p.eventCount, "error", err)...)
 		r.storeCompleteText(j, it, p, jobs.Prefix{})
 		return
 	}
-	r.opts.Log.Info("complete text of another job is scored", "job", j.ID, "item", it.ID, "events", stored.eventCount, "versions", stored.versions)
+	r.opts.Log.Info("complete text of another job is scored", j.logArgs("item", it.ID, "events", stored.eventCount, "versions", stored.versions)...)
 	r.queueScoring(j, it, stored)
 }
 
 // isOpen reports whether the item of a job still needs a result.
 func (r *Runner) isOpen(j *openJob, item string) bool {
-	return r.jobs[j.ID] == j && j.items[item] != nil
+	return r.jobs[j.id] == j && j.items[item] != nil
 }
 
 // queueScoring queues the scoring call of an item.
@@ -89,7 +89,7 @@
 	if !r.isOpen(j, it.ID) {
 		return
 	}
-	key := schedule.Key{Job: j.ID, Item: it.ID}
+	key := j.taskKey(it.ID)
 	maxErrors := r.maxAttempts(j)
 	service := ""
 	if table := r.opts.View.Table(); table != nil {
@@ -98,8 +98,8 @@
 		}
 	}
 	r.pendingScores[key] = &pendingScore{text: p}
-	r.scoringQueue.Add(schedule.ScoringCall{Job: j.ID, Item: it.ID, Service: service, Group: it.Group, Deadline: j.deadline, MaxServerErrors: maxErrors})
-	r.opts.Log.Info("item text complete", "job", j.ID, "item", it.ID, "call", it.Scoring.ID, "events", p.eventCount, "versions", p.versions, "service", service)
+	r.scoringQueue.Add(schedule.ScoringCall{Job: j.id, Item: it.ID, Service: service, Group: it.Group, Deadline: j.deadline, MaxServerErrors: maxErrors})
+	r.opts.Log.Info("item text complete", j.logArgs("item", it.ID, "call", it.Scoring.ID, "events", p.eventCount, "versions", p.versions, "service", service)...)
 }
 
 func scoringRoute(table *routes.Table, it *openItem) (*routes.Route, bool) {
@@ -203,8 +203,8 @@
 	r.metrics.scoringCalls.Inc(outcome)
 	r.metrics.scoringDuration.Observe(took.Seconds())
 	waiting, running := r.scoringQueue.Counts()
-	args := []any{"job", j.ID, "item", it.ID, "call", it.Scoring.ID, "outcome", outcome, "status", reply.Status, "attempts", reply.Attempts,
-		"server_errors", reply.ServerErrors, "took_ms", took.Milliseconds(), "waiting", waiting, "running", running}
+	args := j.logArgs("item", it.ID, "call", it.Scoring.ID, "outcome", outcome, "status", reply.Status, "attempts", reply.Attempts,
+		"server_errors", reply.ServerErrors, "took_ms", took.Milliseconds(), "waiting", waiting, "running", running)
 	if !it.textCompleteAt.IsZero() {
 		args = append(args, "since_text_ms", now.Sub(it.textCompleteAt).Milliseconds())
 	}
--- a/internal/runner/scoring_test.go
+++ b/internal/runner/scoring_test.go
@@ -175,7 +175,7 @@
 	<-running
 	_, term, _ := c.group.Leader()
 	c.runner.enqueue(term, func(time.Time) {
-		j := c.runner.jobs["j"]
+		j := c.runner.jobs[schedulerID(jobs.Key{ID: "j"})]
 		text := &partialText{text: []byte("e1\ne2\ne3"), eventCount: 3, lastEventID: 3, versions: []uint64{1}}
 		c.runner.scoreStoredText(j, j.items["item"], text)
 	})
--- a/internal/runner/statemachine.go
+++ b/internal/runner/statemachine.go
@@ -8,6 +8,7 @@
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/storestate"
+	"fuchsiaflow/jobs"
 	"fuchsiaflow/quarantine"
 )
 
@@ -29,9 +30,9 @@
 	state          *storestate.State
 	revision       uint64
 	changed        chan struct{}
-	newJobs        []string // jobs that TakeNewJobs has not returned yet
-	newestSequence uint64   // sequence number of the newest job seen
-	configVersion  uint64   // newest version passed to OnConfig
+	newJobs        []jobs.Key // jobs that TakeNewJobs has not returned yet
+	newestSequence uint64     // sequence number of the newest job seen
+	configVersion  uint64     // newest version passed to OnConfig
 	// departureRevision is the revision of the departures up to which all were passed to OnDeparture.
 	departureRevision uint64
 	// quarantineRevision is the same for OnQuarantine.
@@ -68,7 +69,7 @@
 	m.revision++
 	entries := m.state.Jobs().Entries()
 	for i := len(entries) - 1; i >= 0 && entries[i].Sequence > m.newestSequence; i-- {
-		m.newJobs = append(m.newJobs, entries[i].ID)
+		m.newJobs = append(m.newJobs, entries[i].Key())
 	}
 	if n := len(entries); n > 0 {
 		m.newestSequence = max(m.newestSequence, entries[n-1].Sequence)
@@ -147,8 +148,8 @@
 	return m.revision
 }
 
-// TakeNewJobs returns the IDs of the jobs that were added since the last call.
-func (m *StateMachine) TakeNewJobs() []string {
+// TakeNewJobs returns the keys of the jobs that were added since the last call.
+func (m *StateMachine) TakeNewJobs() []jobs.Key {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := m.newJobs
--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -187,20 +187,21 @@
 	return r.Changed, err
 }
 
-// JobResults returns results of a batch job, starting at position after. If there is none yet, it
-// waits for one, at most for the duration wait.
-func (c *Client) JobResults(ctx context.Context, job string, after, maxBytes int, wait time.Duration) (jobs.Page, error) {
-	a, err := c.read(ctx, &storestate.Query{Results: &storestate.ReadPage{Job: job, Position: after, MaxBytes: maxBytes,
+// JobResults returns results of the batch job that a caller means, starting at position after. If there is none yet, it
+// waits for one, at most for the duration wait. The owner in the key is the client account of the caller, here and in the
+// other calls about existing jobs; see jobs.Table.Find.
+func (c *Client) JobResults(ctx context.Context, job jobs.Key, after, maxBytes int, wait time.Duration) (jobs.Page, error) {
+	a, err := c.read(ctx, &storestate.Query{Results: &storestate.ReadPage{Job: job.ID, Caller: job.Owner, Position: after, MaxBytes: maxBytes,
 		WaitMs: int(wait.Milliseconds())}})
 	if err == nil && a.NotFound {
-		err = &errs.NotFound{Kind: "batch job", ID: job}
+		err = &errs.NotFound{Kind: "batch job", ID: job.ID}
 	}
 	return a.Page, err
 }
 
 // ItemBody returns the body of an item that has no result yet.
-func (c *Client) ItemBody(ctx context.Context, job, item string) ([]byte, error) {
-	a, err := c.read(ctx, &storestate.Query{Body: &storestate.ReadBody{Job: job, Item: item}})
+func (c *Client) ItemBody(ctx context.Context, job jobs.Key, item string) ([]byte, error) {
+	a, err := c.read(ctx, &storestate.Query{Body: &storestate.ReadBody{Job: job.ID, Caller: job.Owner, Item: item}})
 	if err == nil && a.NotFound {
 		err = &errs.NotFound{Kind: "item of a batch job", ID: item}
 	}
@@ -208,10 +209,10 @@
 }
 
 // EndJob ends a batch job.
-func (c *Client) EndJob(ctx context.Context, job string) error {
-	r, err := c.propose(ctx, &storestate.Command{EndJob: &storestate.EndJob{Job: job}})
+func (c *Client) EndJob(ctx context.Context, job jobs.Key) error {
+	r, err := c.propose(ctx, &storestate.Command{EndJob: &storestate.EndJob{Job: job.ID, Caller: job.Owner}})
 	if err == nil && r.NotFound {
-		err = &errs.NotFound{Kind: "batch job", ID: job}
+		err = &errs.NotFound{Kind: "batch job", ID: job.ID}
 	}
 	return err
 }
--- a/internal/store/admission.go
+++ b/internal/store/admission.go
@@ -45,13 +45,13 @@
 // admitCommand returns errs.Full for a command that submits a new job for which there is no memory. A
 // known job is never refused, because its submission only repeats the acceptance.
 func (st *Store) admitCommand(command []byte) error {
-	id, ok := storestate.SubmittedJobID(command)
+	job, ok := storestate.SubmittedJob(command)
 	if !ok {
 		return nil
 	}
 	heldBytes, known := 0, false
 	st.stateMachine.View(func(s *storestate.State) {
-		_, known = s.Jobs().Entry(id)
+		_, known = s.Jobs().Entry(job)
 		heldBytes = s.Jobs().MemoryBytes()
 	})
 	if known {
@@ -59,7 +59,7 @@
 	}
 	err := st.admission.admit(heldBytes, len(command), st.runner.TimeUntilNextDrop())
 	if err != nil {
-		st.opts.Log.Warn("batch job refused", "job", id, "bytes", len(command), "held_bytes", heldBytes, "limit_bytes", st.admission.limitBytes, "error", err)
+		st.opts.Log.Warn("batch job refused", job.LogArgs("bytes", len(command), "held_bytes", heldBytes, "limit_bytes", st.admission.limitBytes, "error", err)...)
 	}
 	return err
 }
--- a/internal/store/admission_test.go
+++ b/internal/store/admission_test.go
@@ -110,15 +110,15 @@
 	for j := range 3 {
 		id := fmt.Sprint(j)
 		b.Submit(jobs.Job{ID: id, Items: []jobs.Item{{ID: id + "a", Body: text}, {ID: id + "b", Body: text}}})
-		b.Finish(id, jobs.Prefix{}, jobs.Result{ID: id + "a", State: jobs.Completed, Text: jobs.NewText(text)})
-		b.AppendText(id, id+"b", jobs.Prefix{}, jobs.PartialText{Text: jobs.NewText(text[:100])})
+		b.Finish(jobs.Key{ID: id}, jobs.Prefix{}, jobs.Result{ID: id + "a", State: jobs.Completed, Text: jobs.NewText(text)})
+		b.AppendText(jobs.Key{ID: id}, id+"b", jobs.Prefix{}, jobs.PartialText{Text: jobs.NewText(text[:100])})
 	}
 	packedLen := jobs.NewText(text).PackedLen()
 	if got, content := b.MemoryBytes(), 3*(packedLen+5000+100); got < content || got > content+3*2000 {
 		t.Errorf("estimate of %d bytes for %d bytes of content", got, content)
 	}
 	for j := range 3 {
-		b.Drop(fmt.Sprint(j))
+		b.Drop(jobs.Key{ID: fmt.Sprint(j)})
 	}
 	if b.MemoryBytes() != 0 {
 		t.Errorf("estimate of %d bytes without jobs", b.MemoryBytes())
--- a/internal/store/peerserver.go
+++ b/internal/store/peerserver.go
@@ -177,7 +177,7 @@
 		changed := st.stateMachine.Changed()
 		done := true
 		st.stateMachine.View(func(s *storestate.State) {
-			if e, ok := s.Jobs().Entry(q.Job); ok {
+			if e, ok := s.Jobs().Find(q.Key()); ok {
 				done = q.Position < len(e.Results) || !e.IsOpen()
 			}
 		})
--- a/internal/storestate/command.go
+++ b/internal/storestate/command.go
@@ -79,24 +79,25 @@
 	return data[prefixLen:end], data[end:], true
 }
 
-// SubmittedJobID returns the ID of the job that an encoded command submits. ok is false for other
+// SubmittedJob returns the key of the job that an encoded command submits. ok is false for other
 // commands and for those that cannot be decoded.
-func SubmittedJobID(data []byte) (id string, ok bool) {
+func SubmittedJob(data []byte) (job jobs.Key, ok bool) {
 	encodedHeader, _, ok := splitCommand(data)
 	if !ok {
-		return "", false
+		return job, false
 	}
 	var header struct {
 		Command struct {
 			Submit *struct {
-				ID string `cbor:"1,keyasint"`
+				ID    string `cbor:"1,keyasint"`
+				Owner string `cbor:"10,keyasint"`
 			} `cbor:"3,keyasint"`
 		} `cbor:"1,keyasint"`
 	}
 	if err := cbor.Unmarshal(encodedHeader, &header); err != nil || header.Command.Submit == nil {
-		return "", false // Apply ignores a command that cannot be decoded
+		return job, false // Apply ignores a command that cannot be decoded
 	}
-	return header.Command.Submit.ID, true
+	return jobs.Key{Owner: header.Command.Submit.Owner, ID: header.Command.Submit.ID}, true
 }
 
 // maxDepartureHeader is the size in bytes that the header of a command with a departure cannot exceed. Larger ones
--- a/internal/storestate/snapshot_test.go
+++ b/internal/storestate/snapshot_test.go
@@ -85,7 +85,7 @@
 			t.Errorf("results of job %d differ after a restore", job)
 		}
 	}
-	if _, ok := restored.Jobs().PartialText("j2-4"); !ok {
+	if _, ok := restored.Jobs().PartialText(jobs.Key{ID: "j2-4"}); !ok {
 		t.Error("the partial text of an item is lost")
 	}
 	for _, n := range []int{0, 3, len(data) / 2, len(data) - 3} {
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -59,6 +59,7 @@
 	Job   string `cbor:"1,keyasint"`
 	Item  string `cbor:"2,keyasint"`
 	Count int    `cbor:"3,keyasint"`
+	Owner string `cbor:"4,keyasint,omitempty"` // of the job
 }
 
 // NoticeDeparture is the notice of a departure that a host has seen; see fleet.Notices.
@@ -91,8 +92,11 @@
 	Offset int `cbor:"3,keyasint,omitempty"`
 	// BaseRevision is the revision of the stored text at that offset; see jobs.PartialText.
 	BaseRevision uint64 `cbor:"4,keyasint,omitempty"`
+	Owner        string `cbor:"5,keyasint,omitempty"` // of the job
 }
 
+func (f *FinishItem) key() jobs.Key { return jobs.Key{Owner: f.Owner, ID: f.Job} }
+
 func (f *FinishItem) prefix() jobs.Prefix {
 	return jobs.Prefix{Revision: f.BaseRevision, Len: f.Offset}
 }
@@ -111,8 +115,11 @@
 	Partial jobs.PartialText `cbor:"4,keyasint"`
 	// BaseRevision is the revision of the stored text that the new text continues.
 	BaseRevision uint64 `cbor:"5,keyasint,omitempty"`
+	Owner        string `cbor:"6,keyasint,omitempty"` // of the job
 }
 
+func (p *ItemProgress) key() jobs.Key { return jobs.Key{Owner: p.Owner, ID: p.Job} }
+
 func (p *ItemProgress) prefix() jobs.Prefix {
 	return jobs.Prefix{Revision: p.BaseRevision, Len: p.Offset}
 }
@@ -122,14 +129,16 @@
 	return jobs.Prefix{Revision: p.Partial.Revision, Len: p.Offset + p.Partial.Text.Len()}
 }
 
-// EndJob ends a job, which keeps its results.
+// EndJob ends the job that a caller means, which keeps its results; see jobs.Table.Find.
 type EndJob struct {
-	Job string `cbor:"1,keyasint"`
+	Job    string `cbor:"1,keyasint"`
+	Caller string `cbor:"2,keyasint,omitempty"` // client account of the caller
 }
 
 // DropJob removes a job and its results.
 type DropJob struct {
-	Job string `cbor:"1,keyasint"`
+	Job   string `cbor:"1,keyasint"`
+	Owner string `cbor:"2,keyasint,omitempty"` // of the job
 }
 
 // RetireHost marks a store host as being retired: it is to hold no replica of the state.
@@ -213,17 +222,17 @@
 	case c.SubmitJob != nil:
 		return Reply{Changed: s.jobs.Submit(*c.SubmitJob)}
 	case c.FinishItem != nil:
-		return Reply{Changed: s.jobs.Finish(c.FinishItem.Job, c.FinishItem.prefix(), c.FinishItem.Result)}
+		return Reply{Changed: s.jobs.Finish(c.FinishItem.key(), c.FinishItem.prefix(), c.FinishItem.Result)}
 	case c.Progress != nil:
 		r := Reply{}
 		for _, it := range c.Progress.Items {
-			r.Stored = append(r.Stored, s.jobs.AppendText(it.Job, it.Item, it.prefix(), it.Partial))
+			r.Stored = append(r.Stored, s.jobs.AppendText(it.key(), it.Item, it.prefix(), it.Partial))
 		}
 		return r
 	case c.EndJob != nil:
-		return Reply{NotFound: !s.jobs.End(c.EndJob.Job), Changed: true}
+		return Reply{NotFound: !s.jobs.End(jobs.Key{Owner: c.EndJob.Caller, ID: c.EndJob.Job}), Changed: true}
 	case c.DropJob != nil:
-		s.jobs.Drop(c.DropJob.Job)
+		s.jobs.Drop(jobs.Key{Owner: c.DropJob.Owner, ID: c.DropJob.Job})
 		return Reply{Changed: true}
 	case c.RetireHost != nil:
 		if s.retiring[c.RetireHost.Host] != "" {
@@ -240,7 +249,8 @@
 		}
 		return Reply{Changed: s.departures.Add(n.Departure)}
 	case c.ItemFailures != nil:
-		return Reply{Changed: s.jobs.RecordFailures(c.ItemFailures.Job, c.ItemFailures.Item, c.ItemFailures.Count)}
+		f := c.ItemFailures
+		return Reply{Changed: s.jobs.RecordFailures(jobs.Key{Owner: f.Owner, ID: f.Job}, f.Item, f.Count)}
 	case c.RecordCrash != nil:
 		return Reply{Changed: s.quarantine.RecordCrash(s.index, *c.RecordCrash)}
 	case c.RecordAnswer != nil:
@@ -296,7 +306,7 @@
 	Origin string `cbor:"5,keyasint,omitempty"`
 }
 
-// ReadPage reads results of a job; see jobs.Table.Read.
+// ReadPage reads results of the job that a caller means; see jobs.Table.Read.
 type ReadPage struct {
 	Job string `cbor:"1,keyasint"`
 	// Position is the position of the first result to return.
@@ -304,12 +314,18 @@
 	// WaitMs is how long the query may wait for a result at that position, in milliseconds.
 	WaitMs   int `cbor:"3,keyasint,omitempty"`
 	MaxBytes int `cbor:"4,keyasint"`
+	// Caller is the client account of the caller.
+	Caller string `cbor:"5,keyasint,omitempty"`
 }
 
-// ReadBody reads the body of an item without a result.
+// Key returns the job as the caller names it; see jobs.Table.Find.
+func (q *ReadPage) Key() jobs.Key { return jobs.Key{Owner: q.Caller, ID: q.Job} }
+
+// ReadBody reads the body of an item without a result, of the job that a caller means.
 type ReadBody struct {
-	Job  string `cbor:"1,keyasint"`
-	Item string `cbor:"2,keyasint"`
+	Job    string `cbor:"1,keyasint"`
+	Item   string `cbor:"2,keyasint"`
+	Caller string `cbor:"3,keyasint,omitempty"` // client account of the caller
 }
 
 // ReadRetirement reads the retirement status of a store host.
@@ -343,10 +359,10 @@
 	case q.Config:
 		return Answer{Config: s.config, NotFound: s.config.Version == 0}
 	case q.Results != nil:
-		page, err := s.jobs.Read(q.Results.Job, q.Results.Position, q.Results.MaxBytes)
+		page, err := s.jobs.Read(q.Results.Key(), q.Results.Position, q.Results.MaxBytes)
 		return Answer{Page: page, NotFound: err != nil}
 	case q.Body != nil:
-		body, err := s.jobs.Body(q.Body.Job, q.Body.Item)
+		body, err := s.jobs.Body(jobs.Key{Owner: q.Body.Caller, ID: q.Body.Job}, q.Body.Item)
 		return Answer{Body: body, NotFound: err != nil}
 	case q.Origin != "":
 		if o, known := s.origins.Get(q.Origin); known {
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -10,7 +10,6 @@
 package jobs
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"unicode/utf8"
@@ -75,14 +74,35 @@
 	Owner string `cbor:"10,keyasint,omitempty"`
 }
 
+// Key identifies a job, or an item, among those of all client accounts: clients choose IDs independently.
+type Key struct {
+	Owner string // client account; empty for a job without one
+	ID    string
+}
+
+// LogArgs returns the arguments of a log line about the job: its ID, its account if it has one, and args.
+func (k Key) LogArgs(args ...any) []any {
+	out := []any{"job", k.ID}
+	if k.Owner != "" {
+		out = append(out, "account", k.Owner)
+	}
+	return append(out, args...)
+}
+
+// Key returns the key of the job.
+func (j *Job) Key() Key { return Key{j.Owner, j.ID} }
+
+// ItemKey returns the key of an item of the job. Jobs of one owner that have an item with the same ID share its texts.
+func (j *Job) ItemKey(item string) Key { return Key{j.Owner, item} }
+
 // Validate returns errs.Invalid if the job cannot be accepted.
 func (j *Job) Validate() error {
 	if j.ID == "" {
 		return &errs.Invalid{Path: "$.id", Want: "an id", Got: "an empty string"}
 	}
-	for _, s := range []string{j.ID, j.Host, j.Path} {
+	for _, s := range []string{j.ID, j.Host, j.Path, j.Owner} {
 		if !utf8.ValidString(s) {
-			return &errs.Invalid{Path: "$", Want: "an id, host and path in UTF-8", Got: strconv.Quote(s)}
+			return &errs.Invalid{Path: "$", Want: "an id, host, path and owner in UTF-8", Got: strconv.Quote(s)}
 		}
 	}
 	seen := make(map[string]bool, len(j.Items))
@@ -186,32 +206,32 @@
 
 // Table is the set of all jobs. The zero value is not usable; call NewTable.
 type Table struct {
-	entries map[string]*Entry
+	entries map[Key]*Entry
 	inOrder []*Entry // in the order of acceptance
-	// completedIn maps an item to the job that last recorded it as completed, so that a later job
-	// with the same item can reuse the text.
-	completedIn map[string]string
-	// partials holds the texts of items without a result by item ID. They are not bound to a job,
-	// so that a later job with the same item can continue them.
-	partials     map[string]*PartialText
+	// completedIn maps an item to the job that last recorded it as completed, so that a later job of the
+	// same owner with the same item can reuse the text.
+	completedIn map[Key]Key
+	// partials holds the texts of items without a result. They are not bound to a job, so that a later job
+	// of the same owner with the same item can continue them.
+	partials     map[Key]*PartialText
 	lastSequence uint64
 }
 
 // NewTable returns an empty set of jobs.
 func NewTable() *Table {
-	return &Table{entries: make(map[string]*Entry), completedIn: make(map[string]string), partials: make(map[string]*PartialText)}
+	return &Table{entries: make(map[Key]*Entry), completedIn: make(map[Key]Key), partials: make(map[Key]*PartialText)}
 }
 
-// Submit adds a job unless its ID is known, and reports whether it did. Items that an earlier job
+// Submit adds a job unless its owner has one with the same ID, and reports whether it did. Items that an earlier job of the owner
 // completed with weight versions that the new job accepts get that result at once. If such an item is
 // to be scored by another request than before, only its text is reused.
 func (b *Table) Submit(j Job) bool {
-	if b.entries[j.ID] != nil {
+	if b.entries[j.Key()] != nil {
 		return false
 	}
 	b.lastSequence++
 	e := &Entry{Job: j, Sequence: b.lastSequence, resultIndex: make(map[string]int, len(j.Items))}
-	b.entries[j.ID] = e
+	b.entries[j.Key()] = e
 	b.inOrder = append(b.inOrder, e)
 	for i := range e.Items {
 		r, sameScoring, ok := b.reusableResult(e, &e.Items[i])
@@ -219,7 +239,7 @@
 		case ok && sameScoring:
 			b.addResult(e, r)
 		case ok:
-			b.partials[r.ID] = &PartialText{Text: r.Text, Versions: r.Versions, EventCount: 1, Complete: true}
+			b.partials[e.ItemKey(r.ID)] = &PartialText{Text: r.Text, Versions: r.Versions, EventCount: 1, Complete: true}
 		}
 	}
 	return true
@@ -228,7 +248,7 @@
 // reusableResult returns the result of an item from an earlier job if e accepts its versions, and whether
 // the same request scored it.
 func (b *Table) reusableResult(e *Entry, it *Item) (r Result, sameScoring, ok bool) {
-	earlier := b.entries[b.completedIn[it.ID]]
+	earlier := b.entries[b.completedIn[e.ItemKey(it.ID)]]
 	if earlier == nil || earlier == e {
 		return Result{}, false, false
 	}
@@ -251,11 +271,11 @@
 	e.Results = append(e.Results, r)
 	delete(e.Failures, r.ID)
 	if r.State == Completed {
-		b.completedIn[r.ID] = e.ID
+		b.completedIn[e.ItemKey(r.ID)] = e.Key()
 	}
 	for i := range e.Items {
 		if e.Items[i].ID == r.ID {
-			delete(b.partials, r.ID)
+			delete(b.partials, e.ItemKey(r.ID))
 			e.Items[i].releaseContent()
 		}
 	}
@@ -272,12 +292,13 @@
 
 // AppendText appends to the stored text of an item if that is the given prefix; an empty prefix replaces the
 // stored text, unless that is complete and accepted by the job. It reports whether the text was stored.
-func (b *Table) AppendText(job, item string, prefix Prefix, p PartialText) bool {
+func (b *Table) AppendText(job Key, item string, prefix Prefix, p PartialText) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(item) {
 		return false
 	}
-	stored := b.partials[item]
+	key := e.ItemKey(item)
+	stored := b.partials[key]
 	if stored != nil && p.Revision > 0 && p.Revision == stored.Revision {
 		return true // the command is repeated
 	}
@@ -290,12 +311,12 @@
 		}
 		p.Text = slices.Concat(stored.Text, p.Text)
 	}
-	b.partials[item] = &p
+	b.partials[key] = &p
 	return true
 }
 
 // PartialText returns the stored text of an item without a result.
-func (b *Table) PartialText(item string) (PartialText, bool) {
+func (b *Table) PartialText(item Key) (PartialText, bool) {
 	p := b.partials[item]
 	if p == nil {
 		return PartialText{}, false
@@ -313,7 +334,7 @@
 // was recorded. It is rejected if the job is unknown or ended, if the item is not part of the job
 // or has a result, if it is completed with versions that the job does not accept or that are not those of a
 // complete stored text, or if it is completed without the score that it needs.
-func (b *Table) Finish(job string, prefix Prefix, r Result) bool {
+func (b *Table) Finish(job Key, prefix Prefix, r Result) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(r.ID) || r.State == Completed && !e.AllowsVersions(r.Versions) {
 		return false
@@ -322,7 +343,7 @@
 		return false
 	}
 	if prefix.Len > 0 {
-		stored := b.partials[r.ID]
+		stored := b.partials[e.ItemKey(r.ID)]
 		if !prefix.matches(stored) || stored.Complete && !slices.Equal(stored.Versions, r.Versions) {
 			return false
 		}
@@ -333,7 +354,7 @@
 }
 
 // RecordFailures records that runs of an item have failed n times in all. It reports whether that is news.
-func (b *Table) RecordFailures(job, item string, n int) bool {
+func (b *Table) RecordFailures(job Key, item string, n int) bool {
 	e := b.entries[job]
 	if !e.acceptsResult(item) || n <= e.Failures[item] {
 		return false
@@ -345,10 +366,20 @@
 	return true
 }
 
-// End ends a job, which keeps its results. It reports whether the job exists.
-func (b *Table) End(job string) bool {
-	e := b.entries[job]
-	if e == nil {
+// Find returns the job that a caller means: the one of its own account, or else the one without an owner. The caller must not
+// change it.
+func (b *Table) Find(job Key) (*Entry, bool) {
+	if e, ok := b.entries[job]; ok {
+		return e, true
+	}
+	e, ok := b.entries[Key{ID: job.ID}]
+	return e, ok
+}
+
+// End ends the job that a caller means, which keeps its results. It reports whether there is one.
+func (b *Table) End(job Key) bool {
+	e, ok := b.Find(job)
+	if !ok {
 		return false
 	}
 	e.Ended = true
@@ -356,7 +387,7 @@
 }
 
 // Drop removes a job with its results and the stored texts of its items.
-func (b *Table) Drop(job string) {
+func (b *Table) Drop(job Key) {
 	e := b.entries[job]
 	if e == nil {
 		return
@@ -364,19 +395,19 @@
 	delete(b.entries, job)
 	b.inOrder = slices.DeleteFunc(b.inOrder, func(other *Entry) bool { return other == e })
 	for _, r := range e.Results {
-		if b.completedIn[r.ID] == job {
-			delete(b.completedIn, r.ID)
+		if item := e.ItemKey(r.ID); b.completedIn[item] == job {
+			delete(b.completedIn, item)
 		}
 	}
 	for _, it := range e.Items {
 		if !e.HasResult(it.ID) {
-			delete(b.partials, it.ID)
+			delete(b.partials, e.ItemKey(it.ID))
 		}
 	}
 }
 
 // Entry returns a job. The caller must not change it.
-func (b *Table) Entry(job string) (*Entry, bool) {
+func (b *Table) Entry(job Key) (*Entry, bool) {
 	e, ok := b.entries[job]
 	return e, ok
 }
@@ -393,12 +424,12 @@
 	Next int `cbor:"3,keyasint"`
 }
 
-// Read returns the results from a position on. A page has at least one result if there is one;
+// Read returns the results of the job that a caller means from a position on. A page has at least one result if there is one;
 // further results are added while the page stays within maxBytes.
-func (b *Table) Read(job string, position, maxBytes int) (Page, error) {
-	e := b.entries[job]
-	if e == nil {
-		return Page{}, &errs.NotFound{Kind: "batch job", ID: job}
+func (b *Table) Read(job Key, position, maxBytes int) (Page, error) {
+	e, ok := b.Find(job)
+	if !ok {
+		return Page{}, &errs.NotFound{Kind: "batch job", ID: job.ID}
 	}
 	p := Page{Total: len(e.Items), Next: position}
 	size := 0
@@ -416,10 +447,11 @@
 // resultOverheadBytes approximates the encoded size of a result without its text.
 const resultOverheadBytes = 128
 
-// Body returns the body of an item without a result. It returns errs.NotFound for every other item.
-func (b *Table) Body(job, item string) ([]byte, error) {
-	e := b.entries[job]
-	if e == nil || e.HasResult(item) {
+// Body returns the body of an item without a result, of the job that a caller means. It returns errs.NotFound for every other
+// item.
+func (b *Table) Body(job Key, item string) ([]byte, error) {
+	e, ok := b.Find(job)
+	if !ok || e.HasResult(item) {
 		return nil, &errs.NotFound{Kind: "item of a batch job", ID: item}
 	}
 	for _, it := range e.Items {
@@ -462,34 +494,3 @@
 	}
 	return n
 }
-
-// Snapshot is the serializable form of a Table.
-type Snapshot struct {
-	Entries      []*Entry                `cbor:"1,keyasint"`
-	LastSequence uint64                  `cbor:"2,keyasint"`
-	Partials     map[string]*PartialText `cbor:"3,keyasint,omitempty"`
-}
-
-// Snapshot returns a snapshot that shares its memory with b.
-func (b *Table) Snapshot() Snapshot {
-	return Snapshot{Entries: b.inOrder, LastSequence: b.lastSequence, Partials: b.partials}
-}
-
-// Restore returns the jobs of a snapshot. It takes over the entries of the snapshot.
-func Restore(snapshot Snapshot) *Table {
-	b := NewTable()
-	b.lastSequence = snapshot.LastSequence
-	maps.Copy(b.partials, snapshot.Partials)
-	for _, e := range snapshot.Entries {
-		e.resultIndex = make(map[string]int, len(e.Results))
-		b.entries[e.ID] = e
-		b.inOrder = append(b.inOrder, e)
-		for i, r := range e.Results {
-			e.resultIndex[r.ID] = i
-			if r.State == Completed {
-				b.completedIn[r.ID] = e.ID
-			}
-		}
-	}
-	return b
-}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -39,16 +39,16 @@
 			case 1, 2:
 				r := Result{ID: rapid.SampledFrom(items).Draw(t, "item"), State: Completed, Text: NewText([]byte(fmt.Sprint(step))),
 					Versions: []uint64{rapid.Uint64Range(0, 5).Draw(t, "version")}}
-				b.Finish(id, Prefix{}, r)
+				b.Finish(Key{ID: id}, Prefix{}, r)
 			case 3:
-				if b.End(id) != (submitted[id] != nil) {
+				if b.End(Key{ID: id}) != (submitted[id] != nil) {
 					t.Fatalf("End(%s) misreports whether the job exists", id)
 				}
 			case 4:
 				b = Restore(b.Snapshot())
 			}
 			for id, model := range submitted {
-				p, err := b.Read(id, 0, 1<<20)
+				p, err := b.Read(Key{ID: id}, 0, 1<<20)
 				if err != nil || p.Total != len(items) || p.Next != len(p.Results) || len(p.Results) < len(model.results) {
 					t.Fatalf("page of job %s: %+v, error %v", id, p, err)
 				}
@@ -56,14 +56,14 @@
 					t.Fatalf("results of job %s changed: %s", id, d)
 				}
 				model.results = p.Results
-				e, _ := b.Entry(id)
+				e, _ := b.Entry(Key{ID: id})
 				for _, r := range p.Results {
 					if r.State == Completed && !e.AllowsVersions(r.Versions) {
 						t.Fatalf("job %s has a result of versions %v, minimum %d", id, r.Versions, e.MinVersion)
 					}
 				}
 				for _, it := range items {
-					body, err := b.Body(id, it)
+					body, err := b.Body(Key{ID: id}, it)
 					if e.HasResult(it) != (err != nil) || err == nil && string(body) != "body of "+it {
 						t.Fatalf("body of item %s in job %s: %q, error %v", it, id, body, err)
 					}
@@ -77,14 +77,14 @@
 func TestSubmitReusesResults(t *testing.T) {
 	b := NewTable()
 	b.Submit(newJob("j1", 3, "a", "b"))
-	b.Finish("j1", Prefix{}, Result{ID: "a", State: Completed, Text: NewText([]byte("x")), Versions: []uint64{3}})
-	b.End("j1")
+	b.Finish(Key{ID: "j1"}, Prefix{}, Result{ID: "a", State: Completed, Text: NewText([]byte("x")), Versions: []uint64{3}})
+	b.End(Key{ID: "j1"})
 	b.Submit(newJob("j2", 3, "a", "b"))
 	b.Submit(newJob("j3", 4, "a", "b"))
-	if p, _ := b.Read("j2", 0, 100); len(p.Results) != 1 || p.Results[0].ID != "a" {
+	if p, _ := b.Read(Key{ID: "j2"}, 0, 100); len(p.Results) != 1 || p.Results[0].ID != "a" {
 		t.Errorf("results of the job with the same minimum version: %+v", p.Results)
 	}
-	if p, _ := b.Read("j3", 0, 100); len(p.Results) != 0 {
+	if p, _ := b.Read(Key{ID: "j3"}, 0, 100); len(p.Results) != 0 {
 		t.Errorf("a text of version 3 was reused by a job that requires version 4: %+v", p.Results)
 	}
 }
@@ -95,12 +95,12 @@
 	b := NewTable()
 	b.Submit(newJob("j", 0, "a", "b", "c"))
 	for _, it := range []string{"a", "b", "c"} {
-		b.Finish("j", Prefix{}, Result{ID: it, State: Completed, Text: NewText(make([]byte, 1000))})
+		b.Finish(Key{ID: "j"}, Prefix{}, Result{ID: it, State: Completed, Text: NewText(make([]byte, 1000))})
 	}
-	if p, _ := b.Read("j", 0, 10); len(p.Results) != 1 || p.Next != 1 {
+	if p, _ := b.Read(Key{ID: "j"}, 0, 10); len(p.Results) != 1 || p.Next != 1 {
 		t.Errorf("page of %d results, next %d", len(p.Results), p.Next)
 	}
-	if p, _ := b.Read("j", 1, 2400); len(p.Results) != 2 || p.Next != 3 {
+	if p, _ := b.Read(Key{ID: "j"}, 1, 2400); len(p.Results) != 2 || p.Next != 3 {
 		t.Errorf("page of %d results, next %d", len(p.Results), p.Next)
 	}
 }
@@ -111,27 +111,27 @@
 	b := NewTable()
 	b.Submit(newJob("j1", 0, "a", "b"))
 	partial := func(s string) PartialText { return PartialText{Text: NewText([]byte(s)), Versions: []uint64{1}} }
-	if !b.AppendText("j1", "a", Prefix{}, partial("one ")) || !b.AppendText("j1", "a", Prefix{Len: 4}, partial("two ")) {
+	if !b.AppendText(Key{ID: "j1"}, "a", Prefix{}, partial("one ")) || !b.AppendText(Key{ID: "j1"}, "a", Prefix{Len: 4}, partial("two ")) {
 		t.Fatal("a continuation at the right offset was rejected")
 	}
-	if b.AppendText("j1", "a", Prefix{Len: 4}, partial("two ")) {
+	if b.AppendText(Key{ID: "j1"}, "a", Prefix{Len: 4}, partial("two ")) {
 		t.Error("a part was appended twice")
 	}
-	if b.Finish("j1", Prefix{Len: 4}, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
+	if b.Finish(Key{ID: "j1"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
 		t.Error("a result that does not continue the stored text was accepted")
 	}
-	b.End("j1")
+	b.End(Key{ID: "j1"})
 	b.Submit(newJob("j2", 0, "a"))
-	if p, ok := b.PartialText("a"); !ok || mustUnpack(t, p.Text) != "one two " {
+	if p, ok := b.PartialText(Key{ID: "a"}); !ok || mustUnpack(t, p.Text) != "one two " {
 		t.Errorf("stored text of a carried over item: %q", mustUnpack(t, p.Text))
 	}
-	if !b.Finish("j2", Prefix{Len: 8}, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
+	if !b.Finish(Key{ID: "j2"}, Prefix{Len: 8}, Result{ID: "a", State: Completed, Text: NewText([]byte("end"))}) {
 		t.Fatal("a result that continues the stored text was rejected")
 	}
-	if p, _ := b.Read("j2", 0, 100); mustUnpack(t, p.Results[0].Text) != "one two end" {
+	if p, _ := b.Read(Key{ID: "j2"}, 0, 100); mustUnpack(t, p.Results[0].Text) != "one two end" {
 		t.Errorf("text of the result: %q", mustUnpack(t, p.Results[0].Text))
 	}
-	if _, ok := b.PartialText("a"); ok {
+	if _, ok := b.PartialText(Key{ID: "a"}); ok {
 		t.Error("the partial text is still stored after the item got its result")
 	}
 }
--- a/jobs/revision_test.go
+++ b/jobs/revision_test.go
@@ -15,17 +15,17 @@
 	part := func(revision uint64, s string) PartialText {
 		return PartialText{Text: NewText([]byte(s)), Versions: []uint64{1}, Revision: revision}
 	}
-	b.AppendText("j1", "a", Prefix{}, part(1, "x1 "))
-	b.AppendText("j2", "a", Prefix{}, part(2, "y1 "))
-	if b.AppendText("j1", "a", Prefix{Revision: 1, Len: 3}, part(3, "x2 ")) {
-		p, _ := b.PartialText("a")
+	b.AppendText(Key{ID: "j1"}, "a", Prefix{}, part(1, "x1 "))
+	b.AppendText(Key{ID: "j2"}, "a", Prefix{}, part(2, "y1 "))
+	if b.AppendText(Key{ID: "j1"}, "a", Prefix{Revision: 1, Len: 3}, part(3, "x2 ")) {
+		p, _ := b.PartialText(Key{ID: "a"})
 		t.Errorf("the text of run x continues the stored text of run y: %q", mustUnpack(t, p.Text))
 	}
-	if b.Finish("j1", Prefix{Revision: 1, Len: 3}, Result{ID: "a", State: Completed, Text: NewText([]byte("x2")), Versions: []uint64{1}}) {
-		p, _ := b.Read("j1", 0, 100)
+	if b.Finish(Key{ID: "j1"}, Prefix{Revision: 1, Len: 3}, Result{ID: "a", State: Completed, Text: NewText([]byte("x2")), Versions: []uint64{1}}) {
+		p, _ := b.Read(Key{ID: "j1"}, 0, 100)
 		t.Errorf("the result of run x is joined to the text of run y: %q", mustUnpack(t, p.Results[0].Text))
 	}
-	if !b.Finish("j2", Prefix{Revision: 2, Len: 3}, Result{ID: "a", State: Completed, Text: NewText([]byte("y2")), Versions: []uint64{1}}) {
+	if !b.Finish(Key{ID: "j2"}, Prefix{Revision: 2, Len: 3}, Result{ID: "a", State: Completed, Text: NewText([]byte("y2")), Versions: []uint64{1}}) {
 		t.Error("the run that stored the text cannot continue it")
 	}
 }
@@ -35,8 +35,8 @@
 func TestCompleteTextKeepsItsVersions(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	b.AppendText("j", "a", Prefix{}, completeText("text", 2))
-	if b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
+	b.AppendText(Key{ID: "j"}, "a", Prefix{}, completeText("text", 2))
+	if b.Finish(Key{ID: "j"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
 		t.Error("a text of version 2 is recorded as one of version 1")
 	}
 }
@@ -47,13 +47,13 @@
 	b.Submit(newJob("j", 0, "a"))
 	first := PartialText{Text: NewText([]byte("x")), Revision: 1}
 	second := PartialText{Text: NewText([]byte("y")), Revision: 2}
-	b.AppendText("j", "a", Prefix{}, first)
+	b.AppendText(Key{ID: "j"}, "a", Prefix{}, first)
 	for range 2 {
-		if !b.AppendText("j", "a", Prefix{Revision: 1, Len: 1}, second) {
+		if !b.AppendText(Key{ID: "j"}, "a", Prefix{Revision: 1, Len: 1}, second) {
 			t.Error("the part was rejected")
 		}
 	}
-	if p, _ := b.PartialText("a"); mustUnpack(t, p.Text) != "xy" {
+	if p, _ := b.PartialText(Key{ID: "a"}); mustUnpack(t, p.Text) != "xy" {
 		t.Errorf("stored text %q, want xy", mustUnpack(t, p.Text))
 	}
 }
@@ -67,27 +67,27 @@
 
 // resume replaces the run by one that continues the stored text.
 func (w *textWriter) resume(t rapid.TB, b *Table) {
-	p, _ := b.PartialText("a")
+	p, _ := b.PartialText(Key{ID: "a"})
 	w.text, w.committed = mustUnpack(t, p.Text), Prefix{Revision: p.Revision, Len: p.Text.Len()}
 }
 
 // store stores the new part of the text, and checks the stored text if that is accepted.
 func (w *textWriter) store(t rapid.TB, b *Table, revision uint64) {
-	if !b.AppendText(w.job, "a", w.committed, PartialText{Text: NewText([]byte(w.text[w.committed.Len:])), Revision: revision}) {
+	if !b.AppendText(Key{ID: w.job}, "a", w.committed, PartialText{Text: NewText([]byte(w.text[w.committed.Len:])), Revision: revision}) {
 		return
 	}
 	w.committed = Prefix{Revision: revision, Len: len(w.text)}
-	if p, _ := b.PartialText("a"); mustUnpack(t, p.Text) != w.text {
+	if p, _ := b.PartialText(Key{ID: "a"}); mustUnpack(t, p.Text) != w.text {
 		t.Fatalf("stored text %q, the run has generated %q", mustUnpack(t, p.Text), w.text)
 	}
 }
 
 // finish records the text as the result of the job, and checks it if that is accepted.
 func (w *textWriter) finish(t rapid.TB, b *Table) {
-	if !b.Finish(w.job, w.committed, Result{ID: "a", State: Completed, Text: NewText([]byte(w.text[w.committed.Len:]))}) {
+	if !b.Finish(Key{ID: w.job}, w.committed, Result{ID: "a", State: Completed, Text: NewText([]byte(w.text[w.committed.Len:]))}) {
 		return
 	}
-	page, _ := b.Read(w.job, 0, 1<<20)
+	page, _ := b.Read(Key{ID: w.job}, 0, 1<<20)
 	if got := mustUnpack(t, page.Results[0].Text); got != w.text {
 		t.Fatalf("result %q, the run has generated %q", got, w.text)
 	}
--- a/jobs/scoring_test.go
+++ b/jobs/scoring_test.go
@@ -17,19 +17,19 @@
 func TestCompletedResultNeedsScore(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	if !b.AppendText("j", "a", Prefix{}, completeText("text", 1)) {
+	if !b.AppendText(Key{ID: "j"}, "a", Prefix{}, completeText("text", 1)) {
 		t.Fatal("the complete text was rejected")
 	}
-	if b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
+	if b.Finish(Key{ID: "j"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
 		t.Fatal("a result without a score was recorded")
 	}
-	if body, err := b.Body("j", "a"); err != nil || len(body) == 0 {
+	if body, err := b.Body(Key{ID: "j"}, "a"); err != nil || len(body) == 0 {
 		t.Errorf("body of an item that waits for its score: %q, %v", body, err)
 	}
-	if !b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
+	if !b.Finish(Key{ID: "j"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
 		t.Fatal("the scored result was rejected")
 	}
-	page, _ := b.Read("j", 0, 100)
+	page, _ := b.Read(Key{ID: "j"}, 0, 100)
 	if r := page.Results[0]; r.Score != "s" || mustUnpack(t, r.Text) != "text" {
 		t.Errorf("result %+v, want the committed text and the score", r)
 	}
@@ -40,22 +40,22 @@
 func TestCarriedOverItemIsScoredByItsOwnRequest(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j1", "a", "c1", 1))
-	b.AppendText("j1", "a", Prefix{}, completeText("text", 2))
-	b.Finish("j1", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{2}, Score: "s1"})
-	b.End("j1")
+	b.AppendText(Key{ID: "j1"}, "a", Prefix{}, completeText("text", 2))
+	b.Finish(Key{ID: "j1"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{2}, Score: "s1"})
+	b.End(Key{ID: "j1"})
 	b.Submit(scoredJob("j2", "a", "c2", 2))
-	if p, _ := b.Read("j2", 0, 100); len(p.Results) != 0 {
+	if p, _ := b.Read(Key{ID: "j2"}, 0, 100); len(p.Results) != 0 {
 		t.Fatalf("the score of call c1 is listed for call c2: %+v", p.Results)
 	}
-	if p, ok := b.PartialText("a"); !ok || !p.Complete || mustUnpack(t, p.Text) != "text" {
+	if p, ok := b.PartialText(Key{ID: "a"}); !ok || !p.Complete || mustUnpack(t, p.Text) != "text" {
 		t.Errorf("stored text %+v, %v; want the complete text of the earlier job", p, ok)
 	}
 	b.Submit(scoredJob("j3", "a", "c1", 2))
-	if p, _ := b.Read("j3", 0, 100); len(p.Results) != 1 || p.Results[0].Score != "s1" {
+	if p, _ := b.Read(Key{ID: "j3"}, 0, 100); len(p.Results) != 1 || p.Results[0].Score != "s1" {
 		t.Errorf("results under the same request: %+v, want the earlier one", p.Results)
 	}
 	b.Submit(scoredJob("j4", "a", "c3", 3))
-	if p, _ := b.Read("j4", 0, 100); len(p.Results) != 0 {
+	if p, _ := b.Read(Key{ID: "j4"}, 0, 100); len(p.Results) != 0 {
 		t.Errorf("a text of version 2 is listed in a job that requires 3: %+v", p.Results)
 	}
 }
@@ -65,19 +65,19 @@
 func TestCompleteTextIsKept(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	b.AppendText("j", "a", Prefix{}, completeText("text", 1))
-	if b.AppendText("j", "a", Prefix{}, PartialText{Text: NewText([]byte("te")), Versions: []uint64{1}}) {
+	b.AppendText(Key{ID: "j"}, "a", Prefix{}, completeText("text", 1))
+	if b.AppendText(Key{ID: "j"}, "a", Prefix{}, PartialText{Text: NewText([]byte("te")), Versions: []uint64{1}}) {
 		t.Error("a part replaced the complete text")
 	}
-	if !b.AppendText("j", "a", Prefix{}, completeText("text", 1)) {
+	if !b.AppendText(Key{ID: "j"}, "a", Prefix{}, completeText("text", 1)) {
 		t.Error("the repeated command is reported as rejected")
 	}
-	if b.AppendText("j", "a", Prefix{}, completeText("text", 2)) {
+	if b.AppendText(Key{ID: "j"}, "a", Prefix{}, completeText("text", 2)) {
 		t.Error("the same text of another version is reported as stored")
 	}
-	b.End("j")
+	b.End(Key{ID: "j"})
 	b.Submit(scoredJob("j2", "a", "c2", 3))
-	if !b.AppendText("j2", "a", Prefix{}, PartialText{Text: NewText([]byte("te")), Versions: []uint64{3}}) {
+	if !b.AppendText(Key{ID: "j2"}, "a", Prefix{}, PartialText{Text: NewText([]byte("te")), Versions: []uint64{3}}) {
 		t.Error("a text that the job does not accept blocks a new run")
 	}
 }
@@ -86,12 +86,12 @@
 func TestRestoreKeepsScoring(t *testing.T) {
 	b := NewTable()
 	b.Submit(scoredJob("j", "a", "c1", 1))
-	b.AppendText("j", "a", Prefix{}, completeText("text", 1))
+	b.AppendText(Key{ID: "j"}, "a", Prefix{}, completeText("text", 1))
 	b = Restore(b.Snapshot())
-	if b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
+	if b.Finish(Key{ID: "j"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}}) {
 		t.Error("the restored item needs no score")
 	}
-	if !b.Finish("j", Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
+	if !b.Finish(Key{ID: "j"}, Prefix{Len: 4}, Result{ID: "a", State: Completed, Versions: []uint64{1}, Score: "s"}) {
 		t.Error("the restored text is not complete")
 	}
 }
