--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -17,7 +17,7 @@
 // Request holds what the fingerprint of a request depends on.
 type Request struct {
 	Method, Host, URI string
-	// Caller is the key of the caller; empty on routes without keys.
+	// Caller is the client account of the caller, or its key if the configuration has no accounts; empty if it needs neither.
 	Caller string
 	// Body holds the first bytes of the body, and Length the length of all of it, -1 if it is not known.
 	Body   []byte
