accounts: a host without contact since its start accepts the keys that it knows

Cause: such a host answered 503 to every request with a key, so that a failure domain whose hosts restart while it is cut off serves nobody. Ruled out: 401 for unknown keys, since the configuration may be old. Change: known keys are accepted unless revocation is strict; missing and unknown keys still get 503.

--- a/accounts/accounts.go
+++ b/accounts/accounts.go
@@ -96,18 +96,22 @@
 // Decide checks a request from the values of its key header, one for each line. route is nil for a call that has none and
 // is not public. The account is set only if the verdict is Allowed.
 //
-// The state of the host comes first: one that does not know the newest configuration can tell neither a removed key from a
-// valid one nor a new key from an unknown one.
+// A host that does not know the newest configuration cannot tell a new key from an unknown one. It accepts the keys that it
+// knows unless Revocation is strict: one of them may have been removed.
 func (t *Table) Decide(route *routes.Route, keys []string, h Host) (Account, Verdict) {
 	switch {
 	case !t.NeedsKeys(), route != nil && route.Public:
 		return Account{}, Allowed
-	case !h.Confirmed:
+	case !h.Confirmed && h.Revocation.Strict:
 		return Account{}, NotConfirmed
 	case h.isCutOff():
 		return Account{}, CutOff
 	}
-	return t.lookUp(keys)
+	account, verdict := t.lookUp(keys)
+	if verdict != Allowed && !h.Confirmed {
+		return Account{}, NotConfirmed
+	}
+	return account, verdict
 }
 
 // lookUp returns the account to which all keys belong. Lines without a value count as none.
