storestate, stateclient: usage of client accounts in the state group

Cause: a report must be the same whichever host sends it, also after a change of leader. Ruled out: a command for each window of a host, since hosts usually send two at once; required keys, since older builds must ignore the new fields. Conclusion: hosts can send counts; the leader can seal and report them.

--- a/internal/stateclient/stateclient.go
+++ b/internal/stateclient/stateclient.go
@@ -181,6 +181,12 @@
 	return *a.Origin, true, nil
 }
 
+// RecordUsage stores what this host has counted of the requests of client accounts.
+func (c *Client) RecordUsage(ctx context.Context, r storestate.RecordUsage) error {
+	_, err := c.propose(ctx, &storestate.Command{RecordUsage: &r})
+	return err
+}
+
 // SubmitJob stores a batch job and reports whether the job is new.
 func (c *Client) SubmitJob(ctx context.Context, j jobs.Job) (bool, error) {
 	r, err := c.propose(ctx, &storestate.Command{SubmitJob: &j})
--- a/internal/storestate/snapshot.go
+++ b/internal/storestate/snapshot.go
@@ -16,6 +16,7 @@
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/origins"
 	"fuchsiaflow/quarantine"
+	"fuchsiaflow/usage"
 )
 
 // A snapshot is a sequence of records: first a snapshotHeader, then for each batch job an entryHeader
@@ -39,6 +40,8 @@
 	Quarantine []quarantine.Entry `cbor:"9,keyasint,omitempty"`
 	// Origins holds what began the newest streams, the oldest first.
 	Origins []origins.Origin `cbor:"10,keyasint,omitempty"`
+	// Usage holds the usage of client accounts; nil if none is reported.
+	Usage *usage.State `cbor:"30,keyasint,omitempty"`
 }
 
 // entryHeader is the entry of a batch job without its results.
@@ -108,7 +111,8 @@
 
 // WriteSnapshot writes a snapshot of the state.
 func (s *State) WriteSnapshot(w io.Writer) error {
-	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All(), Quarantine: s.quarantine.All(), Origins: s.origins.All()}
+	header := snapshotHeader{Config: s.config, Versions: s.versions, Retiring: s.retiring, Jobs: s.jobs.Snapshot(), Index: s.index, Departures: s.departures.All(), Notices: s.notices.All(), Quarantine: s.quarantine.All(), Origins: s.origins.All(),
+		Usage: s.usage.State()}
 	entries := header.Jobs.Entries
 	header.Jobs.Entries = nil
 	header.EntryCount = len(entries)
@@ -157,6 +161,7 @@
 	restored.notices = fleet.NewNotices(header.Notices)
 	restored.quarantine = quarantine.NewTable(header.Quarantine)
 	restored.origins = origins.NewTable(header.Origins)
+	restored.usage = usage.Restore(header.Usage)
 	*s = *restored
 	return nil
 }
--- a/internal/storestate/snapshot_test.go
+++ b/internal/storestate/snapshot_test.go
@@ -9,11 +9,13 @@
 	"testing"
 	"testing/iotest"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/storage"
+	"fuchsiaflow/usage"
 )
 
 // randomBytes returns bytes that package pack cannot compress.
@@ -106,6 +108,41 @@
 	}
 }
 
+// Guards against usage that a replica loses or counts twice when it restarts from a snapshot, between a count and its
+// repeat and between the seal of a window and its report, and against a later count that changes a sealed report.
+func TestSnapshotWithUsage(t *testing.T) {
+	s := New()
+	record := func(s *State, window, count, revision uint64) Reply {
+		return mustApply(t, s, &Command{RecordUsage: &RecordUsage{Source: usage.Source{Host: "h", Incarnation: 1}, Windows: []usage.WindowCounts{
+			{Window: window, Counts: []usage.AccountCount{{Account: "a", Count: count}}, Revision: revision}}}})
+	}
+	mustApply(t, s, &Command{StartUsage: &UsageWindow{Window: 7}})
+	record(s, 7, 3, 1)
+	record(s, 8, 5, 4)
+	if r := mustApply(t, s, &Command{SealUsage: &UsageWindow{Window: 7}}); r.SealedWindows != 1 {
+		t.Errorf("reply to the seal: %+v", r)
+	}
+	data := encodeSnapshot(t, s)
+	restored := New()
+	if err := restored.ReadSnapshot(bytes.NewReader(data)); err != nil {
+		t.Fatal(err)
+	}
+	if again := encodeSnapshot(t, restored); !bytes.Equal(data, again) {
+		t.Error("the snapshot differs after a restore")
+	}
+	if record(restored, 7, 4, 2).Changed || record(restored, 8, 4, 3).Changed || !record(restored, 8, 6, 5).Changed {
+		t.Error("counts of a sealed window or of an old revision changed the state, or new ones did not")
+	}
+	mustApply(t, restored, &Command{SealUsage: &UsageWindow{Window: 8}})
+	want := []usage.WindowCounts{{Window: 7, Counts: []usage.AccountCount{{Account: "a", Count: 3}}}, {Window: 8, Counts: []usage.AccountCount{{Account: "a", Count: 6}}}}
+	if d := cmp.Diff(want, restored.Usage().Unsent()); d != "" {
+		t.Error(d)
+	}
+	if mustApply(t, restored, &Command{UsageSent: &UsageWindow{Window: 7}}); len(restored.Usage().Unsent()) != 1 {
+		t.Error("a report that was sent is kept")
+	}
+}
+
 // Guards against a snapshot that allocates a copy of the state. Voters take snapshots while they serve;
 // with 35 MB of state such copies drove them into their memory limit, where garbage collection left
 // no time for the consensus group.
--- a/internal/storestate/storestate.go
+++ b/internal/storestate/storestate.go
@@ -1,6 +1,7 @@
 // Package storestate implements the replicated state machine of the store hosts. The state holds the
 // routing configuration with the highest version, the newest weight version of each model, the batch
-// jobs, the store hosts that are being retired, departures of targets, and requests under which targets have crashed.
+// jobs, the store hosts that are being retired, departures of targets, requests under which targets have crashed, and the
+// usage of client accounts.
 package storestate
 
 import (
@@ -13,6 +14,7 @@
 	"fuchsiaflow/jobs"
 	"fuchsiaflow/origins"
 	"fuchsiaflow/quarantine"
+	"fuchsiaflow/usage"
 )
 
 // Group is the name of the consensus group that replicates the state.
@@ -40,6 +42,23 @@
 	GrantTrial   *GrantTrial       `cbor:"14,keyasint,omitempty"`
 	// RecordOrigin stores what began a stream.
 	RecordOrigin *origins.Origin `cbor:"15,keyasint,omitempty"`
+	// RecordUsage stores what a host has counted, StartUsage the first window that is reported, SealUsage fixes reports, and
+	// UsageSent removes the report of a window; see usage.Ledger.
+	RecordUsage *RecordUsage `cbor:"30,keyasint,omitempty"`
+	StartUsage  *UsageWindow `cbor:"31,keyasint,omitempty"`
+	SealUsage   *UsageWindow `cbor:"32,keyasint,omitempty"`
+	UsageSent   *UsageWindow `cbor:"33,keyasint,omitempty"`
+}
+
+// RecordUsage stores the counts of requests of client accounts on a host, in place of earlier ones.
+type RecordUsage struct {
+	Source  usage.Source         `cbor:"1,keyasint"`
+	Windows []usage.WindowCounts `cbor:"2,keyasint"`
+}
+
+// UsageWindow is the window that a command is about.
+type UsageWindow struct {
+	Window uint64 `cbor:"1,keyasint"`
 }
 
 // RecordAnswer clears a request that a target has answered.
@@ -150,6 +169,9 @@
 	Version uint64 `cbor:"3,keyasint,omitempty"`
 	// Stored reports for each item of a Progress whether its text was stored.
 	Stored []bool `cbor:"4,keyasint,omitempty"`
+	// SealedWindows and DroppedWindows are the results of SealUsage; see usage.Ledger.Seal.
+	SealedWindows  uint64 `cbor:"30,keyasint,omitempty"`
+	DroppedWindows uint64 `cbor:"31,keyasint,omitempty"`
 }
 
 // State is the state of one replica. It is not safe for concurrent use.
@@ -162,13 +184,14 @@
 	notices    *fleet.Notices // notices that too few hosts have seen
 	quarantine *quarantine.Table
 	origins    *origins.Table
+	usage      *usage.Ledger
 	index      uint64 // log index of the last command
 }
 
 // New returns the state before the first command.
 func New() *State {
 	return &State{versions: make(map[string]uint64), retiring: make(map[string]string), jobs: jobs.NewTable(), departures: fleet.NewDepartures(nil), notices: fleet.NewNotices(nil), quarantine: quarantine.NewTable(nil),
-		origins: origins.NewTable(nil)}
+		origins: origins.NewTable(nil), usage: usage.NewLedger()}
 }
 
 // Encode returns the encoding of a reply, query or answer. Commands are encoded by EncodeCommand.
@@ -250,6 +273,26 @@
 	case c.RecordOrigin != nil:
 		return Reply{Changed: s.origins.Record(*c.RecordOrigin)}
 	}
+	return s.applyUsage(c)
+}
+
+// applyUsage applies a command about the usage of client accounts.
+func (s *State) applyUsage(c *Command) Reply {
+	switch {
+	case c.RecordUsage != nil:
+		r := Reply{}
+		for _, w := range c.RecordUsage.Windows {
+			r.Changed = s.usage.Record(c.RecordUsage.Source, w) || r.Changed
+		}
+		return r
+	case c.StartUsage != nil:
+		return Reply{Changed: s.usage.Start(c.StartUsage.Window)}
+	case c.SealUsage != nil:
+		sealed, dropped := s.usage.Seal(c.SealUsage.Window)
+		return Reply{Changed: sealed > 0, SealedWindows: sealed, DroppedWindows: dropped}
+	case c.UsageSent != nil:
+		return Reply{Changed: s.usage.Sent(c.UsageSent.Window)}
+	}
 	return Reply{NotFound: true}
 }
 
@@ -280,6 +323,9 @@
 // Quarantine returns the requests under which targets have crashed. The caller must not change them.
 func (s *State) Quarantine() *quarantine.Table { return s.quarantine }
 
+// Usage returns the usage of client accounts, which the caller must not change.
+func (s *State) Usage() *usage.Ledger { return s.usage }
+
 // Jobs returns the batch jobs, which the caller must not change.
 func (s *State) Jobs() *jobs.Table { return s.jobs }
 
