forward: requests of client accounts are counted once

Cause: usage reports need the number of requests of each account that began to run in each window. Ruled out: a count at the answer, since a target begins to run a request about when it arrives and long requests would move to a later window; a count without taking back, since rejected requests did not run. Change: a hook (UseUsageCounter) counts a request in the window in which the first attempt was sent that may have run it. A rejection moves the count to the next attempt or takes it back, also if it comes after the answer to the caller. Streams count at their first event, except those that their caller takes up. Scoring calls and requests without an account add nothing. Measured: go test -race ./internal/forward passes; the new cases passed five times in a row. Conclusion: whoever fills forward.Caller gets its requests counted.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -93,6 +93,8 @@
 	// origins stores what began a stream; nil if callers cannot take streams up.
 	origins    StreamOrigins
 	identities *identity.Checker // nil confirms everything
+	// usage counts the requests of client accounts; nil if they are not counted.
+	usage UsageCounter
 
 	// buffers bounds what bodies hold in memory.
 	buffers bufferBudget
@@ -167,6 +169,7 @@
 	attempts      int           // attempts started
 	serverErrors  int           // answers with status 500
 	suspicion     suspicion
+	usage         usageCount
 	binding       // of a stream
 }
 
@@ -176,6 +179,7 @@
 func (f *Forwarder) Serve(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64, caller Caller) {
 	c := f.newCall(w, r, route, version)
 	c.caller = caller
+	c.usage = f.newUsageCount(caller.Account)
 	if err := c.run(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -82,6 +82,7 @@
 	cancel    context.CancelFunc
 	err       error
 	crash     <-chan struct{} // closed when the crash of the target is reported; nil if it has not crashed
+	window    uint64          // in which the attempt was sent; see usageCount
 }
 
 // close releases the resources of an attempt.
@@ -103,10 +104,12 @@
 		c.attempts++
 		c.possibleRuns++ // decremented if the target reports that it did not run the request
 		pending++
+		window := c.usage.attemptSent()
 		attemptCtx, span := c.startSpan(ctx, cand.ID)
 		attemptCtx, cancel := context.WithCancel(attemptCtx)
 		go func() {
 			res := c.attempt(attemptCtx, cancel, cand)
+			res.window = window
 			observe.EndSpan(span, res.err)
 			results <- res
 		}()
@@ -122,7 +125,7 @@
 		if fallback != nil {
 			fallback.close()
 		}
-		go closePending(results, pending)
+		go c.closePending(results, pending)
 	}()
 	first, ok := c.pickFirstTarget(ctx)
 	if !ok {
@@ -164,6 +167,7 @@
 			}
 			if res.kind == resultNotRun {
 				c.possibleRuns--
+				c.usage.attemptNotRun(res.window)
 				c.sawRejection = c.sawRejection || res.resp != nil
 			}
 		}
@@ -184,10 +188,15 @@
 	}
 }
 
-// closePending waits for the attempts that are still in progress and closes their results.
-func closePending(results <-chan *attemptResult, pending int) {
+// closePending waits for the attempts that are still in progress and closes their results. Nothing else uses the call
+// meanwhile.
+func (c *call) closePending(results <-chan *attemptResult, pending int) {
 	for range pending {
-		(<-results).close()
+		res := <-results
+		if res.kind == resultNotRun {
+			c.usage.attemptNotRun(res.window)
+		}
+		res.close()
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -193,6 +193,7 @@
 		s.finishAttempt(*by, balance.Failed, begin, err)
 		return false, nil
 	}
+	s.countFirstEvent()
 	s.finishAttempt(*by, balance.OK, begin, nil)
 	return true, s.writeResponse(res)
 }
@@ -230,6 +231,7 @@
 			return nil
 		}
 		if err == io.ErrUnexpectedEOF && !resumes && endsAsMeant(resp, first) {
+			s.countFirstEvent()
 			return s.write(e.Raw)
 		}
 		if err != nil {
@@ -244,6 +246,9 @@
 		if resumes && !e.IsComment() && !s.follows(e.ID) {
 			return &errs.Corrupt{What: "resumed stream", Detail: fmt.Sprintf("event %d follows event %d", e.ID, s.lastEventID)}
 		}
+		if !e.IsComment() {
+			s.countFirstEvent()
+		}
 		s.awaitRecord()
 		if err := s.write(e.Raw); err != nil {
 			return err
