duty, runner: one copy of the rule when the leader may call

Cause: load orders wait after an election and check the leader lease before they are sent; reports of usage and orders for targets must do the same. Ruled out: Token alone for load orders, since the runner plans orders and then finds the lease too short, which its scheduler records; that stays as it is. Change: duty.LeaderTenure has the wait of a new leader, the minimum of the lease and the term as fencing token; the runner uses it in place of its own code. The harness of the runner's tests passes a tenure; no check of them changed. Conclusion: duties share one rule.

--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -16,6 +16,7 @@
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/duty"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/kernel"
@@ -140,6 +141,7 @@
 	limiter := ratelimit.New(c.view, leader, log, observe.NewMetrics())
 	f := forward.New(clusterHeaders, c.view, limiter, "d", log, observe.NewMetrics(), observe.NewNoopTracing())
 	c.runner = New(Options{Group: c.group, StateMachine: c.stateMachine, View: c.view, EngineClient: noOrders{}, Headers: clusterHeaders, Forwarder: f, Limiter: limiter, Holder: "h",
+		Tenure:      duty.NewTenure(c.group, "h", 0),
 		KeepResults: time.Minute, Log: log, Metrics: observe.NewMetrics(), Tracing: observe.NewNoopTracing()})
 	if err := c.kernel.Register("runner", c.runner); err != nil {
 		c.t.Fatal(err)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -9,12 +9,8 @@
 	"fuchsiaflow/schedule"
 )
 
-const (
-	// orderTimeout bounds one order, including the request for the engine's report if there is one.
-	orderTimeout = 800 * time.Millisecond
-	// minLeaseRemaining is the minimum remaining leader lease for sending an order.
-	minLeaseRemaining = 150 * time.Millisecond
-)
+// orderTimeout bounds one order, including the request for the engine's report if there is one.
+const orderTimeout = 800 * time.Millisecond
 
 // orderState is what the leader knows about the orders that one incarnation of an engine has accepted.
 type orderState struct {
@@ -34,9 +30,9 @@
 func (s *orderState) isPending() bool { return s != nil && s.pending > 0 }
 
 // issueOrders sends engines the orders to load weights that the scheduler asks for. A new leader
-// first waits for OrderWait, after which orders of an earlier leader can no longer arrive.
+// first waits until orders of an earlier leader can no longer arrive.
 func (r *Runner) issueOrders(now time.Time) {
-	if r.term > 0 && now.Sub(r.electedAt) < r.opts.OrderWait && r.term > firstLeaderTerm {
+	if !r.opts.Tenure.Settled(now) {
 		return
 	}
 	for _, load := range r.sched.PlanLoads(now, r.publishedVersions) {
@@ -55,10 +51,6 @@
 	}
 }
 
-// firstLeaderTerm is the first term that can have a leader, because term 1 is the bootstrap term. In it
-// no earlier leader can have sent orders, so that the wait is skipped.
-const firstLeaderTerm = 2
-
 // issueOrder sends one order in its own goroutine.
 func (r *Runner) issueOrder(load schedule.LoadOrder, address string, st orderState) {
 	o := dialect.Order{Instance: load.Engine, Model: load.Model, Version: load.Version, KeepRuns: r.allowsMixedVersions(load.Model), Holder: r.opts.Holder, Fence: r.term}
@@ -115,8 +107,7 @@
 	if err := admit(ctx); err != nil {
 		return dialect.OrderConflict, nil
 	}
-	now := bootclock.Now()
-	if until, ok := r.opts.Group.Lease(now); !ok || until.Sub(now) < minLeaseRemaining || !accepts() {
+	if !r.opts.Tenure.Leased(bootclock.Now()) || !accepts() {
 		return dialect.OrderConflict, nil
 	}
 	o.ExpectedOrders = st.accepted
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/duty"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/group"
 	"fuchsiaflow/internal/httpconn"
@@ -61,9 +62,8 @@
 	Limiter *ratelimit.Limiter
 	// Holder is the ID of this replica, sent with each order as the holder of the fencing token.
 	Holder string
-	// OrderWait is how long a new leader waits before its first order, so that orders of an earlier
-	// leader can no longer arrive.
-	OrderWait time.Duration
+	// Tenure tells when this replica leads and may send orders.
+	Tenure *duty.LeaderTenure
 	// KeepResults is how long results remain readable after their job was submitted.
 	KeepResults time.Duration
 	Log         *slog.Logger
@@ -84,7 +84,6 @@
 	firstSeen map[string]time.Time // when this replica first saw each job
 
 	electedTerm   uint64        // term in which this replica was elected, 0 if it does not lead
-	electedAt     time.Time     // when this replica saw that it leads in that term
 	caughtUpTerm  atomic.Uint64 // last term that this replica led and in which it has applied all earlier entries
 	nextDropNanos atomic.Int64  // nanoseconds until the oldest job is dropped, as of the last cleanup
 
@@ -206,15 +205,15 @@
 // has applied all entries that earlier leaders committed. Runs need no leader lease, because an item
 // may run more than once. Orders do, see sendOrder.
 func (r *Runner) updateLeadership(now time.Time) bool {
-	_, term, _ := r.opts.Group.Leader()
-	if !r.opts.Group.IsLeader() {
+	term, electedAt, leads := r.opts.Tenure.Leadership(now)
+	if !leads {
 		r.stepDown("leadership lost")
 		r.electedTerm = 0
 		return false
 	}
 	if r.electedTerm != term {
 		r.stepDown("new term")
-		r.electedTerm, r.electedAt = term, now
+		r.electedTerm = term
 		r.awaitCatchUp(term)
 	}
 	if r.sched != nil || r.caughtUpTerm.Load() != term {
@@ -228,7 +227,7 @@
 	r.scoringQueue, r.pendingScores = schedule.NewScoringQueue(), make(map[schedule.Key]*pendingScore)
 	r.orderStates, r.publishedVersions = make(map[string]*orderState), nil
 	r.syncedRevision, r.routesVersion, r.lastDemandSequence, r.revisionsInTerm = 0, 0, 0, 0
-	r.opts.Log.Info("runner became active", "term", term, "holder", r.opts.Holder, "elected_ms_ago", now.Sub(r.electedAt).Milliseconds())
+	r.opts.Log.Info("runner became active", "term", term, "holder", r.opts.Holder, "elected_ms_ago", now.Sub(electedAt).Milliseconds())
 	return true
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,7 @@
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/duty"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
 	"fuchsiaflow/internal/group"
@@ -78,6 +79,7 @@
 	group        *group.Group
 	stateMachine *runner.StateMachine
 	leaderClient *stateclient.Client
+	tenure       *duty.LeaderTenure
 	stores       *storeRegistry
 	departures   *control.Departures
 	rateLimits   *ratelimit.Allocator // used while this replica leads
@@ -115,6 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
+	st.tenure = duty.NewTenure(st.group, s.Host, s.Timing.OrderWait)
 	st.pool = rolehost.NewClientPool(s, st.replica.ID, o.Log, o.Tracing)
 	st.leaderClient = stateclient.New(st.view, s.IP, st, st.peer)
 	st.calls = control.New(control.Options{View: st.view, Client: st.leaderClient, SelfIP: s.IP, Port: s.Listen.ControlPort(), Leads: st.group.IsLeader, Stopping: st.stopping,
@@ -123,7 +126,7 @@
 	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
 	st.forwarder = forward.New(o.Headers, st.view, st.limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder, Limiter: st.limiter,
-		Headers: o.Headers, Holder: st.replica.ID, OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
+		Headers: o.Headers, Holder: st.replica.ID, Tenure: st.tenure, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
 		name    string
 		service any
