entry: counts of requests are sent to the state group

Cause: entry hosts count requests of client accounts; the state group adds the counts up. Ruled out: a message for each request; counts on disk, since entry hosts have none and two seconds of a killed host are within the tolerance. Change: a service counts for the forwarder and sends the windows that have changed every 2 s and when the host stops.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,10 +106,7 @@
 	e.forwarder.UseStreamOrigins(e.stateClient)
 	e.forwarder.UseIdentities(identity.NewChecker(e.view, o.EngineClient, o.Log, o.Metrics))
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
-	services := []struct {
-		name    string
-		service any
-	}{
+	services := []namedService{
 		{"peers", e.pool},
 		{"watch", &clusterview.Watcher{View: e.view, Self: s.IP, Domain: s.FailureDomain, Peer: peer, Log: o.Log}},
 		{"trace", o.Tracing},
@@ -121,8 +118,13 @@
 		{"notices", notice.NewReporter(e.view, e.stateClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"peer-server", newPeerServer(e)},
 		{"control", &controlService{e: e}},
-		{"http", httpService{e}},
 	}
+	if s.Platform.ReportsUsage && s.Usage.Window > 0 {
+		counter := newUsageService(s.Host, s.Usage.Window, e.stateClient.RecordUsage, rolehost.ReadClocks, o.Log)
+		e.forwarder.UseUsageCounter(counter)
+		services = append(services, namedService{"usage", counter})
+	}
+	services = append(services, namedService{"http", httpService{e}}) // stops first
 	for _, v := range services {
 		if err := e.kernel.Register(v.name, v.service); err != nil {
 			return nil, err
@@ -131,6 +133,12 @@
 	return e, nil
 }
 
+// namedService is a service and its name in the kernel.
+type namedService struct {
+	name    string
+	service any
+}
+
 // Start starts all services of the host.
 func (e *Entry) Start(ctx context.Context) error { return e.kernel.Start(ctx) }
 
