duty, store: usage of client accounts is reported to the platform

Cause: the platform wants the usage of each window once, never with two different counts, while leaders change and the platform fails. Ruled out: sealing by the sender at the time of the call, since the next leader could then send other counts; a fixed time for a call, since a slow platform would never answer within it.

--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -34,7 +34,12 @@
 	settingsPollInterval = time.Second
 	// engineIdleTimeout is how long an idle connection for orders to an engine is kept open.
 	engineIdleTimeout = 3 * time.Second
-	// maxEngineHeaderBytes is the maximum size of the header of an engine's answer to an order.
+	// platformIdleTimeout and maxPlatformIdleConns bound the idle connections to the platform's API. A link that stands
+	// still is given up between two reports.
+	platformIdleTimeout  = 3 * time.Second
+	maxPlatformIdleConns = 2
+	// maxEngineHeaderBytes is the maximum size of the header of an engine's answer to an order, and of
+	// an answer of the platform.
 	maxEngineHeaderBytes = 64 << 10
 )
 
@@ -75,6 +80,13 @@
 	return platform.EngineClient{Client: &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxEngineHeaderBytes}}}
 }
 
+// newPlatformClient returns a client of the platform's API. A redirect is an unexpected answer, not followed.
+func newPlatformClient(s *settings.Role) platform.PlatformClient {
+	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return platform.PlatformClient{Address: s.Platform.Address, Client: &http.Client{CheckRedirect: refuse,
+		Transport: &http.Transport{IdleConnTimeout: platformIdleTimeout, MaxIdleConnsPerHost: maxPlatformIdleConns, MaxResponseHeaderBytes: maxEngineHeaderBytes}}}
+}
+
 // Run runs a store host until the process is told to stop.
 func (c *storeCommand) Run() error {
 	return runRole("store", c.roleFlags, func(s *settings.Role, log *slog.Logger, m *observe.Metrics, t *observe.Tracing) (roleHost, error) {
@@ -82,7 +94,7 @@
 			return nil, &errs.Invalid{Path: "$.data_dir", Want: "a folder", Got: "none"}
 		}
 		s.PeerListenPort = c.PeerListenPort
-		return store.New(store.Options{Settings: s, Headers: platform.Headers, EngineClient: newEngineClient(), Control: platform.NewControlHandler,
+		return store.New(store.Options{Settings: s, Headers: platform.Headers, EngineClient: newEngineClient(), Platform: newPlatformClient(s), Control: platform.NewControlHandler,
 			Log: log, Metrics: m, Tracing: t, FS: storage.OS{}})
 	})
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -61,6 +61,8 @@
 	Settings     *settings.Role
 	Headers      dialect.Headers
 	EngineClient dialect.EngineClient
+	// Platform calls the API of the platform; it is used only if the settings name one.
+	Platform dialect.PlatformClient
 	// Control returns the HTTP handler of the calls of operators and targets.
 	Control func(*control.Control) http.Handler
 	Log     *slog.Logger
@@ -151,6 +153,11 @@
 			return nil, err
 		}
 	}
+	if s.Platform.ReportsUsage && s.Usage.Window > 0 {
+		if err := st.kernel.Register("usage", st.newUsageReporter()); err != nil {
+			return nil, err
+		}
+	}
 	st.registerMetrics()
 	rolehost.RegisterViewMetrics(o.Metrics, st.view)
 	return st, nil
