--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -72,18 +72,14 @@
 	clock   usage.Clock
 
 	// The fields below are used by the task that sends.
-	refusedFence uint64        // fencing token that the platform has refused; 0 if none
-	delivered    deliveredSeal // last report that the platform has accepted
+	refusedFence uint64 // fencing token that the platform has refused; 0 if none
+	// acceptedWindow is the window of the last report that the platform has accepted; anyAccepted is false if there is none.
+	acceptedWindow uint64
+	anyAccepted    bool
 
 	reports, sealed, dropped *observe.Counter
 }
 
-// deliveredSeal names a report that the platform has accepted, while its removal is not committed yet.
-type deliveredSeal struct {
-	window uint64
-	valid  bool
-}
-
 // NewUsageReporter returns a reporter that is not started.
 func NewUsageReporter(o UsageOptions) *UsageReporter {
 	u := &UsageReporter{opts: o, pacer: usage.NewPacer(o.CallsPerSecond, o.Rand)}
@@ -183,7 +179,7 @@
 	if !ok {
 		return
 	}
-	if u.delivered.valid && u.delivered.window == r.Window {
+	if u.anyAccepted && u.acceptedWindow == r.Window {
 		u.remove(ctx, r.Window)
 		return
 	}
@@ -203,7 +199,7 @@
 	switch result {
 	case resultAccepted:
 		u.pacer.Succeeded(end)
-		u.delivered = deliveredSeal{window: r.Window, valid: true}
+		u.acceptedWindow, u.anyAccepted = r.Window, true
 		u.remove(ctx, r.Window)
 		return
 	case resultFenced:
