--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,7 @@
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/duty"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
 	"fuchsiaflow/internal/group"
@@ -60,6 +61,8 @@
 	Settings     *settings.Role
 	Headers      dialect.Headers
 	EngineClient dialect.EngineClient
+	// Platform calls the API of the platform; it is used only if the settings name one.
+	Platform dialect.PlatformClient
 	// Control returns the HTTP handler of the calls of operators and targets.
 	Control func(*control.Control) http.Handler
 	Log     *slog.Logger
@@ -78,6 +81,7 @@
 	group        *group.Group
 	stateMachine *runner.StateMachine
 	leaderClient *stateclient.Client
+	tenure       *duty.LeaderTenure
 	stores       *storeRegistry
 	departures   *control.Departures
 	rateLimits   *ratelimit.Allocator // used while this replica leads
@@ -115,6 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
+	st.tenure = duty.NewTenure(st.group, s.Host, s.Timing.OrderWait)
 	st.pool = rolehost.NewClientPool(s, st.replica.ID, o.Log, o.Tracing)
 	st.leaderClient = stateclient.New(st.view, s.IP, st, st.peer)
 	st.calls = control.New(control.Options{View: st.view, Client: st.leaderClient, SelfIP: s.IP, Port: s.Listen.ControlPort(), Leads: st.group.IsLeader, Stopping: st.stopping,
@@ -123,7 +128,7 @@
 	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
 	st.forwarder = forward.New(o.Headers, st.view, st.limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder, Limiter: st.limiter,
-		Headers: o.Headers, Holder: st.replica.ID, OrderWait: s.Timing.OrderWait, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
+		Headers: o.Headers, Holder: st.replica.ID, Tenure: st.tenure, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
 		name    string
 		service any
@@ -148,6 +153,11 @@
 			return nil, err
 		}
 	}
+	if s.Platform.ReportsUsage && s.Usage.Window > 0 {
+		if err := st.kernel.Register("usage", st.newUsageReporter()); err != nil {
+			return nil, err
+		}
+	}
 	st.registerMetrics()
 	rolehost.RegisterViewMetrics(o.Metrics, st.view)
 	return st, nil
