schedule, runner: state the demand of services whose number of targets is managed

Cause: the planner of package autoscale needs the work of each model and how fast engines do it. Change: the scheduler records when jobs of a model came, with their tokens, and measures the tokens a second of finished runs, scaled to full engines and in the units of the clients' estimates, so that prompts, loads and slow machines are in the figure. The runner publishes the demand every 500 ms by an atomic pointer while it leads, and withdraws it when it does not. Ruled out: the median of the gaps between jobs as their period, since jobs come later while engines are too slow. Conclusion: a new leader knows the periods at once, from the times at which it saw the jobs as a follower.

--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -83,7 +83,7 @@
 
 // applyConfig applies a configuration with or without the route of the scoring calls.
 func (c *testCluster) applyConfig(version uint64, withScoring bool) {
-	cfg := &routes.Config{Version: version, Services: []routes.Service{{Name: "engines", Slots: 2, KVCacheTokens: 10000, Models: []string{"m"}}, {Name: "scoring"}},
+	cfg := &routes.Config{Version: version, Services: []routes.Service{{Name: "engines", Slots: 2, KVCacheTokens: 10000, Models: []string{"m"}, Scale: &routes.Scale{Min: 1, Max: 2}}, {Name: "scoring"}},
 		Routes: []routes.Route{{Name: "g", Host: "h", Prefix: "/gen/", Kind: routes.Batch, Timeout: 10 * time.Second, MaxAttempts: 2,
 			Destinations: []routes.Destination{{Service: "engines", Weight: 1}}, CompletionWindow: 7 * time.Second, MaxAge: time.Minute}}}
 	if withScoring {
--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -66,7 +66,7 @@
 				if e.IsOpen() {
 					open[e.ID] = true
 				}
-				r.reportDemand(e, table)
+				r.reportDemand(now, e, table)
 				if e.IsOpen() && r.jobs[e.ID] == nil {
 					added = append(added, r.newOpenJob(now, e, table))
 					r.restorePartials(s.Jobs(), e)
@@ -94,7 +94,7 @@
 
 // reportDemand reports the tokens of each job to the scheduler once, including jobs that have
 // ended, so that a new leader divides the engines among the models as the previous one did.
-func (r *Runner) reportDemand(e *jobs.Entry, table *routes.Table) {
+func (r *Runner) reportDemand(now time.Time, e *jobs.Entry, table *routes.Table) {
 	if e.Sequence <= r.lastDemandSequence || len(e.Items) == 0 {
 		return
 	}
@@ -103,11 +103,18 @@
 	if !ok {
 		return
 	}
-	tokens := 0
+	tokens, outputTokens := 0, 0
 	for _, it := range e.Items {
 		tokens += it.PromptTokens + it.ExpectedOutputTokens
+		outputTokens += schedule.OutputTokens(it.ExpectedOutputTokens)
 	}
-	r.sched.RecordDemand(route.ChooseService(xxhash.Sum64String(e.Items[0].ID)), e.Model, tokens)
+	service := route.ChooseService(xxhash.Sum64String(e.Items[0].ID))
+	r.sched.RecordDemand(service, e.Model, tokens)
+	first, ok := r.firstSeen[e.ID]
+	if !ok {
+		first = now
+	}
+	r.sched.RecordArrival(first, service, e.Model, outputTokens, route.CompletionWindow)
 }
 
 // newOpenJob copies the parts of a job that the runner needs, so that commands applied later do not
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -87,6 +87,7 @@
 	electedAt     time.Time     // when this replica saw that it leads in that term
 	caughtUpTerm  atomic.Uint64 // last term that this replica led and in which it has applied all earlier entries
 	nextDropNanos atomic.Int64  // nanoseconds until the oldest job is dropped, as of the last cleanup
+	demands       demandBoard
 
 	// The fields below are reset in each period of leadership.
 	term               uint64
@@ -199,6 +200,7 @@
 		r.issueOrders(now)
 	}
 	r.storeProgress(now)
+	r.publishDemands(now)
 	r.cleanUp(now)
 }
 
@@ -261,6 +263,7 @@
 	r.opts.Log.Info("runner became inactive", "term", r.term, "reason", reason, "runs", len(r.runs))
 	r.cancel()
 	r.sched = nil
+	r.demands.clear()
 }
 
 // engines returns the serving targets whose service is configured with slots, together with the cache
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -121,6 +121,7 @@
 	loadDuration  loadDurationEstimate
 	medianGap     float64       // median of the engines' averageGap, in seconds
 	runTime       time.Duration // moving average of the time of a finished run
+	work          workload
 }
 
 // New returns a scheduler without tasks and engines.
@@ -430,6 +431,9 @@
 	if r == nil {
 		return
 	}
+	if outcome == Finished {
+		s.work.recordRun(now, r)
+	}
 	delete(j.running, key.Item)
 	r.engine.remove(r)
 	r.engine.recordOutcome(now, outcome)
