--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,7 @@
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/control"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/duty"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
 	"fuchsiaflow/internal/group"
@@ -55,7 +56,7 @@
 	segmentBytes = 4 << 20
 )
 
-// Options configures a Store. All fields are required.
+// Options configures a Store. All fields are required but Tenure and PlatformClient.
 type Options struct {
 	Settings     *settings.Role
 	Headers      dialect.Headers
@@ -66,6 +67,9 @@
 	Metrics *observe.Metrics
 	Tracing *observe.Tracing
 	FS      storage.FS
+	// Tenure and PlatformClient serve the duties; without them this host orders no targets.
+	Tenure         duty.Tenure
+	PlatformClient dialect.PlatformClient
 }
 
 // Store is a store host.
@@ -138,6 +142,7 @@
 		{"forwarder", st.forwarder},
 		{"notices", notice.NewReporter(st.view, st.leaderClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"runner", st.runner},
+		{"targets", st.newTargets(o.Tenure, o.PlatformClient)},
 		{"control", controlService{st}},
 		{"trace", o.Tracing},
 		{"gctuner", gctuner.New(o.Log)},
--- /dev/null
+++ b/internal/store/targets.go
@@ -0,0 +1,36 @@
+package store
+
+import (
+	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/duty"
+)
+
+// newTargets returns the duty that orders targets. It does nothing unless the settings ask for it and there are a tenure
+// and a client of the platform.
+func (st *Store) newTargets(tenure duty.Tenure, client dialect.PlatformClient) *duty.Targets {
+	o := duty.TargetsOptions{CallsPerSecond: st.opts.Settings.Platform.CallsPerSecond, LeaderTerm: st.leaderTerm, Table: st.view.Table, Fleet: st.fleet,
+		Demand: st.runner.Demand, Now: bootclock.Now, Log: st.opts.Log, Metrics: st.opts.Metrics}
+	if st.opts.Settings.Platform.OrdersTargets {
+		o.Tenure, o.Client = tenure, client
+	}
+	return duty.NewTargets(o)
+}
+
+// leaderTerm returns the newest term of the state group that this host knows.
+func (st *Store) leaderTerm() uint64 {
+	_, term, _ := st.group.Leader()
+	return term
+}
+
+// fleet returns all known targets. Those that have announced their departure to this host alone count as leaving.
+func (st *Store) fleet() []fleet.Target {
+	list, _ := st.view.TargetsSince(0)
+	for i := range list {
+		if t := &list[i]; t.State == fleet.Ready && !st.view.Accepts(t.ID, t.Incarnation) {
+			t.State = fleet.Draining
+		}
+	}
+	return list
+}
