autoscale: late steps raise the need, unanswered orders are made good elsewhere

Change: while steps are late although the need is met, it rises by 15% every 15 s, at most by half, and nothing is given up for a minute after a late step; it falls again after two minutes on time. Targets that the work needs now and that an unanswered order may not bring are ordered once more elsewhere. Reductions rest on six jobs of each model and on the greatest need of a minute. Ruled out: ordering elsewhere without a bound, which a platform that is down would multiply. Conclusion: errors of the estimate cost some late steps, not all.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -21,7 +21,7 @@
 	// surplusTime is how long there must be more targets than needed before the number is reduced.
 	surplusTime = 10 * time.Second
 	// needMemory is the time over which the greatest need decides on reductions.
-	needMemory = 30 * time.Second
+	needMemory = 60 * time.Second
 	// idleModelTime is the time after the first look from which a model without jobs counts as unused.
 	idleModelTime = 60 * time.Second
 	// maxOrders bounds the orders of one evaluation.
@@ -108,7 +108,8 @@
 	surplusSince time.Time    // zero unless targets could be given up
 	returnedAt   time.Time    // when a target was last seen again after it had been lost; zero if none was
 	cheapenedAt  time.Time    // when targets were last ordered for their price
-	need         int          // at the last decision; 0 if it was not known
+	lateness     lateness
+	need         int // at the last decision; 0 if it was not known
 }
 
 // needSample is a need and when it was computed.
@@ -132,7 +133,9 @@
 		p.need, p.needs, p.surplusSince = 0, nil, time.Time{}
 		return nil
 	}
-	p.need = in.Demand.targets(now, in.Scale.BootTime)
+	needed := in.Demand.targets(now, in.Scale.BootTime)
+	p.lateness.observe(now, in.Demand, p.serving() >= p.lateness.raise(needed))
+	p.need = p.lateness.raise(needed)
 	p.needs = append(p.needs, needSample{now, p.need})
 	p.needs = slices.DeleteFunc(p.needs, func(s needSample) bool { return now.Sub(s.at) > needMemory })
 	if now.Sub(p.startedAt) < pictureDelay {
@@ -147,6 +150,15 @@
 	return p.send(now, p.save(now, in, mk, low, likely))
 }
 
+// serving returns the number of targets that serve.
+func (p *Planner) serving() int {
+	n := 0
+	for _, c := range p.cells {
+		n += c.serving
+	}
+	return n
+}
+
 // counts returns the least, the expected and the greatest number of targets after the orders that were sent.
 func (p *Planner) counts(now time.Time) (low, likely, high mix) {
 	low, likely, high = make(mix), make(mix), make(mix)
@@ -180,8 +192,9 @@
 // kept against a loss. Targets that the work needs now are ordered once more elsewhere.
 func (p *Planner) replenish(mk *market, low, likely mix) []Order {
 	needed, certain := p.need, low.size()
-	if certain < p.need {
-		needed += min(p.need-certain, likely.size()-certain)
+	if missing := p.need - certain; missing > 0 && likely.size() > certain {
+		atMost := p.need + missing + likely.size() - likely.safe()
+		needed = max(needed, min(likely.safe()+missing, atMost))
 	}
 	if likely.safe() < needed {
 		return p.increases(mk, likely, mk.extend(likely, needed+margin(p.need)), TooFew)
@@ -243,8 +256,11 @@
 }
 
 // maySave reports whether enough is known to reduce the number of targets. No order may be under way, since its effect is
-// not visible yet, and no target out of sight.
+// not visible yet, no target out of sight, and no step late.
 func (p *Planner) maySave(now time.Time, in *Input) bool {
+	if !p.lateness.lateAt.IsZero() && now.Sub(p.lateness.lateAt) < needMemory {
+		return false
+	}
 	if !p.returnedAt.IsZero() && now.Sub(p.returnedAt) < returnPause {
 		return false
 	}
--- a/autoscale/demand.go
+++ b/autoscale/demand.go
@@ -17,7 +17,7 @@
 	// maxDemandAge is the age from which a statement of the demand is no longer used.
 	maxDemandAge = 3 * time.Second
 	// settledJobs is the number of jobs of a model after which its period is known well enough to save targets.
-	settledJobs = 3
+	settledJobs = 6
 	// minPeriod bounds the period of jobs from below.
 	minPeriod = 250 * time.Millisecond
 )
@@ -118,3 +118,60 @@
 
 // minHelp is the time for which a target must serve to help with the backlog.
 const minHelp = 2 * time.Second
+
+const (
+	// lateShare is the part of a job that must be open after its deadline for the job to be late. Trainers do not wait for
+	// the last items of a step.
+	lateShare = 0.15
+	// latenessStep is the factor by which late steps raise the need, at most to maxLateness, and latenessPause the least
+	// time between two steps, in which new targets start and catch up.
+	latenessStep, maxLateness = 1.15, 1.5
+	latenessPause             = 15 * time.Second
+	// onTimeMemory is the time without late steps after which the need falls again by one step.
+	onTimeMemory = 2 * time.Minute
+)
+
+// lateness corrects the computed need while steps are late although it is met: then the work or the speed of targets is
+// not as stated. Its zero value corrects nothing.
+type lateness struct {
+	steps     int
+	changedAt time.Time
+	lateAt    time.Time // when work was last late
+}
+
+// observe takes account of the open work. isMet tells whether as many targets serve as are needed.
+func (l *lateness) observe(now time.Time, d *Demand, isMet bool) {
+	late := d.isLate(now)
+	if late {
+		l.lateAt = now
+	}
+	switch {
+	case late && !isMet:
+		l.changedAt = now // wait until the missing targets have caught up
+	case late && now.Sub(l.changedAt) >= latenessPause && l.factor() < maxLateness:
+		l.steps, l.changedAt = l.steps+1, now
+	case !late && l.steps > 0 && now.Sub(l.lateAt) >= onTimeMemory && now.Sub(l.changedAt) >= onTimeMemory:
+		l.steps, l.changedAt = l.steps-1, now
+	}
+}
+
+func (l *lateness) factor() float64 {
+	return min(math.Pow(latenessStep, float64(l.steps)), maxLateness)
+}
+
+// raise returns a need with the correction.
+func (l *lateness) raise(need int) int { return int(math.Ceil(float64(need) * l.factor())) }
+
+// isLate reports whether a part of the work that matters is open after its deadline.
+func (d *Demand) isLate(now time.Time) bool {
+	overdue, mean := 0.0, 0.0
+	for _, w := range d.Open {
+		if now.After(w.Deadline) {
+			overdue = max(overdue, w.Tokens)
+		}
+	}
+	for _, m := range d.Models {
+		mean += m.MeanTokens / float64(len(d.Models))
+	}
+	return overdue > lateShare*mean
+}
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -2,15 +2,11 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
-
-	"fuchsiaflow/fleet"
-	"fuchsiaflow/routes"
 )
 
 // TestMain sets a fixed seed, so that every run gives the same verdict.
@@ -42,10 +38,7 @@
 		since := w.now.Sub(simStart) - lostAt
 		return (c.Domain == "a" || c.Domain == "b") && since >= 0 && since < 10*time.Second
 	}
-	w.run(60*time.Second, map[time.Duration]func(){lostAt: func() {
-		w.takeAway(w.in(Cell{"a", OnDemand}))
-		w.takeAway(w.in(Cell{"b", OnDemand}))
-	}, lostAt + 6*time.Second: func() {
+	w.run(60*time.Second, map[time.Duration]func(){lostAt: w.loseHalf, lostAt + 6*time.Second: func() {
 		if w.serving() < w.planner.need {
 			t.Errorf("%d targets serve after 6 s, need %d", w.serving(), w.planner.need)
 		}
@@ -112,6 +105,36 @@
 	w.expect(0, 60, 16)
 }
 
+// Guards against a number that follows the size of each step.
+func TestStepsOfVariedSize(t *testing.T) {
+	w := newWorld(t, even(8, 8))
+	w.varied = true
+	w.run(600*time.Second, nil)
+	w.expect(0, 60, 16)
+}
+
+// Guards against steps that stay late because the stated speed of targets is too high.
+func TestLateStepsRaiseTheNeed(t *testing.T) {
+	w := newWorld(t, even(4, 4))
+	w.stated = 0.35
+	w.run(150*time.Second, nil)
+	late := w.late
+	if w.run(250*time.Second, nil); late == 0 || w.late-late > 5 {
+		t.Errorf("%d steps late in the last 100 s", w.late-late)
+	}
+}
+
+// Guards against waiting for an order without an answer while the work needs its targets now.
+func TestUnansweredOrderIsHedged(t *testing.T) {
+	w := newWorld(t, even(10, 0))
+	lostAt := 8 * time.Second
+	w.loseAnswer = func() (bool, time.Duration) { return w.now.Sub(simStart) == lostAt, time.Hour }
+	w.run(lostAt+6*time.Second, map[time.Duration]func(){lostAt: w.loseHalf})
+	if w.expect(0, 20, 0); w.serving() < w.planner.need {
+		t.Errorf("%d targets serve 6 s after the loss, need %d", w.serving(), w.planner.need)
+	}
+}
+
 func abs(x float64) float64 { return max(x, -x) }
 
 // Guards against a new leader that orders fewer targets than there are, because it knows only half of them yet, or orders
@@ -162,72 +185,64 @@
 // changes of a cell within the boot time, whatever happens at the platform.
 func TestOrdersKeepTheirBounds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		scale := routes.Scale{Min: rapid.IntRange(0, 3).Draw(rt, "min"), Max: rapid.IntRange(4, 12).Draw(rt, "max"), BootTime: 4 * time.Second,
-			SpotPrice: rapid.SampledFrom([]float64{0, 0.22}).Draw(rt, "spot price"), DomainPrices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25}}
-		p, now := New("s"), simStart
-		var targets []fleet.Target
-		changed := make(map[Cell]time.Time)
-		id := 0
-		count := func(c Cell) (n int) {
-			for _, t := range targets {
-				if cellOf(&t) == c && t.State == fleet.Ready {
-					n++
-				}
-			}
-			return n
-		}
-		execute := func(o Order) {
-			for range o.Count - count(o.Cell) {
-				id++
-				targets = append(targets, fleet.Target{ID: fmt.Sprint(id), Domain: o.Domain, Spot: o.Kind == Spot, State: fleet.Ready})
-			}
-			for i := range targets {
-				if t := &targets[i]; cellOf(t) == o.Cell && t.State == fleet.Ready && count(o.Cell) > o.Count {
-					t.State = fleet.Draining
-				}
-			}
+		w := newWorld(t, nil)
+		w.scale.Min, w.scale.Max = rapid.IntRange(0, 3).Draw(rt, "min"), rapid.IntRange(4, 12).Draw(rt, "max")
+		w.scale.SpotPrice = rapid.SampledFrom([]float64{0, 0.22}).Draw(rt, "spot price")
+		for d := range w.scale.DomainPrices {
+			w.start(Cell{d, OnDemand}, w.scale.Max/2, 0)
 		}
-		execute(Order{Cell: Cell{"a", OnDemand}, Count: scale.Max})
-		for range 80 {
-			now = now.Add(planEvery)
-			for i := range targets {
-				targets[i].ReportedAt = now
+		changed, load := make(map[Cell]time.Time), 0.0
+		for look := range 160 {
+			if look%40 == 0 {
+				load = float64(rapid.IntRange(1, 12).Draw(rt, "load"))
 			}
-			if rapid.IntRange(0, 9).Draw(rt, "loss") == 0 && len(targets) > 0 {
-				targets[rapid.IntRange(0, len(targets)-1).Draw(rt, "lost")].State = fleet.Draining
+			w.now = w.now.Add(planEvery)
+			w.work()
+			if rapid.IntRange(0, 29).Draw(rt, "loss") == 0 && len(w.targets) > 0 {
+				w.takeAway(w.targets[:1])
 			}
-			in := &Input{Scale: scale, Targets: targets}
-			if rapid.IntRange(0, 19).Draw(rt, "demand unknown") > 0 {
-				in.Demand = &Demand{StatedAt: now, TokensPerSecond: 1000, Models: []ModelDemand{{Jobs: 3, Period: time.Second,
-					MeanTokens: float64(rapid.IntRange(1, 12).Draw(rt, "load")) * 600}}}
+			in := w.input()
+			in.Demand = nil
+			if rapid.IntRange(0, 49).Draw(rt, "demand unknown") > 0 {
+				in.Demand = &Demand{StatedAt: w.now, TokensPerSecond: 1000, Models: []ModelDemand{{Jobs: 9, Period: time.Second, MeanTokens: load * 600}}}
 			}
-			orders := p.Plan(now, in)
+			orders := w.planner.Plan(w.now, in)
 			if in.Demand == nil && len(orders) > 0 {
 				rt.Fatalf("orders without demand: %v", orders)
 			}
 			for i := range orders {
-				o := &orders[i]
-				present, others := count(o.Cell), count(o.other())
-				low, _, _ := p.counts(now)
-				switch {
-				case o.Count > present && o.Count+others > scale.Max:
-					rt.Fatalf("%+v exceeds the maximum %d with %d others", *o, scale.Max, others)
-				case o.Count < present && (o.Count+others < scale.Min || low.safe() < in.Demand.targets(now, scale.BootTime)):
-					rt.Fatalf("%+v goes below the minimum %d or the need; %v", *o, scale.Min, low)
-				case !changed[o.Cell].IsZero() && now.Sub(changed[o.Cell]) < scale.BootTime:
-					rt.Fatalf("%+v follows another change within the boot time", *o)
+				w.checkBounds(rt, in, &orders[i])
+				if at := changed[orders[i].Cell]; !at.IsZero() && w.now.Sub(at) < w.scale.BootTime {
+					rt.Fatalf("%+v follows another change within the boot time", orders[i])
 				}
 			}
 			for i := range orders {
 				result := rapid.SampledFrom([]Result{Accepted, Unavailable, Unanswered, NotSent}).Draw(rt, "result")
 				if result == Accepted || result == Unanswered && rapid.Bool().Draw(rt, "carried out") {
-					execute(orders[i])
+					w.execute(orders[i])
+					if rapid.Bool().Draw(rt, "starts at once") {
+						w.targets[len(w.targets)-1].servesAt = w.now
+					}
 				}
 				if result == Accepted || result == Unanswered {
-					changed[orders[i].Cell] = now
+					changed[orders[i].Cell] = w.now
 				}
-				p.Record(now, &orders[i], result)
+				w.planner.Record(w.now, &orders[i], result)
 			}
 		}
 	})
 }
+
+// checkBounds fails the test if an order leaves Min or Max or reduces the targets below the need.
+func (w *world) checkBounds(rt *rapid.T, in *Input, o *Order) {
+	present, others := len(w.in(o.Cell)), len(w.in(o.other()))
+	low, _, _ := w.planner.counts(w.now)
+	switch {
+	case o.Count > present && o.Count+others > w.scale.Max:
+		rt.Fatalf("%+v exceeds the maximum %d with %d others", *o, w.scale.Max, others)
+	case o.Count < present && o.Count+others < w.scale.Min:
+		rt.Fatalf("%+v goes below the minimum %d with %d others", *o, w.scale.Min, others)
+	case o.Count < present && low.safe() < in.Demand.targets(w.now, w.scale.BootTime):
+		rt.Fatalf("%+v leaves fewer than the need: %v", *o, low)
+	}
+}
--- a/autoscale/sim_test.go
+++ b/autoscale/sim_test.go
@@ -42,6 +42,7 @@
 // world is a platform, its targets and trainers in simulated time. Targets do the work in the order of its deadlines.
 type world struct {
 	t       *testing.T
+	scale   routes.Scale
 	now     time.Time
 	planner *Planner
 	rng     *rand.Rand
@@ -56,14 +57,18 @@
 	loseAnswer  func() (lost bool, carriedOutAfter time.Duration)
 	hidden      func(t *simTarget) bool // reports of the target do not arrive
 	noDemand    func() bool
+	varied      bool // steps have 5 to 20 groups of 8 to 16 items
+	// stated is the part of the tokens that the demand states, 1 if 0.
+	stated float64
 
 	submitted, late, calls, turns int
 	cost                          float64
 	lastChange                    map[Cell]int // sign of the last accepted change
+	sizes                         [simModels][]float64
 }
 
 func newWorld(t *testing.T, perCell map[Cell]int) *world {
-	w := &world{t: t, now: simStart, planner: New("s"), rng: rand.New(rand.NewPCG(1, 2)), lastChange: make(map[Cell]int)}
+	w := &world{t: t, scale: testScale, now: simStart, planner: New("s"), rng: rand.New(rand.NewPCG(1, 2)), lastChange: make(map[Cell]int)}
 	for _, d := range []string{"a", "b", "c", "d"} {
 		for _, k := range Kinds {
 			w.start(Cell{d, k}, perCell[Cell{d, k}], 0)
@@ -99,6 +104,12 @@
 	return list
 }
 
+// loseHalf takes the on-demand targets of two failure domains away.
+func (w *world) loseHalf() {
+	w.takeAway(w.in(Cell{"a", OnDemand}))
+	w.takeAway(w.in(Cell{"b", OnDemand}))
+}
+
 // takeAway drains targets for 2 s, after which they are gone.
 func (w *world) takeAway(list []*simTarget) {
 	for _, t := range list {
@@ -111,7 +122,7 @@
 	if o.Count < len(list) {
 		w.takeAway(list[o.Count:])
 	}
-	w.start(o.Cell, o.Count-len(list), testScale.BootTime)
+	w.start(o.Cell, o.Count-len(list), w.scale.BootTime)
 }
 
 func (w *world) serving() int {
@@ -140,8 +151,7 @@
 		}
 		for m := range simModels {
 			if (elapsed-time.Duration(m)*time.Second)%simPeriod == 0 && elapsed >= time.Duration(m)*time.Second {
-				w.jobs = append(w.jobs, OpenWork{w.now.Add(simWindow), tokensPerStep * w.factor()})
-				w.submitted++
+				w.submit(m)
 			}
 		}
 		w.work()
@@ -151,6 +161,18 @@
 	}
 }
 
+// submit submits a job of a model.
+func (w *world) submit(m int) {
+	tokens := tokensPerStep * w.factor()
+	if w.varied {
+		tokens *= float64((5+w.rng.IntN(16))*(8+w.rng.IntN(9))) / (12.5 * 12)
+	}
+	w.jobs = append(w.jobs, OpenWork{w.now.Add(simWindow), tokens})
+	w.sizes[m] = append(w.sizes[m], tokens)
+	w.sizes[m] = w.sizes[m][max(len(w.sizes[m])-16, 0):]
+	w.submitted++
+}
+
 // work lets the targets and the platform work for one step of time.
 func (w *world) work() {
 	w.later = slices.DeleteFunc(w.later, func(o simOrder) bool {
@@ -163,11 +185,7 @@
 	w.targets = slices.DeleteFunc(w.targets, func(t *simTarget) bool { return !t.endsAt.IsZero() && !w.now.Before(t.endsAt) })
 	for _, t := range w.targets {
 		c := cellOf(&t.report)
-		price := testScale.DomainPrices[c.Domain]
-		if c.Kind == Spot {
-			price *= testScale.SpotPrice
-		}
-		w.cost += price * simStep.Seconds()
+		w.cost += (&market{scale: &w.scale}).price(c) * simStep.Seconds()
 		if !w.hides(t) {
 			t.report.ReportedAt = w.now
 		}
@@ -193,21 +211,36 @@
 		return nil
 	}
 	d := &Demand{StatedAt: w.now, TokensPerSecond: tokensPerSec, Open: slices.Clone(w.jobs)}
-	for m := range simModels {
-		tokens := tokensPerStep * w.factor()
-		d.Models = append(d.Models, ModelDemand{Model: fmt.Sprint("m", m), Jobs: 8, MeanTokens: tokens, MaxTokens: tokens, Period: simPeriod, Window: simWindow})
+	for m, sizes := range w.sizes {
+		if len(sizes) == 0 {
+			continue
+		}
+		md := ModelDemand{Model: fmt.Sprint("m", m), Jobs: 8, MaxTokens: slices.Max(sizes), Period: simPeriod, Window: simWindow}
+		for _, tokens := range sizes {
+			md.MeanTokens += tokens
+		}
+		md.MeanTokens /= float64(len(sizes))
+		d.Models = append(d.Models, md)
+	}
+	if w.stated > 0 {
+		d.TokensPerSecond /= w.stated
 	}
 	return d
 }
 
-func (w *world) plan() {
-	in := &Input{Scale: testScale, Demand: w.demand()}
+// input returns what the planner gets to see.
+func (w *world) input() *Input {
+	in := &Input{Scale: w.scale, Demand: w.demand()}
 	for _, t := range w.targets {
 		if !w.now.Before(t.servesAt) && !(w.hides(t) && t.report.ReportedAt.IsZero()) {
 			in.Targets = append(in.Targets, t.report)
 		}
 	}
-	for _, o := range w.planner.Plan(w.now, in) {
+	return in
+}
+
+func (w *world) plan() {
+	for _, o := range w.planner.Plan(w.now, w.input()) {
 		w.calls++
 		w.planner.Record(w.now, &o, w.send(o))
 	}
