--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -129,7 +129,7 @@
 		p.startedAt = now
 	}
 	p.observe(now, in)
-	if !in.Demand.isKnown(now) {
+	if !in.Demand.isKnown(now) || in.Scale.Max <= 0 {
 		p.need, p.needs, p.surplusSince = 0, nil, time.Time{}
 		return nil
 	}
@@ -228,7 +228,7 @@
 		p.surplusSince = time.Time{}
 		return nil
 	}
-	limit := max(int(reductionShare*float64(likely.size())), 1)
+	limit := max(int(reductionShare*float64(likely.size())), mk.excess(low), 1)
 	reduced := mk.reduce(low, need, limit)
 	cheaper := p.cheaperTargets(now, mk, likely, need)
 	if maps.Equal(reduced, low) && len(cheaper) == 0 {
@@ -248,7 +248,7 @@
 	}
 	var list []Order
 	for _, c := range mk.cells() {
-		if reduced[c] < low[c] {
+		if reduced[c] < low[c] && reduced.domain(c.Domain) <= in.Scale.Max {
 			list = append(list, Order{Service: p.service, Cell: c, Count: reduced[c], Present: low[c], Reason: Surplus})
 		}
 	}
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -191,6 +191,9 @@
 		for d := range w.scale.DomainPrices {
 			w.start(Cell{d, OnDemand}, w.scale.Max/2, 0)
 		}
+		if rapid.Bool().Draw(rt, "more than the maximum") {
+			w.start(Cell{"a", OnDemand}, w.scale.Max, 0)
+		}
 		changed, load := make(map[Cell]time.Time), 0.0
 		for look := range 160 {
 			if look%40 == 0 {
@@ -238,7 +241,7 @@
 	present, others := len(w.in(o.Cell)), len(w.in(o.other()))
 	low, _, _ := w.planner.counts(w.now)
 	switch {
-	case o.Count > present && o.Count+others > w.scale.Max:
+	case o.Count+others > w.scale.Max:
 		rt.Fatalf("%+v exceeds the maximum %d with %d others", *o, w.scale.Max, others)
 	case o.Count < present && o.Count+others < w.scale.Min:
 		rt.Fatalf("%+v goes below the minimum %d with %d others", *o, w.scale.Min, others)
--- a/autoscale/mix.go
+++ b/autoscale/mix.go
@@ -194,7 +194,8 @@
 	return best, ok
 }
 
-// reduce returns the mix without the most expensive targets, at most limit of them, that a need does not ask for.
+// reduce returns the mix without the targets, at most limit of them, that a need does not ask for: first those beyond the
+// maximum of a failure domain, then the most expensive ones.
 func (mk *market) reduce(base mix, need, limit int) mix {
 	m := maps.Clone(base)
 	for range limit {
@@ -203,12 +204,24 @@
 			break
 		}
 		m[slices.MaxFunc(candidates, func(a, b Cell) int {
-			return cmp.Or(cmp.Compare(mk.price(a)*float64(m[a]), mk.price(b)*float64(m[b])), cmp.Compare(a.Domain, b.Domain))
+			return cmp.Or(cmp.Compare(mk.excessOf(m, a.Domain), mk.excessOf(m, b.Domain)), cmp.Compare(mk.price(a)*float64(m[a]), mk.price(b)*float64(m[b])), cmp.Compare(a.Domain, b.Domain))
 		})]--
 	}
 	return m
 }
 
+// excessOf returns by how much a failure domain exceeds its maximum, as after a change of the configuration.
+func (mk *market) excessOf(m mix, domain string) int { return max(m.domain(domain)-mk.scale.Max, 0) }
+
+// excess returns by how much all failure domains together exceed their maximum.
+func (mk *market) excess(m mix) int {
+	n := 0
+	for _, d := range mk.domains {
+		n += mk.excessOf(m, d)
+	}
+	return n
+}
+
 // removable returns the cells that can lose a target.
 func (mk *market) removable(m mix, need int) []Cell {
 	var list []Cell
--- a/internal/duty/targets.go
+++ b/internal/duty/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -150,6 +151,11 @@
 	if table == nil {
 		return nil
 	}
+	services := managedServices(table)
+	maps.DeleteFunc(d.planners, func(name string, _ *autoscale.Planner) bool { return services[name] == nil })
+	if len(services) == 0 {
+		return nil
+	}
 	token, ok := d.opts.Tenure.Token(now)
 	ok = ok && token.Fence > d.stoppedTerm
 	byService := make(map[string][]fleet.Target)
@@ -157,28 +163,28 @@
 		byService[t.Service] = append(byService[t.Service], t)
 	}
 	var list []targetOrder
-	managed := make(map[string]bool)
-	for i := range table.Config.Services {
-		s := &table.Config.Services[i]
-		if s.Scale == nil {
-			continue
-		}
-		managed[s.Name] = true
-		in := &autoscale.Input{Scale: *s.Scale, Models: s.Models, Targets: byService[s.Name]}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		in := &autoscale.Input{Scale: *services[name].Scale, Models: services[name].Models, Targets: byService[name]}
 		if ok {
-			in.Demand = d.opts.Demand(s.Name)
-		}
-		list = append(list, d.planService(now, s.Name, in, token.Fence)...)
-	}
-	for name := range d.planners {
-		if !managed[name] {
-			delete(d.planners, name)
+			in.Demand = d.opts.Demand(name)
 		}
+		list = append(list, d.planService(now, name, in, token.Fence)...)
 	}
 	d.updateGauges(now, ok)
 	return list
 }
 
+// managedServices returns the services whose number of targets the system may order.
+func managedServices(table *routes.Table) map[string]*routes.Service {
+	services := make(map[string]*routes.Service)
+	for i := range table.Config.Services {
+		if s := &table.Config.Services[i]; s.Scale != nil {
+			services[s.Name] = s
+		}
+	}
+	return services
+}
+
 // planService returns the orders for one service. Those for which there is no room in the budget are given again later.
 func (d *Targets) planService(now time.Time, service string, in *autoscale.Input, fence uint64) []targetOrder {
 	p := d.planners[service]
