--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -143,6 +143,7 @@
 		{"forwarder", st.forwarder},
 		{"notices", notice.NewReporter(st.view, st.leaderClient.NoticeDeparture, o.Log, o.Metrics)},
 		{"runner", st.runner},
+		{"targets", st.newTargets()},
 		{"control", controlService{st}},
 		{"trace", o.Tracing},
 		{"gctuner", gctuner.New(o.Log)},
