fairshare, schedule: engines are shared fairly among client accounts

Cause: jobs run by their deadlines alone, so that an account with ten times its rate delays the steps of all others while engines are lost. Ruled out: deficit round robin and start-time fair queueing (docs/design/fair-shares.md); preemption. Change: package fairshare counts the work given to each account; the scheduler passes over an account that leads by more than an average job. Without accounts the order is as before. Conclusion: items are whole; plain requests and the division of engines among models are not begun.

--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"fuchsiaflow/fairshare"
 )
 
 // Parameters of scheduling decisions.
@@ -66,6 +68,8 @@
 	// is the highest.
 	Account         string
 	AccountPriority int
+	// RoutePriority is the priority of the route among those of the accounts with the same priority.
+	RoutePriority int
 	// Partial is the text from which a run may go on.
 	Partial      Partial
 	partialSince time.Time // when the task began to wait with Partial; zero if it has not yet
@@ -121,12 +125,14 @@
 	loadDuration  loadDurationEstimate
 	medianGap     float64       // median of the engines' averageGap, in seconds
 	runTime       time.Duration // moving average of the time of a finished run
+	shares        *fairshare.Ledger
+	jobWork       float64 // moving average of the work of a job, in tokens
 }
 
 // New returns a scheduler without tasks and engines.
 func New() *Scheduler {
 	return &Scheduler{jobs: make(map[string]*job), engines: make(map[string]*engine), demand: make(map[string]map[string]float64),
-		medianGap: defaultGap, runTime: defaultRunTime}
+		medianGap: defaultGap, runTime: defaultRunTime, shares: fairshare.NewLedger()}
 }
 
 // AddJob adds the open tasks of a job. It does nothing if the job exists already. CarriedOver items start
@@ -142,6 +148,7 @@
 		j.waiting = append(j.waiting, &t)
 	}
 	j.sortWaiting()
+	s.recordJobWork(j.waiting)
 	s.jobs[id] = j
 	s.jobOrder = append(s.jobOrder, id)
 }
@@ -239,34 +246,47 @@
 // engines are busy.
 func (s *Scheduler) AssignTasks(now time.Time) []Assignment {
 	var out []Assignment
+	if s.hasAccounts() {
+		return s.assignByShares(now)
+	}
 	for _, id := range s.jobsByDeadline() {
-		j := s.jobs[id]
-		free := s.enginesWithFreeSlots(now, j)
-		var remaining []*Task
-		for i, t := range j.waiting {
-			if len(free) == 0 {
-				remaining = append(remaining, j.waiting[i:]...)
-				break
-			}
-			e := s.bestEngine(now, t, free)
-			if e == nil && t.PinnedVersion > 0 && !s.versionAvailable(t) {
-				t.PinnedVersion = 0 // no engine can complete the partial text any more
-				e = s.bestEngine(now, t, free)
-			}
-			if e == nil || t.startsAnew(e) && s.awaitsRelease(now, t) {
-				remaining = append(remaining, t)
-				continue
-			}
-			r := &run{task: t, engine: e, startedAt: now}
-			j.running[t.Item] = r
-			e.add(now, r)
-			out = append(out, Assignment{Task: *t, Engine: e.ID})
-			if e.freeSlots() <= 0 {
-				free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
-			}
+		out = s.assignJob(now, s.jobs[id], out, func() bool { return false })
+	}
+	return out
+}
+
+// assignJob assigns waiting tasks of a job until no engine can start one, or until stop returns true after an assignment.
+func (s *Scheduler) assignJob(now time.Time, j *job, out []Assignment, stop func() bool) []Assignment {
+	free := s.enginesWithFreeSlots(now, j)
+	var remaining []*Task
+	for i, t := range j.waiting {
+		if len(free) == 0 {
+			remaining = append(remaining, j.waiting[i:]...)
+			break
+		}
+		e := s.bestEngine(now, t, free)
+		if e == nil && t.PinnedVersion > 0 && !s.versionAvailable(t) {
+			t.PinnedVersion = 0 // no engine can complete the partial text any more
+			e = s.bestEngine(now, t, free)
+		}
+		if e == nil || t.startsAnew(e) && s.awaitsRelease(now, t) {
+			remaining = append(remaining, t)
+			continue
+		}
+		r := &run{task: t, engine: e, startedAt: now}
+		j.running[t.Item] = r
+		e.add(now, r)
+		s.shares.Charge(t.competitor(), t.work())
+		out = append(out, Assignment{Task: *t, Engine: e.ID})
+		if stop() {
+			remaining = append(remaining, j.waiting[i+1:]...)
+			break
+		}
+		if e.freeSlots() <= 0 {
+			free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
 		}
-		j.waiting = remaining
 	}
+	j.waiting = remaining
 	return out
 }
 
@@ -444,6 +464,7 @@
 		r.task.RemainingTokens = remainingTokens
 	}
 	r.task.PinnedVersion = pinnedVersion
+	s.shares.Charge(r.task.competitor(), -r.task.work()) // the next run is charged for what is left
 	j.waiting = append(j.waiting, r.task)
 	j.sortWaiting()
 }
