--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -21,8 +21,10 @@
 	// openInGroup is the number of items by group.
 	openInGroup map[string]int
 	routeName   string
-	deadline    time.Time
-	expiresAt   time.Time // zero if the items never expire
+	// routePriority is the priority of the route when the job was added.
+	routePriority int
+	deadline      time.Time
+	expiresAt     time.Time // zero if the items never expire
 }
 
 // openItem is an item without a result.
@@ -169,7 +171,7 @@
 		r.firstSeen[e.Key()] = now
 	}
 	if route, ok := table.Match(e.Host, e.Path); ok {
-		j.routeName = route.Name
+		j.routeName, j.routePriority = route.Name, route.Priority
 		j.deadline = first.Add(route.CompletionWindow)
 		if route.MaxAge > 0 {
 			j.expiresAt = first.Add(route.MaxAge + expirySlack)
@@ -218,7 +220,7 @@
 		}
 		t := schedule.Task{Job: j.id, Item: id, Service: service, Model: j.Model, MinVersion: j.MinVersion, SingleVersion: j.SingleVersion, Group: it.Group,
 			CarriedOver: r.knownItems[j.ItemKey(id)], RemainingTokens: it.ExpectedOutputTokens, PromptTokens: it.PromptTokens, Deadline: j.deadline,
-			Account: j.Owner, AccountPriority: r.accountPriority(j.Owner)}
+			Account: j.Owner, AccountPriority: r.accountPriority(j.Owner), RoutePriority: j.routePriority}
 		if t.CarriedOver {
 			carriedOver++
 		}
