routes: list all invalid values of a configuration

Cause: Validate stops at the first invalid value, so that a check of a file shows one error at a time. Change: Violations lists all of them in the order of the entries; Validate returns the first. Conclusion: hosts and the check share one set of rules.

--- a/routes/account.go
+++ b/routes/account.go
@@ -30,32 +30,34 @@
 // emptyKey is the digest of the empty key, which must belong to no account.
 var emptyKey = DigestKey("")
 
-// validateAccounts returns an errs.Invalid for the first invalid account, or nil. It names no key and no digest of one.
-func validateAccounts(list []Account) error {
-	names := make(map[string]bool, len(list))
+// accountViolations returns an errs.Invalid for each invalid value. It names no key and no digest of one.
+func accountViolations(accounts []Account) (list []*errs.Invalid) {
+	names := make(map[string]bool, len(accounts))
 	owners := make(map[KeyDigest]int) // index of the account by key
-	for i := range list {
-		a, path := &list[i], fmt.Sprintf("$.accounts[%d]", i)
-		if err := validateAccountName(path+".name", a.Name, names); err != nil {
-			return err
+	for i := range accounts {
+		a, path := &accounts[i], fmt.Sprintf("$.accounts[%d]", i)
+		if v := accountNameViolation(path+".name", a.Name, names); v != nil {
+			list = append(list, v)
 		}
 		names[a.Name] = true
 		for k, digest := range a.Keys {
 			keyPath := fmt.Sprintf("%s.keys[%d]", path, k)
-			if digest == emptyKey {
-				return &errs.Invalid{Path: keyPath, Want: "a key", Got: "an empty string"}
+			owner, used := owners[digest]
+			switch {
+			case digest == emptyKey:
+				list = append(list, &errs.Invalid{Path: keyPath, Want: "a key", Got: "an empty string"})
+			case used && owner != i:
+				list = append(list, &errs.Invalid{Path: keyPath, Want: "a key of one account", Got: fmt.Sprintf("one that $.accounts[%d] has too", owner)})
+			default:
+				owners[digest] = i
 			}
-			if owner, used := owners[digest]; used && owner != i {
-				return &errs.Invalid{Path: keyPath, Want: "a key of one account", Got: fmt.Sprintf("one that $.accounts[%d] has too", owner)}
-			}
-			owners[digest] = i
 		}
 	}
-	return nil
+	return list
 }
 
-// validateAccountName checks a name that targets get in a header. names holds those of the accounts before it.
-func validateAccountName(path, name string, names map[string]bool) error {
+// accountNameViolation checks a name that targets get in a header. names holds those of the accounts before it.
+func accountNameViolation(path, name string, names map[string]bool) *errs.Invalid {
 	switch {
 	case name == "":
 		return &errs.Invalid{Path: path, Want: "a name", Got: "an empty string"}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -101,54 +101,65 @@
 
 // Validate returns an errs.Invalid for the first invalid value of the configuration, or nil.
 func (c *Config) Validate() error {
+	if violations := c.Violations(); len(violations) > 0 {
+		return violations[0]
+	}
+	return nil
+}
+
+// Violations returns an error for each invalid value of the configuration, in the order of its entries.
+func (c *Config) Violations() []*errs.Invalid {
 	services := make(map[string]bool, len(c.Services))
 	for _, s := range c.Services {
 		services[s.Name] = true
 	}
+	var list []*errs.Invalid
 	matches := make(map[string]bool, len(c.Routes))
-	for i, r := range c.Routes {
-		path := fmt.Sprintf("$.routes[%d]", i)
-		if err := r.validate(path, services); err != nil {
-			return err
-		}
+	for i := range c.Routes {
+		r, path := &c.Routes[i], fmt.Sprintf("$.routes[%d]", i)
+		list = append(list, r.violations(path, services)...)
 		match := r.Host + " " + r.Prefix
 		if matches[match] {
-			return invalidValue(path+".prefix", "a unique host and prefix", match)
+			list = append(list, invalidValue(path+".prefix", "a unique host and prefix", match))
 		}
 		matches[match] = true
 	}
-	return validateAccounts(c.Accounts)
+	return append(list, accountViolations(c.Accounts)...)
 }
 
-func (r *Route) validate(path string, services map[string]bool) error {
+func (r *Route) violations(path string, services map[string]bool) (list []*errs.Invalid) {
 	switch r.Kind {
 	case Idempotent, Unsafe, Stream, Batch:
 	default:
-		return invalidValue(path+".kind", "idempotent, unsafe, stream or batch", string(r.Kind))
+		list = append(list, invalidValue(path+".kind", "idempotent, unsafe, stream or batch", string(r.Kind)))
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return invalidValue(path+".prefix", "a path that starts and ends with a slash", r.Prefix)
+		list = append(list, invalidValue(path+".prefix", "a path that starts and ends with a slash", r.Prefix))
 	}
 	if r.Timeout <= 0 {
-		return invalidValue(path+".timeout", "a positive duration", r.Timeout.String())
+		list = append(list, invalidValue(path+".timeout", "a positive duration", r.Timeout.String()))
 	}
+	return append(list, r.destinationViolations(path+".destinations", services)...)
+}
+
+func (r *Route) destinationViolations(path string, services map[string]bool) (list []*errs.Invalid) {
 	total := 0
 	for _, d := range r.Destinations {
 		if !services[d.Service] {
-			return invalidValue(path+".destinations", "the name of a configured service", d.Service)
+			list = append(list, invalidValue(path, "the name of a configured service", d.Service))
 		}
 		if d.Weight < 0 {
-			return invalidValue(path+".destinations", "a non-negative weight", fmt.Sprint(d.Weight))
+			list = append(list, invalidValue(path, "a non-negative weight", fmt.Sprint(d.Weight)))
 		}
 		total += d.Weight
 	}
 	if total == 0 {
-		return invalidValue(path+".destinations", "at least one positive weight", "0")
+		list = append(list, invalidValue(path, "at least one positive weight", "0"))
 	}
-	return nil
+	return list
 }
 
-func invalidValue(path, want, got string) error {
+func invalidValue(path, want, got string) *errs.Invalid {
 	return &errs.Invalid{Path: path, Want: want, Got: fmt.Sprintf("%q", got)}
 }
 
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -66,3 +67,20 @@
 		}
 	}
 }
+
+// Guards against a check that reports only the first of several invalid values, and against another order than that of Validate.
+func TestViolationsListsAll(t *testing.T) {
+	c := testConfig()
+	c.Routes[0].Kind, c.Routes[0].Timeout = "odd", 0
+	c.Routes[2].Destinations = []Destination{{Service: "none", Weight: -1}}
+	c.Accounts = []Account{{Name: "", Keys: []KeyDigest{DigestKey("k")}}, {Name: "a", Keys: []KeyDigest{DigestKey("k"), DigestKey("")}}}
+	var paths []string
+	for _, v := range c.Violations() {
+		paths = append(paths, v.Path)
+	}
+	want := []string{"$.routes[0].kind", "$.routes[0].timeout", "$.routes[2].destinations", "$.routes[2].destinations",
+		"$.accounts[0].name", "$.accounts[1].keys[0]", "$.accounts[1].keys[1]"}
+	if !slices.Equal(paths, want) || c.Validate().Error() != c.Violations()[0].Error() {
+		t.Errorf("violations at %v, want %v; Validate returns %v", paths, want, c.Validate())
+	}
+}
