--- a/cmd/fuchsiaflow/operator.go
+++ b/cmd/fuchsiaflow/operator.go
@@ -19,8 +19,6 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/api"
 	"fuchsiaflow/internal/host"
-	"fuchsiaflow/internal/settings"
-	"fuchsiaflow/platform"
 )
 
 // operatorTimeout bounds a request to a host.
@@ -63,63 +61,10 @@
 	return nil
 }
 
-type checkCommand struct {
-	File     string `arg:"" type:"existingfile" help:"File to check."`
-	Settings bool   `help:"The file holds settings of a host instead of a configuration."`
-	Platform bool   `help:"The file is in the format of the users' platform."`
-}
-
-// Run validates a file without contacting a host.
-func (c *checkCommand) Run() error {
-	switch {
-	case c.Platform:
-		return c.checkPlatform()
-	case c.Settings:
-		s, err := settings.Load(c.File)
-		if err != nil {
-			return err
-		}
-		fmt.Println("valid settings:", s)
-		return nil
-	}
-	cfg, err := readConfig(c.File)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("valid configuration: version %d, digest %s, %d tenancies, %d pools\n",
-		cfg.Version, confstate.Digest(cfg), len(cfg.Tenancies), len(cfg.Pools))
-	return nil
-}
-
-// checkPlatform validates a file in the format of the platform.
-func (c *checkCommand) checkPlatform() error {
-	data, err := os.ReadFile(c.File)
-	if err != nil {
-		return &errs.NotFound{Kind: "file", ID: c.File}
-	}
-	if c.Settings {
-		s, err := platform.ParseSettings(data)
-		if err != nil {
-			return err
-		}
-		fmt.Printf("valid settings: host %s in %s, %d voters, seeds %v\n", s.Host, s.FailureDomain, s.VoterCount(), s.Seeds)
-		return nil
-	}
-	cfg, err := platform.ParseConfig(data)
-	if err != nil {
-		return err
-	}
-	if err := cfg.Validate(); err != nil {
-		return err
-	}
-	fmt.Printf("valid configuration: version %d, %d routes, %d services\n", cfg.Version, len(cfg.Routes), len(cfg.Services))
-	return nil
-}
-
 func readConfig(path string) (*confstate.Config, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
-		return nil, &errs.NotFound{Kind: "file", ID: path}
+		return nil, err
 	}
 	return confstate.Parse(data)
 }
@@ -211,8 +156,10 @@
 	return nil
 }
 
-func printJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
+func printJSON(v any) error { return writeJSON(os.Stdout, v) }
+
+func writeJSON(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
 	enc.SetIndent("", "  ")
 	if err := enc.Encode(v); err != nil {
 		return &errs.Interrupted{Operation: "standard output", Reason: err.Error()}
