--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -42,7 +42,7 @@
 		return &errs.Unavailable{Resource: "control address " + address, Reason: err.Error()}
 	}
 	c.server = rolehost.NewHTTPServer(c.e.opts.Control(c.e.newControl()))
-	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(c.server, listener) })
+	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(c.e.guard, "control", c.server, listener) })
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
+	"fuchsiaflow/internal/headguard"
 	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
@@ -86,6 +87,7 @@
 	pool        *rpc.Pool
 	stateClient *stateclient.Client
 	forwarder   *forward.Forwarder
+	guard       *headguard.Guard
 	front       *http.Server
 	ready       *http.Server
 	stopping    atomic.Bool
@@ -106,6 +108,7 @@
 	e.forwarder.UseStreamOrigins(e.stateClient)
 	e.forwarder.UseIdentities(identity.NewChecker(e.view, o.EngineClient, o.Log, o.Metrics))
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
+	e.guard = rolehost.NewGuard(s, o.Log, o.Metrics)
 	services := []struct {
 		name    string
 		service any
@@ -114,7 +117,7 @@
 		{"watch", &clusterview.Watcher{View: e.view, Self: s.IP, Domain: s.FailureDomain, Peer: peer, Log: o.Log}},
 		{"trace", o.Tracing},
 		{"gctuner", gctuner.New(o.Log)},
-		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
+		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics, e.guard)},
 		{"limits", limiter},
 		{"crashes", crashReporter},
 		{"forwarder", e.forwarder},
@@ -293,7 +296,7 @@
 		if err != nil {
 			return &errs.Unavailable{Resource: s.name + " address " + s.address, Reason: err.Error()}
 		}
-		k.Go(s.name+"/serve", func(context.Context) error { return rolehost.Serve(s.server, listener) })
+		k.Go(s.name+"/serve", func(context.Context) error { return rolehost.Serve(e.guard, s.name, s.server, listener) })
 	}
 	return nil
 }
--- a/internal/rolehost/rolehost.go
+++ b/internal/rolehost/rolehost.go
@@ -15,6 +15,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/clusterview"
+	"fuchsiaflow/internal/headguard"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/observe"
 	"fuchsiaflow/internal/rpc"
@@ -68,9 +69,14 @@
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 }
 
-// Serve runs a server on a listener until it is shut down.
-func Serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+// NewGuard returns the guard of all HTTP servers of a host.
+func NewGuard(s *settings.Role, log *slog.Logger, m *observe.Metrics) *headguard.Guard {
+	return headguard.New(headguard.LimitsFor(s.MemoryBytes, s.MaxOpenFiles), log, m)
+}
+
+// Serve runs a server on a listener of the given name until it is shut down.
+func Serve(g *headguard.Guard, name string, s *http.Server, l net.Listener) error {
+	if err := s.Serve(g.Protect(name, s, l)); err != nil && err != http.ErrServerClosed {
 		return &errs.Unavailable{Resource: "HTTP server", Reason: err.Error()}
 	}
 	return nil
@@ -109,13 +115,14 @@
 type metricsService struct {
 	address string
 	metrics *observe.Metrics
+	guard   *headguard.Guard
 	server  *http.Server
 }
 
 // NewMetricsService returns a service that serves GET /metrics at an address. With an empty address it does
 // nothing.
-func NewMetricsService(address string, m *observe.Metrics) any {
-	return &metricsService{address: address, metrics: m}
+func NewMetricsService(address string, m *observe.Metrics, g *headguard.Guard) any {
+	return &metricsService{address: address, metrics: m, guard: g}
 }
 
 // Start implements kernel.Service.
@@ -130,7 +137,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics.Handler())
 	s.server = NewHTTPServer(mux)
-	k.Go("metrics/serve", func(context.Context) error { return Serve(s.server, listener) })
+	k.Go("metrics/serve", func(context.Context) error { return Serve(s.guard, "metrics", s.server, listener) })
 	return nil
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,6 +24,7 @@
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
 	"fuchsiaflow/internal/group"
+	"fuchsiaflow/internal/headguard"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
 	"fuchsiaflow/internal/observe"
@@ -84,6 +85,7 @@
 	limiter      *ratelimit.Limiter
 	grpc         *grpc.Server
 	calls        *control.Control // of operators, trainers and targets
+	guard        *headguard.Guard // of the HTTP servers
 	server       *http.Server     // serves calls
 	runner       *runner.Runner
 	forwarder    *forward.Forwarder // sends the scoring calls of the runner
@@ -120,6 +122,7 @@
 	st.calls = control.New(control.Options{View: st.view, Client: st.leaderClient, SelfIP: s.IP, Port: s.Listen.ControlPort(), Leads: st.group.IsLeader, Stopping: st.stopping,
 		Departures: st.departures, Log: o.Log, Metrics: o.Metrics})
 	st.grpc = rolehost.NewGRPCServer(o.Log, o.Tracing)
+	st.guard = rolehost.NewGuard(s, o.Log, o.Metrics)
 	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
 	st.forwarder = forward.New(o.Headers, st.view, st.limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
 	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder, Limiter: st.limiter,
@@ -141,7 +144,7 @@
 		{"control", controlService{st}},
 		{"trace", o.Tracing},
 		{"gctuner", gctuner.New(o.Log)},
-		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
+		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics, st.guard)},
 	}
 	for _, entry := range services {
 		if err := st.kernel.Register(entry.name, entry.service); err != nil {
@@ -240,7 +243,7 @@
 		return &errs.Unavailable{Resource: "control address", Reason: err.Error()}
 	}
 	st.server = rolehost.NewHTTPServer(st.opts.Control(st.calls))
-	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(st.server, listener) })
+	k.Go("control/serve", func(context.Context) error { return rolehost.Serve(st.guard, "control", st.server, listener) })
 	return nil
 }
 
