--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"fuchsiaflow/internal/domainstate"
 	"fuchsiaflow/internal/engine"
 	"fuchsiaflow/internal/group"
+	"fuchsiaflow/internal/headguard"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/leader"
 	"fuchsiaflow/internal/observe"
@@ -251,7 +252,9 @@
 		Auth: h, Trainer: h.trainer, Desk: h.desk, Targets: h.targets, Operator: h, Health: h,
 		Metrics: h.metrics.Handler(), Log: h.log,
 	})
-	h.http = newHTTPService(h.settings.HTTP, h.tracing.Middleware(handler), h.log)
+	// The settings of this host state neither memory nor descriptors.
+	guard := headguard.New(headguard.LimitsFor(0, 0), h.log, h.metrics)
+	h.http = newHTTPService(h.settings.HTTP, h.tracing.Middleware(handler), guard, h.log)
 }
 
 // subscribe passes each active configuration to the services that depend on it.
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -16,6 +16,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/api"
 	"fuchsiaflow/internal/controlstate"
+	"fuchsiaflow/internal/headguard"
 	"fuchsiaflow/internal/kernel"
 )
 
@@ -270,11 +271,12 @@
 	server   *http.Server
 	listener net.Listener
 	requests *requestCounter
+	guard    *headguard.Guard
 	log      *slog.Logger
 }
 
-func newHTTPService(addr string, handler http.Handler, log *slog.Logger) *httpService {
-	s := &httpService{addr: addr, requests: &requestCounter{}, log: log}
+func newHTTPService(addr string, handler http.Handler, guard *headguard.Guard, log *slog.Logger) *httpService {
+	s := &httpService{addr: addr, requests: &requestCounter{}, guard: guard, log: log}
 	s.server = api.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		done, err := s.requests.Begin()
 		if err != nil {
@@ -296,7 +298,7 @@
 	}
 	s.listener = listener
 	k.Go("http/serve", func(context.Context) error {
-		if err := s.server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		if err := s.server.Serve(s.guard.Protect("http", s.server, listener)); err != nil && err != http.ErrServerClosed {
 			s.log.Debug("HTTP listener closed", "error", err)
 		}
 		return nil
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -28,6 +28,9 @@
 	keepAliveTime    = 10 * time.Second // the minimum that a grpc-go client accepts
 	keepAliveTimeout = 3 * time.Second  // grpc-go also sets TCP_USER_TIMEOUT to it
 	minPingInterval  = 5 * time.Second  // half of keepAliveTime; clients that ping more often are disconnected
+
+	// maxMetadataBytes limits the metadata of a call. Hosts send some hundred bytes.
+	maxMetadataBytes = 16 << 10
 )
 
 // ServerOptions configures NewServer. Token and Log are required.
@@ -57,6 +60,7 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(maxBytes),
 		grpc.MaxSendMsgSize(maxBytes),
+		grpc.MaxHeaderListSize(maxMetadataBytes),
 		grpc.StaticStreamWindowSize(flowControlWindowBytes),
 		grpc.StaticConnWindowSize(flowControlWindowBytes),
 		grpc.StatsHandler(otelgrpc.NewServerHandler(traceOptions(o.TracerProvider)...)),
