--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -364,3 +364,18 @@
 	}
 	<-read
 }
+
+// Guards against trust in a response whose status is none: its Retry-After, or that the request did not run.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	addr, _ := startTarget(t, func(_ int64, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "9")
+		w.WriteHeader(600)
+		_, _ = io.WriteString(w, `{"not_run":true}`)
+	})
+	c := newClient(t, Options{})
+	_, err := c.Call(t.Context(), addr, CallRequest{RequestID: "r"})
+	wantFailure(t, err, errs.CodeCorrupt, errs.Unknown)
+	if after := errs.RetryAfterOf(err); after != 0 {
+		t.Errorf("retry after %s", after)
+	}
+}
