--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/httphead"
 )
 
 const (
@@ -171,6 +172,10 @@
 	if err != nil {
 		return nil, sendFailure(ctx, op, addr, tracker.wrote(), err)
 	}
+	if !httphead.IsFinal(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return nil, &errs.Corrupt{What: "response of target " + addr + " to " + op, Detail: "it has the status " + strconv.Itoa(resp.StatusCode)}
+	}
 	return resp, nil
 }
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/httphead"
 )
 
 const (
@@ -36,6 +37,9 @@
 	// maxHeadBytes is the maximum size of the header of a response together with the interim responses
 	// before it. A faulty target may send bytes that never end.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines is the maximum number of lines of the header of a response. A short line takes far more memory than
+	// bytes.
+	maxHeadLines = 1000
 	// writeResultWait is how long a complete response waits for the result of sending the request.
 	writeResultWait = 10 * time.Millisecond
 )
@@ -125,9 +129,34 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.budget)])
 	l.budget -= n
+	if tooMany := l.countLines(p[:n]); tooMany != nil {
+		return 0, tooMany
+	}
 	return n, err
 }
 
+// countLines counts the lines of a header, but not those after its end.
+func (l *headLimiter) countLines(p []byte) error {
+	if l.complete {
+		return nil
+	}
+	_, l.complete = l.scanner.Feed(p)
+	if l.scanner.Lines() > maxHeadLines {
+		return &errs.Corrupt{What: "header of a response", Detail: fmt.Sprintf("it exceeds %d lines", maxHeadLines)}
+	}
+	return nil
+}
+
+// beginHead counts the lines of the next header, of which r may have read a part.
+func (l *headLimiter) beginHead(r *bufio.Reader) error {
+	l.scanner, l.complete = httphead.Scanner{}, false
+	part, err := r.Peek(r.Buffered())
+	if err != nil {
+		return err
+	}
+	return l.countLines(part)
+}
+
 // Do sends a request and returns after reading the header of the response. The end of ctx aborts the
 // request and the reading of the body, and closes the connection.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
@@ -268,18 +297,24 @@
 	}
 }
 
-// readHead reads the header of the final response and skips 1xx responses.
+// readHead reads the header of the final response and skips interim responses.
 func (x *exchange) readHead(req *Request) (*Response, error) {
 	x.conn.head.begin()
 	defer x.conn.head.end()
 	for {
+		if err := x.conn.head.beginHead(x.conn.r); err != nil {
+			return nil, err
+		}
 		r, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
 		}
-		if r.StatusCode >= 100 && r.StatusCode < 200 {
+		if httphead.IsInterim(r.StatusCode) {
 			continue
 		}
+		if !httphead.IsFinal(r.StatusCode) {
+			return nil, &errs.Corrupt{What: "response", Detail: "it has the status " + strconv.Quote(r.Status)}
+		}
 		framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 		reusable := framed && !r.Close
 		return &Response{StatusCode: r.StatusCode, Header: r.Header, ContentLength: r.ContentLength, Framed: framed,
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/httphead"
 )
 
 // Pool is a pool of idle connections by address. It is safe for concurrent use.
@@ -179,11 +180,13 @@
 	return &conn{Conn: nc, addr: addr, head: head, r: bufio.NewReaderSize(head, bufferBytes)}
 }
 
-// headLimiter limits how much is read while the header of a response is expected.
+// headLimiter limits how much is read while the header of a response is expected, and the lines of the header.
 type headLimiter struct {
-	source  io.Reader
-	limited bool
-	budget  int // bytes left
+	source   io.Reader
+	limited  bool
+	budget   int // bytes left
+	scanner  httphead.Scanner
+	complete bool // the header has ended
 }
 
 // begin allows maxHeadBytes until end is called.
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -2,16 +2,26 @@
 // many lines it consists, and which numbers are statuses. It is pure.
 package httphead
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+)
 
 // Statuses of the protocol.
 const (
-	minStatus = 100
-	maxStatus = 599
+	minInterimStatus = 100
+	minFinalStatus   = 200
+	maxStatus        = 599
 )
 
-// IsStatus reports whether a number is a status of the protocol. A message with any other number is no response.
-func IsStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+// IsInterim reports whether a response with a status is followed by another one.
+func IsInterim(status int) bool {
+	return status >= minInterimStatus && status < minFinalStatus && status != http.StatusSwitchingProtocols
+}
+
+// IsFinal reports whether a status is that of a response. A number that is neither final nor interim is none: not of
+// the protocol, or a change to a protocol that nobody has asked for.
+func IsFinal(status int) bool { return status >= minFinalStatus && status <= maxStatus }
 
 // Scanner finds the end of a head that arrives in parts, and counts its lines. A line of CRs, which package net/http
 // rejects, counts as empty. The zero value expects the first byte of a head.
