--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -158,14 +158,15 @@
 	startedAt     time.Time
 	deadline      time.Time
 	body          *bufferedBody
-	tried         []string      // targets already picked; waitForCapacity resets it
-	possibleRuns  int           // attempts that may have run the request
-	sawRejection  bool          // a target in tried rejected the request without running it
-	retryWait     time.Duration // time until a target that failed may be tried again
-	limitWait     time.Duration // time until a target that the last choice left out for its limit may be tried again
-	unadmitted    []string      // targets that have not admitted this request
-	attempts      int           // attempts started
-	serverErrors  int           // answers with status 500
+	tried         []string        // targets already picked; waitForCapacity resets it
+	possibleRuns  int             // attempts that may have run the request
+	sawRejection  bool            // a target in tried rejected the request without running it
+	retryWait     time.Duration   // time until a target that failed may be tried again
+	limitWait     time.Duration   // time until a target that the last choice left out for its limit may be tried again
+	unadmitted    []string        // targets that have not admitted this request
+	notForwarded  map[string]bool // headers of req that targets do not get
+	attempts      int             // attempts started
+	serverErrors  int             // answers with status 500
 	suspicion     suspicion
 	binding       // of a stream
 }
@@ -182,7 +183,8 @@
 }
 
 func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request, route *routes.Route, version uint64) *call {
-	c := &call{forwarder: f, route: route, configVersion: version, req: r, w: w, id: r.Header.Get(f.headers.RequestID), startedAt: bootclock.Now()}
+	c := &call{forwarder: f, route: route, configVersion: version, req: r, w: w, id: r.Header.Get(f.headers.RequestID), startedAt: bootclock.Now(),
+		notForwarded: hopByHopNames(r.Header)}
 	c.service = route.ChooseService(hashString(c.id))
 	c.source = notice.SourceRequest
 	if route.Kind == routes.Stream {
@@ -248,11 +250,12 @@
 // named by headers.ExpectedInstance makes any instance other than the target reject the request. The request is not
 // sent if the target announces its departure while the connection is opened.
 func (c *call) newRequest(cand choice) *httpconn.Request {
-	h := endToEndHeaders(c.req.Header)
+	h := make(http.Header)
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
 	h.Set(c.forwarder.headers.ExpectedInstance, cand.ID)
 	return &httpconn.Request{Method: c.req.Method, RequestURI: c.req.RequestURI, Host: c.req.Host, Header: h,
+		Base: c.req.Header, Without: c.notForwarded,
 		Body: c.body.reader(), ContentLength: c.body.length, BeforeSend: func() error { return c.forwarder.checkAccepts(cand) }}
 }
 
@@ -278,25 +281,29 @@
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
 	"Upgrade", "Content-Length", "Proxy-Authenticate", "Proxy-Authorization", "Expect"}
 
-// endToEndHeaders returns a copy of h without the hop-by-hop headers, including those that the
-// Connection header names.
-func endToEndHeaders(h http.Header) http.Header {
-	out := h.Clone()
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
+// hopByHopNames returns the names of headers in h that are not forwarded, including those that the Connection header names.
+func hopByHopNames(h http.Header) map[string]bool {
+	names := make(map[string]bool, len(hopByHopHeaders))
 	for _, name := range hopByHopHeaders {
-		out.Del(name)
+		names[name] = true
 	}
-	return out
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); h[name] != nil {
+				names[name] = true
+			}
+		}
+	}
+	return names
 }
 
-// copyResponseHeader copies the end-to-end headers of a response.
+// copyResponseHeader copies the end-to-end headers of a response. The values are shared.
 func copyResponseHeader(dst, src http.Header) {
-	for name, values := range endToEndHeaders(src) {
-		dst[name] = slices.Clone(values)
+	without := hopByHopNames(src)
+	for name, values := range src {
+		if !without[name] {
+			dst[name] = slices.Clip(values)
+		}
 	}
 	if _, ok := src["Content-Type"]; !ok {
 		dst["Content-Type"] = nil // prevents net/http from detecting one
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -51,7 +51,11 @@
 	RequestURI string
 	Host       string
 	Header     http.Header
-	Body       io.Reader
+	// Base has further headers, but for names in Header and in Without. Neither is changed, so that attempts can share
+	// them.
+	Base    http.Header
+	Without map[string]bool
+	Body    io.Reader
 	// ContentLength is the length of Body in bytes; -1 selects chunked encoding.
 	ContentLength int64
 	// BeforeSend is called when the connection is open; nil if it is not needed. If it returns an error, the
@@ -206,6 +210,7 @@
 	if err := req.Header.Write(w); err != nil {
 		return err
 	}
+	req.writeBase(w)
 	switch {
 	case req.Body != nil && req.ContentLength < 0:
 		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n\r\n")
@@ -236,6 +241,24 @@
 	return w.Flush()
 }
 
+// singleLine replaces what ends a line in the value of a header.
+var singleLine = strings.NewReplacer("\n", " ", "\r", " ")
+
+// writeBase writes the headers of Base. Errors stay in w.
+func (r *Request) writeBase(w *bufio.Writer) {
+	for name, values := range r.Base {
+		if _, replaced := r.Header[name]; replaced || r.Without[name] {
+			continue
+		}
+		for _, value := range values {
+			_, _ = w.WriteString(name)
+			_, _ = w.WriteString(": ")
+			_, _ = singleLine.WriteString(w, value)
+			_, _ = w.WriteString("\r\n")
+		}
+	}
+}
+
 // writeChunks writes body in chunked transfer encoding.
 func writeChunks(w io.Writer, body io.Reader) error {
 	buf := make([]byte, bufferBytes)
