--- a/internal/headguard/conn.go
+++ b/internal/headguard/conn.go
@@ -26,9 +26,10 @@
 	// maxReadAhead bounds a read of a body whose end is not known. The server may parse the begin of the next head in
 	// it before its cost is known.
 	maxReadAhead = 512
-	// writeTimeout is the time that a client has at least to take a part of an answer, of at most some KB. It has at
-	// most twice that time, because the deadline is not renewed with every part.
-	writeTimeout = 20 * time.Second
+	// writeTimeout is the time that a client has at least to take writePartBytes of an answer. It has at most twice that
+	// time, because the deadline is not renewed with every part.
+	writeTimeout   = 20 * time.Second
+	writePartBytes = 32 << 10
 	// bodyGrace and minBodyRate limit the time in which a body arrives: the grace, and a second for each minBodyRate
 	// bytes.
 	bodyGrace   = 30 * time.Second
@@ -288,8 +289,22 @@
 	g.recordRefusal(reasonSize)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It writes at most writePartBytes at a time, so that the time that a client has does not depend on
+// the size of the answer.
 func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writePartBytes)]
+		n, err := c.writePart(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// writePart writes a part of an answer.
+func (c *conn) writePart(p []byte) (int, error) {
 	if c.refused {
 		return 0, net.ErrClosed
 	}
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
 
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/fakes"
@@ -131,6 +132,18 @@
 	wantFailure(t, err, errs.CodeOverloaded, errs.NotRun)
 }
 
+// Guards against metadata that fills the memory of a host before the call is authenticated.
+func TestLargeMetadataIsRejected(t *testing.T) {
+	addr, _ := startServer(t, ServerOptions{Token: testToken})
+	_, peer := newTestPool(t, addr, Options{})
+	for size, ok := range map[int]bool{8 << 10: true, 20 << 10: false} {
+		ctx := metadata.AppendToOutgoingContext(t.Context(), "x", strings.Repeat("y", size))
+		if _, err := peer.Propose(ctx, &ProposeRequest{}); (err == nil) != ok {
+			t.Errorf("metadata of %d bytes: %v", size, err)
+		}
+	}
+}
+
 // Guards against serving a client without the cluster token.
 func TestWrongTokenIsRejected(t *testing.T) {
 	addr, impl := startServer(t, ServerOptions{Token: "another"})
