--- a/internal/headguard/ledger.go
+++ b/internal/headguard/ledger.go
@@ -258,7 +258,14 @@
 func (l *Ledger) ReserveBody(id uint64, bytes int64) bool {
 	c, ok := l.connections[id]
 	cost := bodyCost * bytes
-	if !ok || l.bodies+cost > l.limits.BodyBytes {
+	if !ok {
+		return false
+	}
+	room := float64(l.limits.BodyBytes)
+	if c.body+cost > smallBodyCost {
+		room *= largeBodyShare
+	}
+	if float64(l.bodies+cost) > room {
 		return false
 	}
 	c.body += cost
--- a/internal/headguard/ledger_test.go
+++ b/internal/headguard/ledger_test.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// Guards against batch jobs that keep out the reports of targets.
+func TestSmallBodyFitsBesideLargeOnes(t *testing.T) {
+	l := NewLedger(Limits{BodyBytes: 16 << 20, Connections: 20})
+	l.Open(time.Unix(0, 0), 1, "front")
+	l.Open(time.Unix(0, 0), 2, "control")
+	for l.ReserveBody(1, 64<<10) {
+	}
+	if !l.ReserveBody(2, 64<<10) || l.ReserveBody(2, 1) || l.BodyBytes() != 15<<20+256<<10 {
+		t.Errorf("%d bytes in use", l.BodyBytes())
+	}
+}
+
 // Guards against memory that is counted and never returned, and against a budget that is exceeded, in any order of
 // events.
 func TestLedgerReturnsWhatItCounts(t *testing.T) {
--- a/internal/headguard/limits.go
+++ b/internal/headguard/limits.go
@@ -25,6 +25,10 @@
 	largeShare = 3.0 / 4
 	// smallCost is the cost of a head of some 60 lines, more than ordinary clients send.
 	smallCost = 16 << 10
+	// largeBodyShare is the part of the budget of bodies that bodies above smallBodyCost may use. The rest is for reports
+	// of targets.
+	largeBodyShare = 15.0 / 16
+	smallBodyCost  = 256 << 10
 	// listenerShare is the part of the connections that the clients of one listener may use, so that a crowd of callers
 	// does not keep out the reports of targets and the checks of the load balancer.
 	listenerShare = 3.0 / 4
