--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"fuchsiaflow/internal/dialect"
 	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/gctuner"
+	"fuchsiaflow/internal/headguard"
 	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/kernel"
 	"fuchsiaflow/internal/notice"
@@ -86,6 +87,7 @@
 	stateClient *stateclient.Client
 	forwarder   *forward.Forwarder
 	refusals    *observe.Counter // requests refused for their key
+	guard       *headguard.Guard
 	front       *http.Server
 	ready       *http.Server
 	stopping    atomic.Bool
@@ -107,12 +109,13 @@
 	e.forwarder.UseStreamOrigins(e.stateClient)
 	e.forwarder.UseIdentities(identity.NewChecker(e.view, o.EngineClient, o.Log, o.Metrics))
 	rolehost.RegisterViewMetrics(o.Metrics, e.view)
+	e.guard = rolehost.NewGuard(s, o.Log, o.Metrics)
 	services := []namedService{
 		{"peers", e.pool},
 		{"watch", &clusterview.Watcher{View: e.view, Self: s.IP, Domain: s.FailureDomain, Peer: peer, Log: o.Log}},
 		{"trace", o.Tracing},
 		{"gctuner", gctuner.New(o.Log)},
-		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics)},
+		{"metrics", rolehost.NewMetricsService(s.Listen.Metrics, o.Metrics, e.guard)},
 		{"limits", limiter},
 		{"crashes", crashReporter},
 		{"forwarder", e.forwarder},
@@ -253,7 +256,7 @@
 		if err != nil {
 			return &errs.Unavailable{Resource: s.name + " address " + s.address, Reason: err.Error()}
 		}
-		k.Go(s.name+"/serve", func(context.Context) error { return rolehost.Serve(s.server, listener) })
+		k.Go(s.name+"/serve", func(context.Context) error { return rolehost.Serve(e.guard, s.name, s.server, listener) })
 	}
 	return nil
 }
