--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"fuchsiaflow/capacity"
 	"fuchsiaflow/fleet"
 )
 
@@ -41,8 +42,8 @@
 	crossDomainRetryCost = 1.0
 )
 
-// LoadReport is the load that a target reported: its running and waiting requests and its slots.
-type LoadReport struct{ Running, Waiting, Slots int }
+// LoadReport is the load that a target reported.
+type LoadReport = capacity.Load
 
 // Outcome is how a request at a target ended.
 type Outcome int
@@ -66,24 +67,26 @@
 	latency             time.Duration // moving average; 0 without a sample
 	load                LoadReport    // as last reported
 	loadReportedAt      time.Time
+	estimate            estimate
 }
 
 // Balancer selects targets and keeps statistics about them.
 type Balancer struct {
-	Domain string                  // own failure domain
-	stats  map[string]*targetStats // by target ID
+	Domain   string                  // own failure domain
+	stats    map[string]*targetStats // by target ID
+	services map[string]*serviceState
 }
 
 // New returns a balancer without statistics for a host in the given failure domain.
 func New(domain string) *Balancer {
-	return &Balancer{Domain: domain, stats: make(map[string]*targetStats)}
+	return &Balancer{Domain: domain, stats: make(map[string]*targetStats), services: make(map[string]*serviceState)}
 }
 
 // statsFor returns the statistics of a target and creates them if necessary.
 func (b *Balancer) statsFor(id string) *targetStats {
 	s := b.stats[id]
 	if s == nil {
-		s = &targetStats{}
+		s = &targetStats{estimate: newEstimate()}
 		b.stats[id] = s
 	}
 	return s
@@ -106,35 +109,68 @@
 // no candidate is usable, ok is false and wait is the time until the first backoff ends, or 0 if no
 // candidate is in backoff.
 func (b *Balancer) Pick(now time.Time, list []Candidate, tried []string) (c Candidate, wait time.Duration, ok bool) {
+	c, refusal, ok := b.PickWithin(now, list, tried, 0)
+	return c, refusal.Wait, ok
+}
+
+// Refusal tells why no candidate is usable.
+type Refusal struct {
+	// Wait is the time until the first candidate may be usable, or 0 if that is not known.
+	Wait time.Duration
+	// Overloaded is set if a candidate works but would not complete the request in time.
+	Overloaded bool
+}
+
+// PickWithin is Pick for a request that must be complete within the time left; 0 means that there is no such time. Where
+// choices use estimates and there are several candidates, those that are not expected to complete it in time are not used.
+func (b *Balancer) PickWithin(now time.Time, list []Candidate, tried []string, left time.Duration) (Candidate, Refusal, bool) {
+	var no Refusal
 	best := -1
+	var bestStats *targetStats
 	var bestScore float64
 	domainCost := b.domainCost(list, tried)
-	for i, cand := range list {
+	service := b.reviewService(now, list)
+	for i := range list {
+		cand := &list[i]
 		if slices.Contains(tried, cand.ID) {
 			continue
 		}
-		if s := b.statsFor(cand.ID); s.consecutiveFailures >= unavailableAfter && now.Before(s.backoffUntil) {
-			if remaining := s.backoffUntil.Sub(now); wait == 0 || remaining < wait {
-				wait = remaining
-			}
+		s := b.statsFor(cand.ID)
+		if s.consecutiveFailures >= unavailableAfter && now.Before(s.backoffUntil) {
+			no.wait(s.backoffUntil.Sub(now))
 			continue
 		}
-		score := b.score(now, &cand, domainCost)
+		if service.usesEstimates && len(list) > 1 {
+			if excess := s.estimate.overload(now, s.inflight, left, service.reference); excess > 0 {
+				no.wait(excess)
+				no.Overloaded = true
+				continue
+			}
+		}
+		score := b.score(now, cand, s, domainCost, service)
 		if best < 0 || score < bestScore || score == bestScore && strings.Compare(cand.ID, list[best].ID) < 0 {
-			best, bestScore = i, score
+			best, bestScore, bestStats = i, score, s
 		}
 	}
 	if best < 0 {
-		return Candidate{}, wait, false
+		return Candidate{}, no, false
+	}
+	bestStats.estimate.sentAt = now
+	return list[best], Refusal{}, true
+}
+
+// wait records that a candidate may be usable after a time.
+func (r *Refusal) wait(d time.Duration) {
+	if r.Wait == 0 || d < r.Wait {
+		r.Wait = d
 	}
-	return list[best], 0, true
 }
 
 // domainCost returns the cost of targets in other failure domains for a request that was already sent
 // to the tried targets.
 func (b *Balancer) domainCost(list []Candidate, tried []string) float64 {
-	for _, c := range list {
-		if c.Domain != b.Domain && slices.Contains(tried, c.ID) {
+	for i := range list {
+		if c := &list[i]; c.Domain != b.Domain && slices.Contains(tried, c.ID) {
 			return crossDomainRetryCost
 		}
 	}
@@ -144,30 +180,24 @@
 // backoffPenalty ranks targets in backoff below all others, and preferred targets above.
 const backoffPenalty = 1e6
 
-// score returns the expected latency in seconds, adjusted by costs and penalties; lower is better.
-func (b *Balancer) score(now time.Time, c *Candidate, domainCost float64) float64 {
-	s := b.statsFor(c.ID)
-	latency := s.latency
-	if latency == 0 {
-		latency = defaultLatency
-	}
-	factor := 1.0
+// score returns the expected completion time in seconds, adjusted by costs and penalties; lower is better.
+func (b *Balancer) score(now time.Time, c *Candidate, s *targetStats, domainCost float64, service *serviceState) float64 {
+	cost := 0.0
 	if c.Domain != b.Domain {
-		factor += domainCost
+		cost += domainCost
 	}
 	if !c.Connected {
-		factor += newConnectionCost
+		cost += newConnectionCost
 	}
 	if c.Limited {
-		factor += limitedCost
+		cost += limitedCost
 	}
-	slots := max(c.Slots, 1)
-	load := float64(s.inflight)
-	if age := now.Sub(s.loadReportedAt); age < maxLoadAge && s.load.Slots > 0 {
-		weight := 1 - float64(age)/float64(maxLoadAge)
-		load = max(load, weight*float64(s.load.Running+s.load.Waiting))
+	score := 0.0
+	if service.usesEstimates {
+		score = s.estimate.completion(now, s.inflight, cost, service.reference)
+	} else {
+		score = s.averageCompletion(now, c.Slots, cost)
 	}
-	score := latency.Seconds() * (factor + load/float64(slots))
 	if c.WarmupRemaining > 0 {
 		score *= 2
 	}
@@ -179,8 +209,28 @@
 	return score
 }
 
-// Started records that a request is being sent to a target.
-func (b *Balancer) Started(id string) { b.statsFor(id).inflight++ }
+// averageCompletion returns the expected time of a request in seconds by the average latency, if it grows in proportion to
+// the load of the slots. cost is a fraction of the latency.
+func (s *targetStats) averageCompletion(now time.Time, slots int, cost float64) float64 {
+	latency := s.latency
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	load := float64(s.inflight)
+	if age := now.Sub(s.loadReportedAt); age < maxLoadAge && s.load.Slots > 0 {
+		weight := 1 - float64(age)/float64(maxLoadAge)
+		load = max(load, weight*float64(s.load.Running+s.load.Waiting))
+	}
+	return latency.Seconds() * (1 + cost + load/float64(max(slots, 1)))
+}
+
+// Started records that a request is being sent to a target. It returns the number of requests of this host in progress
+// there, this one included.
+func (b *Balancer) Started(id string) int {
+	s := b.statsFor(id)
+	s.inflight++
+	return s.inflight
+}
 
 // Withdrawn records that a request that was recorded with Started has not been sent.
 func (b *Balancer) Withdrawn(id string) { b.statsFor(id).inflight-- }
@@ -189,12 +239,20 @@
 func (b *Balancer) RecordLoad(now time.Time, id string, l LoadReport) {
 	s := b.statsFor(id)
 	s.load, s.loadReportedAt = l, now
+	s.estimate.RecordLoad(now, s.inflight, l)
 }
 
 // Finished records the outcome of a request that was recorded with Started. latency is used for OK and
 // Cancelled.
 func (b *Balancer) Finished(now time.Time, id string, o Outcome, latency time.Duration) {
+	b.FinishedAmong(now, id, o, latency, b.statsFor(id).inflight)
+}
+
+// FinishedAmong is Finished for a request of which the result of Started is known: the latency depends on the requests in
+// progress when it started as well as when it ended.
+func (b *Balancer) FinishedAmong(now time.Time, id string, o Outcome, latency time.Duration, started int) {
 	s := b.statsFor(id)
+	s.estimate.record(now, o, latency, float64(started+s.inflight)/2)
 	s.inflight--
 	switch o {
 	case OK:
--- a/internal/clusterview/event.go
+++ b/internal/clusterview/event.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"fuchsiaflow/capacity"
 	"fuchsiaflow/errs"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/pack"
@@ -71,6 +72,9 @@
 	RateLimits []fleet.RateLimit `cbor:"10,keyasint,omitempty"`
 	// Quarantine are requests under which targets have crashed, as the state group has stored them.
 	Quarantine []quarantine.Entry `cbor:"11,keyasint,omitempty"`
+	// Capacity is what hosts have learned of targets, as the leader has merged it: what changed since the event before,
+	// capacity.MaxStatements at most.
+	Capacity []capacity.Statement `cbor:"12,keyasint,omitempty"`
 }
 
 // isDirectory reports whether the event only lists the store hosts that a host without a replica hears.
@@ -82,7 +86,8 @@
 		!slices.Equal(e.Stores, previous.Stores) {
 		return *e
 	}
-	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures, RateLimits: e.RateLimits, Quarantine: e.Quarantine}
+	return Event{Unchanged: true, Config: e.Config, Targets: e.Targets, Departures: e.Departures, RateLimits: e.RateLimits, Quarantine: e.Quarantine,
+		Capacity: e.Capacity}
 }
 
 // header returns the fields that later events may omit.
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiaflow/capacity"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/quarantine"
@@ -51,6 +52,7 @@
 	config      Config
 	registry    *fleet.Registry
 	rateLimits  *fleet.RateLimits
+	capacity    *capacity.Table
 	quarantine  *quarantine.Records
 	stores      map[string]storeEntry // by IP
 	leader      string
@@ -69,7 +71,7 @@
 // NewView returns a view that knows only the IP addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
 	v := &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
-		rateLimits: fleet.NewRateLimits(), quarantine: quarantine.NewRecords(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
+		rateLimits: fleet.NewRateLimits(), capacity: capacity.NewTable(), quarantine: quarantine.NewRecords(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
 	v.registry.IsConfigured = v.isConfigured
 	return v
 }
@@ -157,6 +159,7 @@
 	for _, l := range e.RateLimits {
 		changed = v.mergeRateLimit(now, l, e.From.ReplicaID) || changed
 	}
+	v.replaceCapacity(now, e.Capacity)
 	for _, q := range e.Quarantine {
 		changed = v.mergeQuarantine(now, q, e.From.ReplicaID) || changed
 	}
@@ -307,6 +310,7 @@
 		_, known := v.registry.Get(target)
 		return known
 	})
+	v.capacity.Expire(now)
 	maps.DeleteFunc(v.stores, func(_ string, s storeEntry) bool { return now.Sub(s.lastSeen) > storeExpiry })
 }
 
--- a/internal/clusterview/watch.go
+++ b/internal/clusterview/watch.go
@@ -162,7 +162,7 @@
 // that knows the members of the state group, and no other host would discover it.
 func Serve(v *View, r *rpc.WatchRequest, stream grpc.ServerStreamingServer[rpc.WatchEvent], source Source) error {
 	recordWatchingStore(v, r, stream)
-	var revision, departureRevision, rateRevision, quarantineRevision, version uint64
+	var revision, departureRevision, rateRevision, quarantineRevision, capacityRevision, version uint64
 	var previous Event
 	for {
 		changed := v.Changed()
@@ -173,6 +173,7 @@
 		e.Departures, departureRevision = v.DeparturesSince(departureRevision)
 		e.RateLimits, rateRevision = v.RateLimitsSince(rateRevision)
 		e.Quarantine, quarantineRevision = v.QuarantineSince(quarantineRevision)
+		e.Capacity, capacityRevision = v.CapacitySince(capacityRevision)
 		if e.Config != nil {
 			version = e.Config.Version
 		}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -13,6 +13,7 @@
 	balance.Candidate
 	at        time.Time     // when the target was chosen
 	reportAge time.Duration // age of the report of the target that this host had then
+	inflight  int           // requests of this host at the target, this attempt included, when it was chosen
 	limit     float64       // requests a second that the target states, as known then; 0 if it states no limit
 	// admittedAt is when the attempt was admitted at a target with a limit; zero if it was not.
 	admittedAt time.Time
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -97,6 +97,9 @@
 	// buffers bounds what bodies hold in memory.
 	buffers bufferBudget
 
+	// capacityRevision is the revision of the statements of other hosts that were learned last.
+	capacityRevision uint64
+
 	mu       sync.Mutex
 	balancer *balance.Balancer
 }
@@ -105,13 +108,15 @@
 func New(h dialect.Headers, view *clusterview.View, limiter *ratelimit.Limiter, failureDomain string, log *slog.Logger, m *observe.Metrics, tracing *observe.Tracing) *Forwarder {
 	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(failureDomain),
 		limiter: limiter, tracing: tracing, started: bootclock.Now(), shutdown: shutdown.New()}
-	f.metrics = newMetrics(m, f.pool)
+	f.metrics = newMetrics(m, f)
 	return f
 }
 
 // Start implements kernel.Service.
 func (f *Forwarder) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Every("forward/sweep", sweepInterval, f.sweep)
+	k.Every("forward/estimates", learnInterval, f.learnEstimates)
+	k.Go("forward/share", f.shareEstimates)
 	return nil
 }
 
@@ -161,7 +166,8 @@
 	tried         []string      // targets already picked; waitForCapacity resets it
 	possibleRuns  int           // attempts that may have run the request
 	sawRejection  bool          // a target in tried rejected the request without running it
-	retryWait     time.Duration // time until a target that failed may be tried again
+	retryWait     time.Duration // time until a target that failed, or is overloaded, may be tried again
+	overloaded    bool          // the last choice found a target that works but is not expected to answer in time
 	limitWait     time.Duration // time until a target that the last choice left out for its limit may be tried again
 	unadmitted    []string      // targets that have not admitted this request
 	attempts      int           // attempts started
@@ -329,6 +335,8 @@
 	case c.limitWait > 0:
 		patience := time.Duration(returnShare * float64(c.deadline.Sub(bootclock.Now())))
 		c.refuse(c.forwarder.limiter.RetryAfter(c.service, c.forwarder.view.Serving(c.service), patience), "all targets are at their limits")
+	case c.overloaded:
+		c.refuse(c.retryWait, "no target is expected to answer in time")
 	case c.retryWait > 0:
 		c.refuse(c.retryWait, "all targets have failed")
 	case c.attempts == 0:
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -8,6 +8,7 @@
 	"fuchsiaflow/balance"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/ratelimit"
+	"fuchsiaflow/routes"
 )
 
 // pickTarget selects a target that is not in tried and reports the start of an attempt to the balancer. A target that
@@ -81,14 +82,15 @@
 func (c *call) chooseFrom(list []balance.Candidate) (choice, bool) {
 	c.forwarder.mu.Lock()
 	defer c.forwarder.mu.Unlock()
-	cand, wait, ok := c.forwarder.balancer.Pick(bootclock.Now(), list, c.tried)
-	c.retryWait = wait
+	cand, refusal, ok := c.forwarder.balancer.PickWithin(bootclock.Now(), list, c.tried, c.timeLeft())
+	c.retryWait, c.overloaded = refusal.Wait, refusal.Overloaded
+	limit, _ := c.forwarder.view.RateLimit(cand.ID, cand.Incarnation)
+	chosen := newChoice(cand, limit)
 	if ok {
 		c.tried = append(c.tried, cand.ID)
-		c.forwarder.balancer.Started(cand.ID)
+		chosen.inflight = c.forwarder.balancer.Started(cand.ID)
 	}
-	limit, _ := c.forwarder.view.RateLimit(cand.ID, cand.Incarnation)
-	return newChoice(cand, limit), ok
+	return chosen, ok
 }
 
 // pickFirstTarget selects the first target. If no target is known during the warmup period, it waits for
@@ -114,9 +116,17 @@
 	}
 }
 
+// timeLeft returns the time within which a request must be complete; 0 for a stream, which is of use before its end.
+func (c *call) timeLeft() time.Duration {
+	if c.route.Kind == routes.Stream {
+		return 0
+	}
+	return max(c.deadline.Sub(bootclock.Now()), time.Millisecond)
+}
+
 // attemptFinished reports the outcome of an attempt to the balancer.
-func (c *call) attemptFinished(target string, o balance.Outcome, took time.Duration) {
+func (c *call) attemptFinished(cand choice, o balance.Outcome, took time.Duration) {
 	c.forwarder.mu.Lock()
 	defer c.forwarder.mu.Unlock()
-	c.forwarder.balancer.Finished(bootclock.Now(), target, o, took)
+	c.forwarder.balancer.FinishedAmong(bootclock.Now(), cand.ID, o, took, cand.inflight)
 }
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -232,7 +232,7 @@
 	case ctx.Err() != nil && c.deadline.After(bootclock.Now()):
 		outcome = balance.Cancelled
 	}
-	c.attemptFinished(cand.ID, outcome, bootclock.Now().Sub(begin))
+	c.attemptFinished(cand, outcome, bootclock.Now().Sub(begin))
 	if outcome != balance.OK {
 		c.logFailedAttempt(res, cand, bootclock.Now().Sub(begin))
 	}
@@ -310,24 +310,33 @@
 	return err
 }
 
-// reportLoad reports the load header of a target to the balancer. The header has the form
-// "running,waiting,slots"; any other value is ignored.
+// reportLoad reports the load header of a target to the balancer. The header has the form "running,waiting,slots" or
+// "running,waiting,slots,slowness", with the slowness in percent; any other value is ignored.
 func (c *call) reportLoad(target, value string) {
+	load, ok := parseLoad(value)
+	if !ok {
+		return // without a valid load, the balancer relies on the outcomes of attempts
+	}
+	c.forwarder.mu.Lock()
+	defer c.forwarder.mu.Unlock()
+	c.forwarder.balancer.RecordLoad(bootclock.Now(), target, load)
+}
+
+// parseLoad returns the load that a header states.
+func parseLoad(value string) (load balance.LoadReport, ok bool) {
 	fields := strings.Split(value, ",")
-	if len(fields) != 3 {
-		return
+	if len(fields) != 3 && len(fields) != 4 {
+		return load, false
 	}
-	var counts [3]int
+	var figures [4]int
 	for i, field := range fields {
 		v, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil {
-			return // without a valid load, the balancer relies on the outcomes of attempts
+			return load, false
 		}
-		counts[i] = v
+		figures[i] = v
 	}
-	c.forwarder.mu.Lock()
-	defer c.forwarder.mu.Unlock()
-	c.forwarder.balancer.RecordLoad(bootclock.Now(), target, balance.LoadReport{Running: counts[0], Waiting: counts[1], Slots: counts[2]})
+	return balance.LoadReport{Running: figures[0], Waiting: figures[1], Slots: figures[2], SlownessPercent: figures[3]}, true
 }
 
 // writeResponse passes a response on to the caller. It returns AbortedResponse if an error occurs after
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -287,7 +287,7 @@
 	if crash := s.reportCrash(s.req.Context(), &cand, err); crash != nil {
 		s.suspicion.add(crash)
 	}
-	s.attemptFinished(cand.ID, o, took)
+	s.attemptFinished(cand, o, took)
 	if o != balance.OK {
 		s.logFailedAttempt(&attemptResult{err: err, kind: resultUnknown}, cand, took)
 	}
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"fuchsiaflow/capacity"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/limits"
 )
@@ -38,6 +39,9 @@
 	Limit *fleet.RateLimit `cbor:"2,keyasint,omitempty"`
 	// Share is the demand for a share of Limit.
 	Share limits.Demand `cbor:"3,keyasint"`
+	// Capacity is what the host has learned of targets that it used, capacity.MaxStatements at most. Hosts of earlier builds
+	// ignore it.
+	Capacity []capacity.Statement `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant is the answer to a Demand.
--- a/internal/ratelimit/tell.go
+++ b/internal/ratelimit/tell.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fuchsiaflow/capacity"
 	"fuchsiaflow/fleet"
 )
 
@@ -23,6 +24,12 @@
 	}
 }
 
+// TellCapacity tells the leader what this host has learned of targets.
+func (l *Limiter) TellCapacity(ctx context.Context, list []capacity.Statement) error {
+	_, err := l.leader.Call(ctx, Demand{Capacity: list})
+	return err
+}
+
 // statements returns what this host knows of the limit of a target, as the leader needs it.
 func (l *Limiter) statements(target string) []fleet.RateLimit {
 	if s, ok := l.view.Statement(target); ok {
--- a/internal/store/limits.go
+++ b/internal/store/limits.go
@@ -34,13 +34,14 @@
 	return st.demandShare(st.replica.ID, &d)
 }
 
-// demandShare records the limits that a host has learned of, and grants it a share of the one that it asks for. Only
+// demandShare records the limits and the capacity of targets that a host has learned of, and grants it a share of the one that it asks for. Only
 // the holder of the leader lease grants, so that no two hosts grant the same requests.
 func (st *Store) demandShare(host string, d *ratelimit.Demand) (ratelimit.Grant, error) {
 	st.view.MergeRateLimits(d.Limits, host)
 	if !st.group.IsLeader() || st.stopping() {
 		return ratelimit.Grant{}, st.notLeader()
 	}
+	st.view.AddCapacity(d.Capacity)
 	if d.Limit == nil {
 		return ratelimit.Grant{}, nil
 	}
