--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -117,7 +117,7 @@
 	if e.base > 0 {
 		e.curve.record(now, concurrency, clip(math.Log(scaled/(e.base*e.windowSlowness(now, slowness)))))
 	}
-	e.recordBase(scaled/e.stated.slownessAt(now), 1/max(concurrency, 1))
+	e.recordBase(scaled/e.stated.slownessAt(now), 1/math.Sqrt(max(concurrency, 1)))
 	e.addToWindow(now, scaled)
 	e.resultAt = now
 	e.curve.compute(now, e.priorKnee(now))
@@ -215,6 +215,15 @@
 	return e.usualLatency(now, reference) * e.Slowness(now)
 }
 
+// UsualLatency returns the latency at one request at the usual speed of the target by own results, in seconds; 0 if there
+// are less than reliableCount.
+func (e *Estimator) UsualLatency() float64 {
+	if e.count < reliableCount {
+		return 0
+	}
+	return e.base
+}
+
 // usualLatency returns the latency at one request at the usual speed of the target, in seconds.
 func (e *Estimator) usualLatency(now time.Time, reference float64) float64 {
 	if e.count == 0 && e.sharedAt.IsZero() {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -324,7 +324,11 @@
 	r.metrics.updateGauges(r.sched, r.scoringQueue)
 	for _, e := range r.sched.EngineStates(now) {
 		r.opts.Log.Debug("engine state", "engine", e.ID, "model", e.Model, "version", e.Version, "running", e.Running, "slots", e.Slots, "tokens", e.ExpectedTokens,
-			"limit", e.KVCacheTokens, "failures", e.Failures, "paused", e.InBackoff, "loading", e.Loading, "gap_ms", e.EventGapMs)
+			"limit", e.KVCacheTokens, "failures", e.Failures, "paused", e.InBackoff, "loading", e.Loading, "gap_ms", e.EventGapMs, "knee", e.Knee)
+	}
+	for _, c := range r.sched.SpeedChanges() {
+		r.opts.Log.Info("speed of engine changed", "engine", c.Engine, "gap_ms", c.Gap.Milliseconds(), "previous_ms", c.PreviousGap.Milliseconds(),
+			"knee", c.Knee, "previous_knee", c.PreviousKnee, "running", c.Running)
 	}
 	for _, m := range r.sched.ModelStates() {
 		if m.Waiting+m.Running > 0 || m.Unavailable > 0 {
--- a/schedule/engines.go
+++ b/schedule/engines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fuchsiaflow/capacity"
 	"fuchsiaflow/fleet"
 )
 
@@ -28,7 +29,11 @@
 	versions       map[string]uint64 // loaded weight version per model
 
 	speed                 engineSpeed
-	consecutiveFailures   int // Broken runs since the last Finished or Failed one
+	estimate              *capacity.Estimator // of the event gap
+	reportedGap           float64             // usualGap as last returned by SpeedChanges, in seconds
+	reportedKnee          float64             // knee as last returned by SpeedChanges
+	unlike                bool                // the engines of the service are of unlike speed; see Scheduler.reviewSpeeds
+	consecutiveFailures   int                 // Broken runs since the last Finished or Failed one
 	backoffUntil          time.Time
 	loading               *weightLoad // load in progress; nil if none
 	draining              bool
@@ -37,6 +42,8 @@
 
 func (e *engine) freeSlots() int { return e.Slots - len(e.runs) }
 
+func (e *engine) hasFreeSlot() bool { return e.freeSlots() > 0 }
+
 // minCapacity is the least capacity of an engine.
 const minCapacity = 0.05
 
@@ -120,7 +127,7 @@
 // score estimates the relative run time of the task on this engine; lower is better. medianGap, in
 // seconds, is used for an engine without a recent speed measurement.
 func (e *engine) score(now time.Time, t *Task, medianGap float64) float64 {
-	score := 1 + fullOccupancySlowdown*e.occupancy(1)
+	score := e.slowdownAt(len(e.runs) + 1)
 	if e.runsByGroup[t.Group] > 0 {
 		score -= cachedPromptBonus
 	}
@@ -130,11 +137,6 @@
 	return score * e.speed.expectedGap(now, medianGap) * t.restartFactor(e)
 }
 
-// occupancy returns the fraction of slots in use if that many additional runs were started.
-func (e *engine) occupancy(additional int) float64 {
-	return float64(len(e.runs)+additional) / float64(max(e.Slots, 1))
-}
-
 // recordOutcome updates the failure count and the backoff after a run has ended.
 func (e *engine) recordOutcome(now time.Time, o Outcome) {
 	switch o {
@@ -164,7 +166,8 @@
 		present[update.ID] = true
 		e := s.engines[update.ID]
 		if e == nil || e.Incarnation != update.Incarnation {
-			e = &engine{runs: make(map[Key]*run), runsByGroup: make(map[string]int), versions: make(map[string]uint64)}
+			e = &engine{runs: make(map[Key]*run), runsByGroup: make(map[string]int), versions: make(map[string]uint64),
+				estimate: newEngineCapacity(update.Slots)}
 			if old := s.engines[update.ID]; old != nil {
 				e.assignedModel = old.assignedModel
 			}
@@ -211,6 +214,7 @@
 	Failures                      int
 	InBackoff, Loading            bool    // in backoff after a refused or broken run; loading weights
 	Version                       uint64  // loaded version of the assigned model
+	Knee                          float64 // runs that are worthwhile at once, as far as results show
 	EventGapMs                    float64 // average time between two output events of a run, scaled to an idle engine
 }
 
@@ -220,7 +224,7 @@
 	for _, e := range s.enginesByID() {
 		out = append(out, EngineState{ID: e.ID, Model: e.assignedModel, Running: len(e.runs), Slots: e.Slots, ExpectedTokens: e.expectedTokens, KVCacheTokens: e.Engine.KVCacheTokens,
 			Failures: e.consecutiveFailures, InBackoff: now.Before(e.backoffUntil), Loading: e.loading != nil, Version: e.versions[e.assignedModel],
-			EventGapMs: e.speed.averageGap * 1000})
+			EventGapMs: e.speed.averageGap * 1000, Knee: e.estimate.Knee()})
 	}
 	return out
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -121,12 +121,16 @@
 	loadDuration  loadDurationEstimate
 	medianGap     float64       // median of the engines' averageGap, in seconds
 	runTime       time.Duration // moving average of the time of a finished run
+	// unlikeUntil is until when the engines of a service count as unlike. If ignoreSpeeds is set, none ever do; tests
+	// compare with that.
+	unlikeUntil  map[string]time.Time
+	ignoreSpeeds bool
 }
 
 // New returns a scheduler without tasks and engines.
 func New() *Scheduler {
 	return &Scheduler{jobs: make(map[string]*job), engines: make(map[string]*engine), demand: make(map[string]map[string]float64),
-		medianGap: defaultGap, runTime: defaultRunTime}
+		medianGap: defaultGap, runTime: defaultRunTime, unlikeUntil: make(map[string]time.Time)}
 }
 
 // AddJob adds the open tasks of a job. It does nothing if the job exists already. CarriedOver items start
@@ -241,35 +245,47 @@
 	var out []Assignment
 	for _, id := range s.jobsByDeadline() {
 		j := s.jobs[id]
-		free := s.enginesWithFreeSlots(now, j)
-		var remaining []*Task
-		for i, t := range j.waiting {
-			if len(free) == 0 {
-				remaining = append(remaining, j.waiting[i:]...)
-				break
-			}
-			e := s.bestEngine(now, t, free)
-			if e == nil && t.PinnedVersion > 0 && !s.versionAvailable(t) {
-				t.PinnedVersion = 0 // no engine can complete the partial text any more
-				e = s.bestEngine(now, t, free)
-			}
-			if e == nil || t.startsAnew(e) && s.awaitsRelease(now, t) {
-				remaining = append(remaining, t)
-				continue
-			}
+		assign := func(t *Task, e *engine) {
 			r := &run{task: t, engine: e, startedAt: now}
 			j.running[t.Item] = r
 			e.add(now, r)
 			out = append(out, Assignment{Task: *t, Engine: e.ID})
-			if e.freeSlots() <= 0 {
-				free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
-			}
 		}
-		j.waiting = remaining
+		free := s.enginesWithFreeSlots(now, j)
+		if len(free) > 0 && s.isUnlike(now, j.waiting[0].Service) {
+			j.waiting = s.assignUnlike(now, j, free, assign)
+		} else {
+			j.waiting = s.assignInOrder(now, j.waiting, free, (*engine).hasFreeSlot, assign)
+		}
 	}
 	return out
 }
 
+// assignInOrder assigns tasks, one after the other, to the best of the free engines, each as long as it is usable, and
+// returns the tasks that remain.
+func (s *Scheduler) assignInOrder(now time.Time, tasks []*Task, free []*engine, usable func(*engine) bool, assign func(*Task, *engine)) []*Task {
+	var remaining []*Task
+	for i, t := range tasks {
+		if len(free) == 0 {
+			return append(remaining, tasks[i:]...)
+		}
+		e := s.bestEngine(now, t, free)
+		if e == nil && t.PinnedVersion > 0 && !s.versionAvailable(t) {
+			t.PinnedVersion = 0 // no engine can complete the partial text any more
+			e = s.bestEngine(now, t, free)
+		}
+		if e == nil || t.startsAnew(e) && s.awaitsRelease(now, t) {
+			remaining = append(remaining, t)
+			continue
+		}
+		assign(t, e)
+		if !usable(e) {
+			free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
+		}
+	}
+	return remaining
+}
+
 // enginesWithFreeSlots returns the engines with a free slot that have a suitable weight version for the
 // job. All tasks of a job have the same model and MinVersion, so that checking the first waiting one
 // suffices. Service, KV cache and PinnedVersion are checked by canStart.
@@ -310,8 +326,11 @@
 		if !e.canStart(now, t) {
 			continue
 		}
+		if best != nil && best.hasRoom() && !e.hasRoom() {
+			continue
+		}
 		score := e.score(now, t, s.medianGap)
-		if best == nil || score < bestScore {
+		if best == nil || score < bestScore || e.hasRoom() && !best.hasRoom() {
 			best, bestScore = e, score
 		}
 	}
@@ -346,18 +365,22 @@
 }
 
 // PlanMoves selects runs on slow engines for which a much faster engine has a free slot, in jobs without
-// waiting tasks. The caller stops each run and reports it to EndRun with the outcome Stopped.
+// waiting tasks. If the engines of the service are of unlike speed, it also selects those that end sooner by a move. The
+// caller stops each run and reports it to EndRun with the outcome Stopped.
 func (s *Scheduler) PlanMoves(now time.Time) []Move {
 	var out []Move
 	claimedSlots := make(map[string]int)
-	slowGap := minMoveSpeedup * s.smallestGap(now)
+	smallest := s.smallestGap(now)
 	for _, id := range s.jobOrder {
 		j := s.jobs[id]
 		if len(j.waiting) > 0 {
 			continue
 		}
 		for _, r := range runsByRemainingTokens(j.running) {
-			if r.stopRequested || !r.engine.speed.fresh(now) || r.engine.speed.averageGap < slowGap {
+			if r.stopRequested || !r.engine.speed.fresh(now) {
+				continue
+			}
+			if r.engine.speed.averageGap < minMoveSpeedup*smallest && !(r.engine.unlike && s.mayEndSooner(now, r, smallest)) {
 				continue // no engine is so much faster; the search below costs a visit of every engine
 			}
 			task := r.taskAfterMove(now)
@@ -365,7 +388,8 @@
 			if dest == nil || dest == r.engine || dest.RateLimit > 0 || dest.freeSlots()-claimedSlots[dest.ID] <= 0 {
 				continue
 			}
-			if r.engine.speed.averageGap < minMoveSpeedup*dest.speed.expectedGap(now, s.medianGap)*task.restartFactor(dest) {
+			muchFaster := r.engine.speed.averageGap >= minMoveSpeedup*dest.speed.expectedGap(now, s.medianGap)*task.restartFactor(dest)
+			if !muchFaster && !(r.engine.unlike && s.endsSooner(now, r, &task, dest, claimedSlots[dest.ID])) {
 				continue
 			}
 			r.stopRequested = true
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -43,10 +43,10 @@
 	return medianGap
 }
 
-// record adds a measurement. occupancy is the fraction of slots in use; the gap is scaled to an idle
-// engine, because events become slower as an engine fills up.
-func (s *engineSpeed) record(now time.Time, gap time.Duration, occupancy float64) {
-	g := gap.Seconds() / (1 + fullOccupancySlowdown*occupancy)
+// record adds a measurement. slowdown is the factor by which the runs in progress slow the engine down; the gap is
+// scaled to an idle engine, because events become slower as an engine fills up.
+func (s *engineSpeed) record(now time.Time, gap time.Duration, slowdown float64) {
+	g := gap.Seconds() / slowdown
 	if s.fresh(now) {
 		g = s.averageGap + speedSampleWeight*(g-s.averageGap)
 	}
@@ -58,10 +58,12 @@
 func (s *Scheduler) RecordSpeeds(now time.Time, samples []SpeedSample) {
 	for _, sample := range samples {
 		if e := s.engines[sample.Engine]; e != nil && sample.EventGap > 0 {
-			e.speed.record(now, sample.EventGap, e.occupancy(0))
+			e.recordCapacity(now, sample.EventGap)
+			e.speed.record(now, sample.EventGap, e.slowdownAt(len(e.runs)))
 		}
 	}
 	s.medianGap = s.medianMeasuredGap(now)
+	s.reviewSpeeds(now)
 }
 
 // medianMeasuredGap returns the median gap of the engines with a fresh measurement, in seconds, or
