--- a/balance/estimates.go
+++ b/balance/estimates.go
@@ -47,6 +47,7 @@
 	shared      bool      // other hosts use what this one learns
 	news        bool      // there were results since the last statement
 	statedAt    time.Time // when the last statement was made
+	base        float64   // latency at one request and usual speed as of the last review, in seconds; 0 after a later result
 	sentAt      time.Time // when the last request was sent
 	loggedKnee  float64   // as last reported by Changes; 0 before
 	logged      float64   // latency in seconds as last reported by Changes
@@ -60,10 +61,10 @@
 	switch o {
 	case OK:
 		e.RecordResult(now, concurrency, latency)
-		e.news = true
+		e.news, e.base = true, 0
 	case Cancelled:
 		e.RecordBound(now, concurrency, latency)
-		e.news = true
+		e.news, e.base = true, 0
 	case Shed:
 		e.RecordRefusal(now, concurrency)
 	case Failed: // says nothing about the capacity
@@ -75,7 +76,11 @@
 func (e *estimate) completion(now time.Time, inflight int, cost, reference float64) float64 {
 	concurrency := e.Concurrency(now, inflight)
 	growth := e.Growth(concurrency + 1)
-	return e.Latency(now, reference) * (growth + cost + crowdingCost*concurrency/e.Knee())
+	base := e.base
+	if base == 0 {
+		base = e.BaseLatency(now, reference)
+	}
+	return base * e.Slowness(now) * (growth + cost + crowdingCost*concurrency/e.Knee())
 }
 
 // overload returns how much longer than the time left a request is expected to take at the target; 0 if it may be sent.
@@ -142,7 +147,8 @@
 	}
 	service.usesEstimates = now.Before(service.until)
 	for i := range list {
-		b.statsFor(list[i].ID).estimate.shared = service.usesEstimates
+		e := &b.statsFor(list[i].ID).estimate
+		e.shared, e.base = service.usesEstimates, e.BaseLatency(now, service.reference)
 	}
 }
 
--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -358,6 +358,51 @@
 	}
 }
 
+// Guards against estimates, and messages about them, for services whose targets are alike, and against none for others.
+func TestEstimatesAreUsedOnlyIfTargetsDiffer(t *testing.T) {
+	equal := func(int) time.Duration { return 25 * time.Millisecond }
+	for _, c := range []struct {
+		name     string
+		slowness int
+		latency  func(target int) time.Duration
+		growing  bool // with the number of requests
+		used     bool
+	}{
+		{name: "alike", latency: equal},
+		{name: "a tenth apart", latency: func(i int) time.Duration { return time.Duration(25+i) * time.Millisecond }},
+		{name: "two speeds", latency: func(i int) time.Duration { return time.Duration(25+15*i) * time.Millisecond }, used: true},
+		{name: "four figures", latency: equal, slowness: 100, used: true},
+		{name: "slow down with load", latency: equal, growing: true, used: true},
+	} {
+		b, list := New("d0"), candidates(2)
+		for i := range list {
+			list[i].Incarnation = 1
+		}
+		now := t0
+		for range 60 {
+			now = now.Add(50 * time.Millisecond)
+			b.Pick(now, list, nil)
+			for i := range 2 {
+				for n := range 6 {
+					latency := c.latency(i)
+					if c.growing {
+						latency *= time.Duration(n + 1)
+					}
+					b.Started(list[i].ID)
+					b.RecordLoad(now, list[i].ID, LoadReport{Running: 1, Slots: 6, SlownessPercent: c.slowness})
+					s := b.statsFor(list[i].ID)
+					s.inflight = n + 1
+					b.FinishedAmong(now, list[i].ID, OK, latency, n+1)
+					s.inflight = 0
+				}
+			}
+		}
+		if used := b.services[""].usesEstimates; used != c.used || (len(b.Statements(now)) > 0) != c.used {
+			t.Errorf("%s: estimates in use: %t", c.name, used)
+		}
+	}
+}
+
 // at returns a change of a load test that is made once a time is reached.
 func at(when time.Duration, change func([]*loadTarget)) func(time.Duration, []*loadTarget) {
 	done := false
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -68,6 +68,12 @@
 	if got := e.Latency(now, 0); got > 1.6*before {
 		t.Errorf("two expensive requests change the latency from %.3f to %.3f s", before, got)
 	}
+	usual := e.UsualLatency()
+	now = now.Add(maxAge + time.Second)
+	e.RecordResult(now, 1, 10*time.Second)
+	if got := e.UsualLatency(); got > 1.1*usual || e.Slowness(now) > 1.1 {
+		t.Errorf("a request that takes 500 times as long after a pause changes the latency from %.3f to %.3f s, slowness %.2f", usual, got, e.Slowness(now))
+	}
 	now = feed(e, now, time.Second, 3, model{6, 1})
 	now = feed(e, now, 60*time.Millisecond, 3, model{6, 2.5})
 	if got := e.Latency(now, 0); got < 1.7*before {
@@ -152,9 +158,10 @@
 	}
 	relay := NewTable()
 	relay.Replace(t0.Add(10*time.Millisecond), list[0])
-	back, _ := relay.ChangedSince(t0.Add(20*time.Millisecond), 0)
-	table.Replace(t0.Add(30*time.Millisecond), back[0])
-	if again, _ := table.ChangedSince(t0.Add(30*time.Millisecond), revision); len(again) != 0 {
+	later := t0.Add(shareRefresh + time.Second)
+	back, _ := relay.ChangedSince(later, 0)
+	table.Replace(later.Add(10*time.Millisecond), back[0])
+	if again, _ := table.ChangedSince(later.Add(10*time.Millisecond), revision); len(again) != 0 {
 		t.Errorf("a statement that came back is passed on again: %+v", again)
 	}
 	earlier := statement("a", time.Second, 0)
@@ -196,6 +203,9 @@
 
 // Guards against a host that has no use of what others have learned, or believes it longer than its own results.
 func TestSharedStatementsWearOff(t *testing.T) {
+	if half, none := ageWeight(halfAge), ageWeight(maxAge); half != 0.5 || none != 0 || ageWeight(halfAge/2) != 0.75 {
+		t.Errorf("weights %.2f after %s and %.2f after %s", half, halfAge, none, maxAge)
+	}
 	e := NewEstimator(6, 0)
 	e.Learn(t0, statement("a", 50*time.Millisecond, 0))
 	if got := e.Latency(t0, 0.02); !isNear(got, 0.05, 0.01) || e.Knee() > 6 {
--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -212,7 +212,7 @@
 // Latency returns the expected latency at one request, in seconds. reference is the latency of the other targets, which
 // stands in for missing evidence.
 func (e *Estimator) Latency(now time.Time, reference float64) float64 {
-	return e.usualLatency(now, reference) * e.Slowness(now)
+	return e.BaseLatency(now, reference) * e.Slowness(now)
 }
 
 // UsualLatency returns the latency at one request at the usual speed of the target by own results, in seconds; 0 if there
@@ -224,8 +224,9 @@
 	return e.base
 }
 
-// usualLatency returns the latency at one request at the usual speed of the target, in seconds.
-func (e *Estimator) usualLatency(now time.Time, reference float64) float64 {
+// BaseLatency returns the expected latency at one request at the usual speed of the target, in seconds, by own results and
+// statements of other hosts. reference is as in Latency.
+func (e *Estimator) BaseLatency(now time.Time, reference float64) float64 {
 	if e.count == 0 && e.sharedAt.IsZero() {
 		return reference
 	}
