--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -128,12 +128,16 @@
 	work          workload
 	shares        *fairshare.Ledger
 	jobWork       float64 // moving average of the work of a job, in tokens
+	// unlikeUntil is until when the engines of a service count as unlike. If ignoreSpeeds is set, none ever do; tests
+	// compare with that.
+	unlikeUntil  map[string]time.Time
+	ignoreSpeeds bool
 }
 
 // New returns a scheduler without tasks and engines.
 func New() *Scheduler {
 	return &Scheduler{jobs: make(map[string]*job), engines: make(map[string]*engine), demand: make(map[string]map[string]float64),
-		medianGap: defaultGap, runTime: defaultRunTime, shares: fairshare.NewLedger()}
+		medianGap: defaultGap, runTime: defaultRunTime, shares: fairshare.NewLedger(), unlikeUntil: make(map[string]time.Time)}
 }
 
 // AddJob adds the open tasks of a job. It does nothing if the job exists already. CarriedOver items start
@@ -246,49 +250,72 @@
 // to the number of waiting tasks times the number of engines with a free slot, so it is cheap when all
 // engines are busy.
 func (s *Scheduler) AssignTasks(now time.Time) []Assignment {
-	var out []Assignment
 	if s.hasAccounts() {
 		return s.assignByShares(now)
 	}
+	var out []Assignment
 	for _, id := range s.jobsByDeadline() {
-		out = s.assignJob(now, s.jobs[id], out, func() bool { return false })
+		a := &jobAssigner{s: s, now: now, job: s.jobs[id]}
+		out = append(out, a.run()...)
 	}
 	return out
 }
 
-// assignJob assigns waiting tasks of a job until no engine can start one, or until stop returns true after an assignment.
-func (s *Scheduler) assignJob(now time.Time, j *job, out []Assignment, stop func() bool) []Assignment {
-	free := s.enginesWithFreeSlots(now, j)
+// jobAssigner assigns waiting tasks of one job.
+type jobAssigner struct {
+	s       *Scheduler
+	now     time.Time
+	job     *job
+	stop    func() bool // called after each assignment; if it returns true, no more are made. Nil never stops.
+	stopped bool
+	out     []Assignment
+}
+
+// run assigns tasks until no engine can start one, or until stop returns true, and returns the assignments.
+func (a *jobAssigner) run() []Assignment {
+	j := a.job
+	free := a.s.enginesWithFreeSlots(a.now, j)
+	if len(free) > 0 && a.s.isUnlike(a.now, j.waiting[0].Service) {
+		j.waiting = a.assignUnlike(free)
+	} else {
+		j.waiting = a.assignInOrder(j.waiting, free, (*engine).hasFreeSlot)
+	}
+	return a.out
+}
+
+// start starts a task on an engine.
+func (a *jobAssigner) start(t *Task, e *engine) {
+	r := &run{task: t, engine: e, startedAt: a.now}
+	a.job.running[t.Item] = r
+	e.add(a.now, r)
+	a.s.shares.Charge(t.competitor(), t.work())
+	a.out = append(a.out, Assignment{Task: *t, Engine: e.ID})
+	a.stopped = a.stop != nil && a.stop()
+}
+
+// assignInOrder assigns tasks, one after the other, to the best of the free engines, each as long as it is usable, and
+// returns the tasks that remain.
+func (a *jobAssigner) assignInOrder(tasks []*Task, free []*engine, usable func(*engine) bool) []*Task {
 	var remaining []*Task
-	for i, t := range j.waiting {
-		if len(free) == 0 {
-			remaining = append(remaining, j.waiting[i:]...)
-			break
+	for i, t := range tasks {
+		if len(free) == 0 || a.stopped {
+			return append(remaining, tasks[i:]...)
 		}
-		e := s.bestEngine(now, t, free)
-		if e == nil && t.PinnedVersion > 0 && !s.versionAvailable(t) {
+		e := a.s.bestEngine(a.now, t, free)
+		if e == nil && t.PinnedVersion > 0 && !a.s.versionAvailable(t) {
 			t.PinnedVersion = 0 // no engine can complete the partial text any more
-			e = s.bestEngine(now, t, free)
+			e = a.s.bestEngine(a.now, t, free)
 		}
-		if e == nil || t.startsAnew(e) && s.awaitsRelease(now, t) {
+		if e == nil || t.startsAnew(e) && a.s.awaitsRelease(a.now, t) {
 			remaining = append(remaining, t)
 			continue
 		}
-		r := &run{task: t, engine: e, startedAt: now}
-		j.running[t.Item] = r
-		e.add(now, r)
-		s.shares.Charge(t.competitor(), t.work())
-		out = append(out, Assignment{Task: *t, Engine: e.ID})
-		if stop() {
-			remaining = append(remaining, j.waiting[i+1:]...)
-			break
-		}
-		if e.freeSlots() <= 0 {
+		a.start(t, e)
+		if !usable(e) {
 			free = slices.DeleteFunc(free, func(o *engine) bool { return o == e })
 		}
 	}
-	j.waiting = remaining
-	return out
+	return remaining
 }
 
 // enginesWithFreeSlots returns the engines with a free slot that have a suitable weight version for the
@@ -331,8 +358,11 @@
 		if !e.canStart(now, t) {
 			continue
 		}
+		if best != nil && best.hasRoom() && !e.hasRoom() {
+			continue
+		}
 		score := e.score(now, t, s.medianGap)
-		if best == nil || score < bestScore {
+		if best == nil || score < bestScore || e.hasRoom() && !best.hasRoom() {
 			best, bestScore = e, score
 		}
 	}
@@ -367,18 +397,22 @@
 }
 
 // PlanMoves selects runs on slow engines for which a much faster engine has a free slot, in jobs without
-// waiting tasks. The caller stops each run and reports it to EndRun with the outcome Stopped.
+// waiting tasks. If the engines of the service are of unlike speed, it also selects those that end sooner by a move. The
+// caller stops each run and reports it to EndRun with the outcome Stopped.
 func (s *Scheduler) PlanMoves(now time.Time) []Move {
 	var out []Move
 	claimedSlots := make(map[string]int)
-	slowGap := minMoveSpeedup * s.smallestGap(now)
+	smallest := s.smallestGap(now)
 	for _, id := range s.jobOrder {
 		j := s.jobs[id]
 		if len(j.waiting) > 0 {
 			continue
 		}
 		for _, r := range runsByRemainingTokens(j.running) {
-			if r.stopRequested || !r.engine.speed.fresh(now) || r.engine.speed.averageGap < slowGap {
+			if r.stopRequested || !r.engine.speed.fresh(now) {
+				continue
+			}
+			if r.engine.speed.averageGap < minMoveSpeedup*smallest && !(r.engine.unlike && s.mayEndSooner(now, r, smallest)) {
 				continue // no engine is so much faster; the search below costs a visit of every engine
 			}
 			task := r.taskAfterMove(now)
@@ -386,7 +420,8 @@
 			if dest == nil || dest == r.engine || dest.RateLimit > 0 || dest.freeSlots()-claimedSlots[dest.ID] <= 0 {
 				continue
 			}
-			if r.engine.speed.averageGap < minMoveSpeedup*dest.speed.expectedGap(now, s.medianGap)*task.restartFactor(dest) {
+			muchFaster := r.engine.speed.averageGap >= minMoveSpeedup*dest.speed.expectedGap(now, s.medianGap)*task.restartFactor(dest)
+			if !muchFaster && !(r.engine.unlike && s.endsSooner(now, r, &task, dest, claimedSlots[dest.ID])) {
 				continue
 			}
 			r.stopRequested = true
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -68,12 +68,9 @@
 		i := s.nextByShares(open, rivals)
 		j := s.jobs[open[i]]
 		account, _ := j.competitor()
-		exceeded := false
-		out = s.assignJob(now, j, out, func() bool {
-			exceeded = s.shares.Lead(account, rivals) > s.jobWork
-			return exceeded
-		})
-		if !exceeded || len(j.waiting) == 0 {
+		a := &jobAssigner{s: s, now: now, job: j, stop: func() bool { return s.shares.Lead(account, rivals) > s.jobWork }}
+		out = append(out, a.run()...)
+		if !a.stopped || len(j.waiting) == 0 {
 			open = slices.Delete(open, i, i+1)
 		}
 	}
--- a/schedule/workload.go
+++ b/schedule/workload.go
@@ -103,7 +103,7 @@
 // recordRun records a finished run, before it is removed from its engine.
 func (w *workload) recordRun(now time.Time, r *run) {
 	keep := math.Exp2(-now.Sub(w.recordedAt).Seconds() / runHalfLife.Seconds())
-	toFull := (1 + fullOccupancySlowdown) / (1 + fullOccupancySlowdown*r.engine.occupancy(0))
+	toFull := r.engine.slowdownAt(r.engine.Slots) / r.engine.slowdownAt(len(r.engine.runs))
 	w.runs = keep*w.runs + 1
 	w.tokens = keep*w.tokens + float64(OutputTokens(r.task.RemainingTokens))
 	w.seconds = keep*w.seconds + toFull*now.Sub(r.startedAt).Seconds()
