runner, forward: headers of items cannot end a message to an engine early

Cause: with client accounts, an item still brought its own hop-by-hop headers to the engine. With Transfer-Encoding: chunked the engine takes what follows the first empty chunk of the body for a further request, which may name any account, and its answer goes to the next run on the connection. Connection could name the header of the account.

Ruled out: plain requests and streams, whose hop-by-hop headers are removed already; names and values with line ends, which http.Header.Write leaves out or replaces.

Change: where keys are hidden, headers of items go through forward.EndToEndHeaders, as those of requests do. Deployments without accounts send the headers of items as before.

Result: TestItemsRunForTheirOwner failed in three cases of four, and the job of TestAccountsFromTheCallerToTheTarget got no result in 20 s; both pass, with -race. platform, internal/runner and internal/forward pass with -race.

Conclusion: the account that an engine sees is the one of the job.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -273,7 +273,7 @@
 // named by headers.ExpectedInstance makes any instance other than the target reject the request. The request is not
 // sent if the target announces its departure while the connection is opened.
 func (c *call) newRequest(cand choice) *httpconn.Request {
-	h := endToEndHeaders(c.req.Header)
+	h := EndToEndHeaders(c.req.Header)
 	c.caller.identify(h, &c.forwarder.headers)
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
@@ -304,9 +304,9 @@
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
 	"Upgrade", "Content-Length", "Proxy-Authenticate", "Proxy-Authorization", "Expect"}
 
-// endToEndHeaders returns a copy of h without the hop-by-hop headers, including those that the
-// Connection header names.
-func endToEndHeaders(h http.Header) http.Header {
+// EndToEndHeaders returns a copy of h without the hop-by-hop headers, including those that the
+// Connection header names. What is left does not change where the message ends.
+func EndToEndHeaders(h http.Header) http.Header {
 	out := h.Clone()
 	for _, list := range h.Values("Connection") {
 		for _, name := range strings.Split(list, ",") {
@@ -321,7 +321,7 @@
 
 // copyResponseHeader copies the end-to-end headers of a response.
 func copyResponseHeader(dst, src http.Header) {
-	for name, values := range endToEndHeaders(src) {
+	for name, values := range EndToEndHeaders(src) {
 		dst[name] = slices.Clone(values)
 	}
 	if _, ok := src["Content-Type"]; !ok {
--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -13,6 +13,7 @@
 	"fuchsiaflow/errs"
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/dialect"
+	"fuchsiaflow/internal/forward"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/identity"
 	"fuchsiaflow/internal/sse"
@@ -37,7 +38,8 @@
 // from eventCount on; all other fields belong to its goroutine.
 type itemRun struct {
 	headers dialect.Headers
-	// hidesKey is set if no header of the item with a key, or with an account, may reach the engine.
+	// hidesKey is set if no header of the item with a key, or with an account, may reach the engine, and none by which the
+	// engine could take a part of the body for a further request, of any account.
 	hidesKey bool
 	pool     *httpconn.Pool
 	job      *openJob
@@ -66,13 +68,7 @@
 
 // newRequest builds the request for the engine. It resumes after the last event of the text, if any.
 func (ir *itemRun) newRequest() *httpconn.Request {
-	h := make(http.Header, len(ir.item.Headers)+4)
-	for name, value := range ir.item.Headers {
-		if ir.hidesKey && ir.headers.IdentifiesCaller(name) {
-			continue
-		}
-		h.Set(name, value)
-	}
+	h := ir.ownHeaders()
 	if ir.job.Owner != "" {
 		h.Set(ir.headers.Account, ir.job.Owner)
 	}
@@ -86,6 +82,21 @@
 		Body: bytes.NewReader(ir.item.Body), ContentLength: int64(len(ir.item.Body)), BeforeSend: ir.beforeSend}
 }
 
+// ownHeaders returns the headers that the client has given the item, as far as they may reach the engine.
+func (ir *itemRun) ownHeaders() http.Header {
+	h := make(http.Header, len(ir.item.Headers)+4)
+	for name, value := range ir.item.Headers {
+		if ir.hidesKey && ir.headers.IdentifiesCaller(name) {
+			continue
+		}
+		h.Set(name, value)
+	}
+	if ir.hidesKey {
+		return forward.EndToEndHeaders(h)
+	}
+	return h
+}
+
 // run streams the item until it is complete, the stream is interrupted or ctx is done.
 func (ir *itemRun) run(ctx context.Context) runResult {
 	ir.startedAt = bootclock.Now()
--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -13,20 +13,22 @@
 	"fuchsiaflow/routes"
 )
 
-// Guards against an item that runs without its owner, or with a key or an account from its own headers, and against headers
-// that are lost where there are no accounts.
+// Guards against an item that runs without its owner, or with a key or an account from its own headers, against a body that an
+// engine takes for further requests since an item sets how its message ends, and against headers that are lost where there are
+// no accounts.
 func TestItemsRunForTheirOwner(t *testing.T) {
 	names := dialect.Headers{RequestID: "Id", Deadline: "Deadline", ExpectedInstance: "Expect", CallerKey: "Api-Key", Account: "Account"}
-	own := map[string]string{"api-KEY": "k", " aCCount": "forged", "X": "kept"}
+	own := map[string]string{"api-KEY": "k", " aCCount": "forged", "X": "kept", "transfer-encoding": "chunked", "Content-Length": "0", "Connection": "Account"}
 	for name, c := range map[string]struct {
 		owner    string
 		accounts []routes.Account
 		want     http.Header
 	}{
-		"owner":                      {"a", []routes.Account{{Name: "a", Priority: 3}}, http.Header{"Account": {"a"}, "X": {"kept"}}},
-		"owner, accounts removed":    {"a", nil, http.Header{"Account": {"a"}, "X": {"kept"}}},
-		"no owner, accounts in use":  {"", []routes.Account{{Name: "a"}}, http.Header{"X": {"kept"}}},
-		"no owner, without accounts": {"", nil, http.Header{"Api-Key": {"k"}, " aCCount": {"forged"}, "X": {"kept"}}},
+		"owner":                     {"a", []routes.Account{{Name: "a", Priority: 3}}, http.Header{"Account": {"a"}, "X": {"kept"}}},
+		"owner, accounts removed":   {"a", nil, http.Header{"Account": {"a"}, "X": {"kept"}}},
+		"no owner, accounts in use": {"", []routes.Account{{Name: "a"}}, http.Header{"X": {"kept"}}},
+		"no owner, without accounts": {"", nil, http.Header{"Api-Key": {"k"}, " aCCount": {"forged"}, "X": {"kept"}, "Transfer-Encoding": {"chunked"},
+			"Content-Length": {"0"}, "Connection": {"Account"}}},
 	} {
 		view := clusterview.NewView(slog.New(slog.DiscardHandler), nil)
 		view.ApplyConfig(clusterview.Config{Version: 1, Body: clusterview.EncodeConfig(&routes.Config{Version: 1, Accounts: c.accounts})}, "test")
