forward, origins: origins of streams are kept apart by account

Cause: what began a stream is stored under the ID of its request. Accounts choose these IDs independently, so that a stream of one account replaced the origin of another. The other stream then went on at a target of a different version, or was refused.

Ruled out: quarantines, whose fingerprints contain the account; jobs and texts of items, which have keys with the owner.

Change: the origin of a stream with an account is stored under the account, a zero byte and the ID. Neither part can contain a zero byte. Without an account the ID is the key as before, so that origins of earlier builds are found.

Result: TestOriginsOfAccountsAreApart got 200 for the stream of the first account and for a caller without one, and now gets 503. internal/forward passes with -race; origins and internal/storestate pass.

Conclusion: a stream does not go on at another version on account of a stream of someone else.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	return s.forwarder.origins.Origin(ctx, first)
+	return s.forwarder.origins.Origin(ctx, s.originKey(first))
 }
 
 // onlyRelease returns the software version of the service if all its targets have the same, and this host is not cut
@@ -147,10 +147,19 @@
 	if s.forwarder.origins == nil || s.forwarder.view.IsIsolated() {
 		return
 	}
-	s.recorded = s.record(origins.Origin{Stream: s.id, Service: s.service, Release: s.release, Target: cand.ID, Incarnation: cand.Incarnation,
+	s.recorded = s.record(origins.Origin{Stream: s.originKey(s.id), Service: s.service, Release: s.release, Target: cand.ID, Incarnation: cand.Incarnation,
 		AnsweredAt: s.answeredAt.UnixMilli()})
 }
 
+// originKey returns the ID under which the origin of a stream is stored. Accounts choose the IDs of requests independently.
+// Neither an ID nor the name of an account contains a zero byte.
+func (s *eventStream) originKey(id string) string {
+	if s.caller.Account == "" || id == "" {
+		return id
+	}
+	return s.caller.Account + "\x00" + id
+}
+
 // record starts to store the origin of a stream. The returned channel is closed when that has ended.
 func (s *eventStream) record(o origins.Origin) <-chan struct{} {
 	recorded := make(chan struct{})
@@ -159,7 +168,7 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.req.Context()), recordTimeout)
 		defer cancel()
 		if err := s.forwarder.origins.RecordOrigin(ctx, o); err != nil {
-			s.forwarder.log.Warn("origin of a stream not stored", "request", o.Stream, "release", o.Release, "error", err.Error())
+			s.forwarder.log.Warn("origin of a stream not stored", "request", s.id, "release", o.Release, "error", err.Error())
 		}
 	}()
 	return recorded
@@ -184,7 +193,7 @@
 	}
 	s.inDoubt = true
 	if s.forwarder.origins != nil {
-		s.record(origins.Origin{Stream: s.id}) // of no service
+		s.record(origins.Origin{Stream: s.originKey(s.id)}) // of no service
 	}
 }
 
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -245,3 +245,32 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another version since another account has begun a stream with the same ID.
+func TestOriginsOfAccountsAreApart(t *testing.T) {
+	f, _ := newForwarder(t, continueStream)
+	f.UseStreamOrigins(&storedOrigins{known: make(map[string]origins.Origin)})
+	f.view.Merge(&clusterview.Event{From: clusterview.StoreHost{ReplicaID: "10.0.0.1~a"}, Leader: "10.0.0.1~a", Term: 1, Voters: []string{"10.0.0.1~a"}})
+	route := newRoute(routes.Stream, 2)
+	route.Resumable = true
+	serve := func(account, id, lastEvent, resumes string) int {
+		r := httptest.NewRequest(http.MethodPost, "/x", nil)
+		r.Header = http.Header{"Id": {id}, "Deadline-Ms": {"2000"}, "Last-Event-Id": {lastEvent}, "Resumes": {resumes}}
+		w := httptest.NewRecorder()
+		f.Serve(w, r, route, 1, Caller{Account: account})
+		return w.Code
+	}
+	for sequence, account := range []string{"a", "b"} {
+		target := f.view.Serving("s")[0]
+		target.Sequence, target.Release = uint64(sequence)+2, "version for "+account
+		f.view.UpdateTarget(target)
+		if status := serve(account, "first", "", ""); status != http.StatusOK {
+			t.Fatalf("account %s: status %d", account, status)
+		}
+	}
+	for account, want := range map[string]int{"a": http.StatusServiceUnavailable, "b": http.StatusOK, "": http.StatusServiceUnavailable} {
+		if status := serve(account, "next", "1", "first"); status != want {
+			t.Errorf("account %q takes its stream up: status %d, want %d", account, status, want)
+		}
+	}
+}
--- a/origins/origins.go
+++ b/origins/origins.go
@@ -12,7 +12,7 @@
 
 // Origin is what began a stream.
 type Origin struct {
-	// Stream is the ID of the request that brought the first event.
+	// Stream identifies the request that brought the first event: its ID, made unique among client accounts.
 	Stream string `cbor:"1,keyasint"`
 	// Service and Release are the service and the software version of the target that made it.
 	Service string `cbor:"2,keyasint"`
