runner, schedule: the demand counts models that a service does not list as one

Cause: each name of a model in a job became an entry of the demand. An entry asks for at least one target, so that a client could have targets ordered by made-up names, and entries were never removed, so that their number grew without bound.

Ruled out: leaving such jobs out. They run on any engine if they ask for no version, so that they are work.

Change: the runner reports arrivals of models that the service does not list under one name, "". The shares of engines (RecordDemand) are as before; they look at listed models only.

Conclusion: clients raise the number of targets by work only.

--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -150,7 +151,16 @@
 	if !ok {
 		first = now
 	}
-	r.sched.RecordArrival(first, service, e.Model, outputTokens, route.CompletionWindow)
+	r.sched.RecordArrival(first, service, listedModel(table, service, e.Model), outputTokens, route.CompletionWindow)
+}
+
+// listedModel returns the model of a job if its service lists it, and "" for all other models. Clients may make up any number
+// of names, and targets are not ordered for each of them.
+func listedModel(table *routes.Table, service, model string) string {
+	if s, ok := table.Service(service); ok && slices.Contains(s.Models, model) {
+		return model
+	}
+	return ""
 }
 
 // newOpenJob copies the parts of a job that the runner needs, so that commands applied later do not
--- a/schedule/workload.go
+++ b/schedule/workload.go
@@ -42,7 +42,8 @@
 }
 
 // RecordArrival records that a job with a number of output tokens was submitted at a time. window is the time until its
-// results are due. Jobs of a model that were first seen at the same time count as one, because their times are not known.
+// results are due. Models that the service does not list are given as one, "", since each model is kept. Jobs of a model that
+// were first seen at the same time count as one, because their times are not known.
 func (s *Scheduler) RecordArrival(at time.Time, service, model string, tokens int, window time.Duration) {
 	if s.work.arrivals == nil {
 		s.work.arrivals = make(map[string]map[string]*modelArrivals)
