schedule: cost of shares grows with the jobs, not with jobs times accounts

Cause: for each waiting job assignByShares collected the accounts of all other jobs, sorted them and compared them with each job again. The runner does this in each round, also while engines are full.

Ruled out: a limit on the jobs that are looked at, which would change the order.

Change: the accounts are collected once and sorted again only after an assignment. The first account of the highest priority was given the least, so that leads are taken from it alone.

--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -56,51 +56,81 @@
 	return false
 }
 
+// contender is a job with waiting tasks and its account.
+type contender struct {
+	*job
+	account fairshare.Account
+}
+
+// contenders returns the jobs with waiting tasks, that with the earliest deadline first.
+func (s *Scheduler) contenders() []contender {
+	var list []contender
+	for _, id := range s.jobsByDeadline() {
+		if j := s.jobs[id]; len(j.waiting) > 0 {
+			list = append(list, contender{j, j.waiting[0].competitor()})
+		}
+	}
+	return list
+}
+
 // assignByShares is AssignTasks for jobs of client accounts. Among the accounts of the highest priority whose lead is at most
 // the work of a job, the job with the earliest deadline goes first. The lead of an account is what it was given beyond the
 // account that was given the least; accounts with a larger lead get what the others leave.
 func (s *Scheduler) assignByShares(now time.Time) []Assignment {
 	var out []Assignment
-	open := slices.DeleteFunc(s.jobsByDeadline(), func(id string) bool { return len(s.jobs[id].waiting) == 0 })
 	s.updateActiveAccounts()
+	open := s.contenders()
+	rivals, jobs := competitors(open)
+	s.shares.Order(rivals)
 	for len(open) > 0 {
-		rivals := s.competitors(open)
 		i := s.nextByShares(open, rivals)
-		j := s.jobs[open[i]]
-		account, _ := j.competitor()
-		exceeded := false
-		out = s.assignJob(now, j, out, func() bool {
-			exceeded = s.shares.Lead(account, rivals) > s.jobWork
+		c, assigned, exceeded := open[i], len(out), false
+		least := rivals[:min(len(rivals), 2)] // one of them is another account, if there is one of the same priority
+		out = s.assignJob(now, c.job, out, func() bool {
+			exceeded = s.shares.Lead(c.account, least) > s.jobWork
 			return exceeded
 		})
-		if !exceeded || len(j.waiting) == 0 {
-			open = slices.Delete(open, i, i+1)
+		if len(out) > assigned {
+			s.shares.Order(rivals)
+		}
+		if exceeded && len(c.waiting) > 0 {
+			continue
+		}
+		open = slices.Delete(open, i, i+1)
+		if jobs[c.account]--; jobs[c.account] == 0 {
+			rivals = slices.DeleteFunc(rivals, func(a fairshare.Account) bool { return a == c.account })
 		}
 	}
 	return out
 }
 
-// updateActiveAccounts tells the ledger which accounts have open tasks.
-func (s *Scheduler) updateActiveAccounts() { s.shares.SetActive(s.competitors(s.jobOrder)) }
+// competitors returns the accounts of jobs, and how many jobs each of them has.
+func competitors(list []contender) (accounts []fairshare.Account, jobs map[fairshare.Account]int) {
+	jobs = make(map[fairshare.Account]int)
+	for _, c := range list {
+		if jobs[c.account]++; jobs[c.account] == 1 {
+			accounts = append(accounts, c.account)
+		}
+	}
+	return accounts, jobs
+}
 
-// competitors returns the accounts of jobs.
-func (s *Scheduler) competitors(ids []string) []fairshare.Account {
+// updateActiveAccounts tells the ledger which accounts have open tasks.
+func (s *Scheduler) updateActiveAccounts() {
 	var list []fairshare.Account
-	for _, id := range ids {
-		if a, ok := s.jobs[id].competitor(); ok && !slices.Contains(list, a) {
+	for _, id := range s.jobOrder {
+		if a, ok := s.jobs[id].competitor(); ok {
 			list = append(list, a)
 		}
 	}
-	return list
+	s.shares.SetActive(list)
 }
 
-// nextByShares returns the position of the job that goes first. rivals are the accounts of the jobs.
-func (s *Scheduler) nextByShares(open []string, rivals []fairshare.Account) int {
-	s.shares.Order(rivals)
-	first := rivals[0].Priority
-	for i, id := range open {
-		a, _ := s.jobs[id].competitor()
-		if a.Priority == first && s.shares.Lead(a, rivals) <= s.jobWork {
+// nextByShares returns the position of the job that goes first. rivals are the accounts of the jobs in the order of the ledger:
+// the first one has the highest priority, and was given the least work of that priority.
+func (s *Scheduler) nextByShares(open []contender, rivals []fairshare.Account) int {
+	for i, c := range open {
+		if c.account.Priority == rivals[0].Priority && s.shares.Lead(c.account, rivals[:1]) <= s.jobWork {
 			return i
 		}
 	}
--- a/schedule/shares_test.go
+++ b/schedule/shares_test.go
@@ -184,3 +184,43 @@
 		t.Errorf("assigned %v, want all 8 tasks with the earlier deadline and 4 others", got)
 	}
 }
+
+// newWaitingJobs returns a scheduler whose engines are full, with some 100 waiting tasks in each job. The jobs belong to as
+// many client accounts; 0 is none.
+func newWaitingJobs(jobs, accounts int) *Scheduler {
+	s := New()
+	s.SetEngines(newEngines(48))
+	for i := range jobs {
+		id, account := fmt.Sprintf("j%d", i), ""
+		if accounts > 0 {
+			account = fmt.Sprintf("account-%02d", i%accounts)
+		}
+		var tasks []Task
+		for k := range 100 {
+			tasks = append(tasks, Task{Job: id, Item: fmt.Sprintf("%s-%d", id, k), Service: "s", Account: account, RemainingTokens: 600, Deadline: testStart.Add(time.Duration(i))})
+		}
+		s.AddJob(id, tasks)
+	}
+	s.AssignTasks(testStart)
+	return s
+}
+
+// Guards against rounds of the runner whose cost grows with the number of jobs times the number of accounts.
+func TestCostOfSharesIsThatOfJobs(t *testing.T) {
+	const jobs = 150
+	s := newWaitingJobs(jobs, 72)
+	if perJob := testing.AllocsPerRun(10, func() { s.AssignTasks(testStart) }) / jobs; perJob > 3 {
+		t.Errorf("%.1f allocations for a job", perJob)
+	}
+}
+
+func BenchmarkAssignWhenFullByShares(b *testing.B) {
+	for _, accounts := range []int{0, 72} {
+		s := newWaitingJobs(150, accounts)
+		b.Run(fmt.Sprintf("%d_accounts", accounts), func(b *testing.B) {
+			for b.Loop() {
+				s.AssignTasks(testStart)
+			}
+		})
+	}
+}
