entry: the log line of unreadable results names the account

Cause: two accounts may have jobs with the same ID, and this line named the ID alone, unlike the other lines about jobs.

Ruled out: other lines about jobs of the entry host, which use jobs.Key.LogArgs.

Change: LogUnreadableResults gets the caller and uses it too. Without accounts the line is as before.

Result: internal/entry and platform pass.

Conclusion: log lines about jobs tell accounts apart.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -35,9 +35,9 @@
 }
 
 // LogUnreadableResults logs an answer that was aborted because a text in it cannot be decoded.
-func (e *Entry) LogUnreadableResults(job string, after int, err error) {
+func (e *Entry) LogUnreadableResults(caller *JobCaller, job string, after int, err error) {
 	leader, term := e.view.Leader()
-	e.opts.Log.Error("results unreadable", "job", job, "after", after, "leader", leader, "term", term, "error", err)
+	e.opts.Log.Error("results unreadable", caller.key(job).LogArgs("after", after, "leader", leader, "term", term, "error", err)...)
 }
 
 // ItemBody returns the body of an item that has no result yet.
