forward, storestate: names and comments for a first reading

Cause: Caller.identify and Caller.identity differ by two letters, do unrelated things and stand beside package identity, which is about targets. A test of owners had its own copy of mustApply and a comment broken in mid-sentence.

Ruled out: renames of exported names.

Change: setAccount and fingerprintCaller; the test uses mustApply.

Conclusion: no change of behavior.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -61,7 +61,7 @@
 
 // fingerprint returns the fingerprint of the request.
 func (c *call) fingerprint() quarantine.Fingerprint {
-	r := quarantine.Request{Method: c.req.Method, Host: c.req.Host, URI: c.req.RequestURI, Caller: c.caller.identity(c.req.Header, &c.forwarder.headers),
+	r := quarantine.Request{Method: c.req.Method, Host: c.req.Host, URI: c.req.RequestURI, Caller: c.caller.fingerprintCaller(c.req.Header, &c.forwarder.headers),
 		Body: c.body.data, Length: c.body.length}
 	return r.Fingerprint()
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,9 +146,9 @@
 	HidesKey bool
 }
 
-// identify removes the key of the caller, and an account that it names, from the header of a request to a target, and sets the
+// setAccount removes the key of the caller, and an account that it names, from the header of a request to a target, and sets the
 // account of the caller. Without client accounts it changes nothing.
-func (c *Caller) identify(h http.Header, names *dialect.Headers) {
+func (c *Caller) setAccount(h http.Header, names *dialect.Headers) {
 	if c.HidesKey {
 		h.Del(names.CallerKey)
 		h.Del(names.Account)
@@ -158,9 +158,9 @@
 	}
 }
 
-// identity returns what tells the caller from others: the account, or the key where there are no accounts. It is hashed into
-// the fingerprint of a request.
-func (c *Caller) identity(h http.Header, names *dialect.Headers) string {
+// fingerprintCaller returns what tells the caller from others in the fingerprint of a request, into which it is hashed: the
+// account, or the key where there are no accounts.
+func (c *Caller) fingerprintCaller(h http.Header, names *dialect.Headers) string {
 	if c.HidesKey || c.Account != "" {
 		return c.Account
 	}
@@ -274,7 +274,7 @@
 // sent if the target announces its departure while the connection is opened.
 func (c *call) newRequest(cand choice) *httpconn.Request {
 	h := EndToEndHeaders(c.req.Header)
-	c.caller.identify(h, &c.forwarder.headers)
+	c.caller.setAccount(h, &c.forwarder.headers)
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
 	h.Set(c.forwarder.headers.ExpectedInstance, cand.ID)
--- a/internal/storestate/owner_test.go
+++ b/internal/storestate/owner_test.go
@@ -10,17 +10,10 @@
 )
 
 // Guards against owners that are lost in a command, a query or a snapshot, so that after a change of the leader or a restart a
-// job is readable by all, or by nobody, and against
-// another encoding of what has no owner, which hosts of an earlier build read.
+// job is readable by all, or by nobody, and against another encoding of what has no owner, which hosts of an earlier build read.
 func TestOwnersAreDurable(t *testing.T) {
 	s := populatedState(t, 3, 10) // jobs without an owner
-	apply := func(c *Command) Reply {
-		r, err := DecodeReply(s.Apply(s.Index()+1, EncodeCommand(c)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		return r
-	}
+	apply := func(c *Command) Reply { return mustApply(t, s, c) }
 	for _, owner := range []string{"a", "b", "c"} {
 		job := jobs.Job{ID: "j2", Owner: owner, Host: "h", Path: "/p/", Items: []jobs.Item{{ID: "j2-0", Body: []byte(owner)}, {ID: "j2-4"}, {ID: "j2-5"}}}
 		submit := EncodeCommand(&Command{SubmitJob: &job})
