schedule, runner: accounts are charged for the output of their items, not for what they state

Cause: the account of an item was charged for the number of output tokens that its client states, and for 400 if it states none. The charge was never corrected when the item was complete, although docs/design/fair-shares.md says so. An account that states too little got many times its share.

Ruled out: runs without their item, which give back what was charged for the rest; loads without accounts, where the ledger is empty.

Change: ChargeOutput replaces the statement by the events that the run has generated. The runner calls it before it ends a run with a complete text. The tokens of the prompt are still as stated.

No test covers the call in the runner. schedule and internal/runner pass with -race.

Conclusion: shares follow the work that engines have done.

--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -185,6 +185,7 @@
 		return
 	}
 	if res.complete && j.AllowsVersions(ir.output.versions) {
+		r.sched.ChargeOutput(rn.key, (ir.output.eventCount-resumedEvents)*schedule.TokensPerEvent)
 		r.sched.EndRun(now, rn.key, schedule.Finished, 0, 0)
 		r.finishText(now, j, j.items[rn.key.Item], ir.output)
 		return
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -22,6 +22,17 @@
 // work returns what the account is charged for a run of the task, in tokens.
 func (t *Task) work() float64 { return float64(t.finalKVTokens()) }
 
+// ChargeOutput charges the account of a running task for the tokens that the run has generated, in place of the estimate, which
+// the client has stated. It is called once, before the end of a run that has completed its item.
+func (s *Scheduler) ChargeOutput(key Key, tokens int) {
+	j := s.jobs[key.Job]
+	if j == nil || j.running[key.Item] == nil {
+		return
+	}
+	t := j.running[key.Item].task
+	s.shares.Charge(t.competitor(), float64(t.PromptTokens+tokens)-t.work())
+}
+
 // recordJobWork adds a job to the moving average of the work of a job.
 func (s *Scheduler) recordJobWork(tasks []*Task) {
 	work := 0.0
--- a/schedule/shares_test.go
+++ b/schedule/shares_test.go
@@ -185,6 +185,29 @@
 	}
 }
 
+// Guards against an account that gets many times its share since it states less output than its items have.
+func TestSharesFollowTheOutput(t *testing.T) {
+	s := New()
+	s.SetEngines(newEngines(1))
+	for i := range 240 {
+		account := string(rune('a' + i%2))
+		id := fmt.Sprintf("%s%03d", account, i)
+		s.AddJob(id, []Task{{Job: id, Item: id, Service: "s", Account: account, RemainingTokens: 400, Deadline: testStart.Add(time.Duration(i))}})
+	}
+	output := map[string]int{"a": 4000, "b": 400} // of an item
+	given := make(map[string]int)
+	for range 10 {
+		for _, a := range s.AssignTasks(testStart) {
+			given[a.Task.Account] += output[a.Task.Account]
+			s.ChargeOutput(a.Task.Key(), output[a.Task.Account])
+			s.EndRun(testStart, a.Task.Key(), Finished, 0, 0)
+		}
+	}
+	if given["a"] > 2*given["b"] {
+		t.Errorf("tokens given: %v", given)
+	}
+}
+
 // newWaitingJobs returns a scheduler whose engines are full, with some 100 waiting tasks in each job. The jobs belong to as
 // many client accounts; 0 is none.
 func newWaitingJobs(jobs, accounts int) *Scheduler {
