autoscale: a target is counted where its newest report places it

Cause: the planner kept the failure domain and the kind of the first report of an ID. If another machine gets the ID, as after an eviction, it counted in the cell of the earlier one: too many there, too few in its own.

Ruled out: reports of targets that leave, which need not tell the kind. They stay in the cell that they leave, which gets its pause.

Change: a serving target with another failure domain or kind is a new target.

Conclusion: the counts follow the reports.

--- a/autoscale/cell.go
+++ b/autoscale/cell.go
@@ -221,9 +221,10 @@
 
 // observeTarget updates the record of a target.
 func (p *Planner) observeTarget(now time.Time, t *fleet.Target, failing bool) {
-	known := p.targets[t.ID]
-	if known == nil {
-		known = &target{cell: cellOf(t), firstSeen: now}
+	known, cell := p.targets[t.ID], cellOf(t)
+	// Another machine may get the ID of an earlier one. The report of a target that leaves need not tell its kind.
+	if known == nil || t.State == fleet.Ready && known.cell != cell {
+		known = &target{cell: cell, firstSeen: now}
 		p.targets[t.ID] = known
 	}
 	switch {
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"fuchsiaflow/fleet"
 )
 
 // TestMain sets a fixed seed, so that every run gives the same verdict.
@@ -249,3 +251,20 @@
 		rt.Fatalf("%+v leaves fewer than the need: %v", *o, low)
 	}
 }
+
+// Guards against a target that counts in a failure domain or as a kind that its ID had before: another machine may get the ID.
+func TestTargetIsCountedWhereItIs(t *testing.T) {
+	p, first, later := New("s"), Cell{"a", Spot}, Cell{"b", OnDemand}
+	report := func(c Cell, state fleet.State) {
+		target := fleet.Target{ID: "t", Domain: c.Domain, Spot: c.Kind == Spot, State: state, ReportedAt: simStart}
+		p.Plan(simStart, &Input{Scale: testScale, Targets: []fleet.Target{target}})
+	}
+	report(first, fleet.Ready)
+	report(Cell{"a", OnDemand}, fleet.Draining) // does not tell its kind
+	if p.cell(first).isOpen(simStart, 0) {
+		t.Error("no pause after a target was taken away")
+	}
+	if report(later, fleet.Ready); p.cell(first).serving != 0 || p.cell(later).serving != 1 {
+		t.Errorf("serving by kind: %v", p.Status(simStart).Present)
+	}
+}
