--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -160,9 +160,9 @@
 	return []string{http.CanonicalHeaderKey(names.CallerKey), http.CanonicalHeaderKey(names.Account)}
 }
 
-// identity returns what tells the caller from others: the account, or the key where there are no accounts. It is hashed into
-// the fingerprint of a request.
-func (c *Caller) identity(h http.Header, names *dialect.Headers) string {
+// fingerprintCaller returns what tells the caller from others in the fingerprint of a request, into which it is hashed: the
+// account, or the key where there are no accounts.
+func (c *Caller) fingerprintCaller(h http.Header, names *dialect.Headers) string {
 	if c.HidesKey || c.Account != "" {
 		return c.Account
 	}
@@ -331,6 +331,19 @@
 	return names
 }
 
+// EndToEndHeaders returns the headers that are forwarded: without the hop-by-hop headers, including those that the
+// Connection header names. What is left does not change where the message ends. The values are shared.
+func EndToEndHeaders(h http.Header) http.Header {
+	without := hopByHopNames(h)
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !without[name] {
+			out[name] = slices.Clip(values)
+		}
+	}
+	return out
+}
+
 // copyResponseHeader copies the end-to-end headers of a response. The values are shared.
 func copyResponseHeader(dst, src http.Header) {
 	without := hopByHopNames(src)
--- a/internal/runner/openjobs.go
+++ b/internal/runner/openjobs.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -113,10 +114,11 @@
 	}
 }
 
-// accountPriority returns the priority that an account has by the configuration in force; 0 for no account.
+// accountPriority returns the priority that an account has by the configuration in force. Jobs without an account come
+// after those of all accounts; without accounts all have the same priority.
 func (r *Runner) accountPriority(account string) int {
 	tables := r.opts.View.Tables()
-	if account == "" || tables == nil {
+	if tables == nil {
 		return 0
 	}
 	return tables.Accounts.Priority(account)
@@ -150,7 +152,16 @@
 	if !ok {
 		first = now
 	}
-	r.sched.RecordArrival(first, service, e.Model, outputTokens, route.CompletionWindow)
+	r.sched.RecordArrival(first, service, listedModel(table, service, e.Model), outputTokens, route.CompletionWindow)
+}
+
+// listedModel returns the model of a job if its service lists it, and "" for all other models. Clients may make up any number
+// of names, and targets are not ordered for each of them.
+func listedModel(table *routes.Table, service, model string) string {
+	if s, ok := table.Service(service); ok && slices.Contains(s.Models, model) {
+		return model
+	}
+	return ""
 }
 
 // newOpenJob copies the parts of a job that the runner needs, so that commands applied later do not
--- a/schedule/shares_test.go
+++ b/schedule/shares_test.go
@@ -184,3 +184,66 @@
 		t.Errorf("assigned %v, want all 8 tasks with the earlier deadline and 4 others", got)
 	}
 }
+
+// Guards against an account that gets many times its share since it states less output than its items have.
+func TestSharesFollowTheOutput(t *testing.T) {
+	s := New()
+	s.SetEngines(newEngines(1))
+	for i := range 240 {
+		account := string(rune('a' + i%2))
+		id := fmt.Sprintf("%s%03d", account, i)
+		s.AddJob(id, []Task{{Job: id, Item: id, Service: "s", Account: account, RemainingTokens: 400, Deadline: testStart.Add(time.Duration(i))}})
+	}
+	output := map[string]int{"a": 4000, "b": 400} // of an item
+	given := make(map[string]int)
+	for range 10 {
+		for _, a := range s.AssignTasks(testStart) {
+			given[a.Task.Account] += output[a.Task.Account]
+			s.ChargeOutput(a.Task.Key(), output[a.Task.Account])
+			s.EndRun(testStart, a.Task.Key(), Finished, 0, 0)
+		}
+	}
+	if given["a"] > 2*given["b"] {
+		t.Errorf("tokens given: %v", given)
+	}
+}
+
+// newWaitingJobs returns a scheduler whose engines are full, with some 100 waiting tasks in each job. The jobs belong to as
+// many client accounts; 0 is none.
+func newWaitingJobs(jobs, accounts int) *Scheduler {
+	s := New()
+	s.SetEngines(newEngines(48))
+	for i := range jobs {
+		id, account := fmt.Sprintf("j%d", i), ""
+		if accounts > 0 {
+			account = fmt.Sprintf("account-%02d", i%accounts)
+		}
+		var tasks []Task
+		for k := range 100 {
+			tasks = append(tasks, Task{Job: id, Item: fmt.Sprintf("%s-%d", id, k), Service: "s", Account: account, RemainingTokens: 600, Deadline: testStart.Add(time.Duration(i))})
+		}
+		s.AddJob(id, tasks)
+	}
+	s.AssignTasks(testStart)
+	return s
+}
+
+// Guards against rounds of the runner whose cost grows with the number of jobs times the number of accounts.
+func TestCostOfSharesIsThatOfJobs(t *testing.T) {
+	const jobs = 150
+	s := newWaitingJobs(jobs, 72)
+	if perJob := testing.AllocsPerRun(10, func() { s.AssignTasks(testStart) }) / jobs; perJob > 3 {
+		t.Errorf("%.1f allocations for a job", perJob)
+	}
+}
+
+func BenchmarkAssignWhenFullByShares(b *testing.B) {
+	for _, accounts := range []int{0, 72} {
+		s := newWaitingJobs(150, accounts)
+		b.Run(fmt.Sprintf("%d_accounts", accounts), func(b *testing.B) {
+			for b.Loop() {
+				s.AssignTasks(testStart)
+			}
+		})
+	}
+}
