--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// Guards against a run that is stopped for a move and starts on the same engine again, as often as moves are planned.
+func TestMovedItemsLeaveTheirEngine(t *testing.T) {
+	for _, knees := range []bool{false, true} {
+		m := newSimulation(1, unevenTrainers, policyVariant{engines: 24})
+		unevenEngines(knees)(m)
+		m.advance(40 * time.Second)
+		t.Logf("knees %t: %d runs, %d moves, %d of them back", knees, m.startedRuns, m.moves, m.returns)
+		if m.returns > 0 {
+			t.Errorf("knees %t: %d of %d moves ended on the engine that the item had left", knees, m.returns, m.moves)
+		}
+	}
+}
+
 // newUnlikeEngines returns a scheduler of a fast engine, e00, and a slow one, e01, whose speeds it knows, with a job of the
 // given number of items.
 func newUnlikeEngines(now time.Time, items int) *Scheduler {
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -90,6 +90,8 @@
 	policyVariant
 	prefillBacklog        map[string]time.Duration // remaining prefill time of an engine
 	cachedPrompts         map[string]bool          // by engine, job and group
+	movedFrom             map[Key]string           // engine that an item has left last for a move
+	moves, returns        int                      // moves of runs, and those after which the item started on the same engine
 	loadCount             int
 	prefilledPromptTokens int
 	startedRuns           int
@@ -148,6 +150,7 @@
 		m.trainers = append(m.trainers, &simTrainer{workload: w, publishedVersion: 1, step: 1, nextJobAt: testStart.Add(time.Duration(i) * 700 * time.Millisecond)})
 	}
 	m.engines = newEngines(max(variant.engines, 9), models...)
+	m.movedFrom = make(map[Key]string)
 	m.noise, m.knee = make(map[string]*engineNoise), make(map[string]float64)
 	m.scheduler.ignoreSpeeds = variant.alike
 	for i := range m.engines {
@@ -187,11 +190,17 @@
 				m.scheduler.DelayEngine(now, a.Engine, 100*time.Millisecond)
 				continue
 			}
+			if m.movedFrom[a.Task.Key()] == a.Engine {
+				m.returns++
+			}
+			delete(m.movedFrom, a.Task.Key())
 			m.startRun(a)
 		}
 		if !m.disableMoves {
 			for _, move := range m.scheduler.PlanMoves(now) {
 				m.item(move.Key).engine = ""
+				m.movedFrom[move.Key] = move.FromEngine
+				m.moves++
 				m.scheduler.EndRun(now, move.Key, Stopped, 0, 0)
 			}
 		}
