--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -35,6 +35,8 @@
 	// cachedPromptBonus is the score advantage of an engine that has the prompt of the item's group in
 	// its KV cache.
 	cachedPromptBonus = 0.06
+	// minTimeAway is how long an item that has left an engine for a faster one does not return, if that has no room any more.
+	minTimeAway = 300 * time.Millisecond
 	// defaultOutputTokens is the assumed output length of an item without an estimate, and the minimum
 	// assumed for any item.
 	defaultOutputTokens = 400
@@ -73,6 +75,8 @@
 	// Partial is the text from which a run may go on.
 	Partial      Partial
 	partialSince time.Time // when the task began to wait with Partial; zero if it has not yet
+	movedFrom    string    // engine that the task has left at movedAt for a faster one; empty once it has started again
+	movedAt      time.Time
 }
 
 // Key identifies a task.
@@ -287,6 +291,7 @@
 func (a *jobAssigner) start(t *Task, e *engine) {
 	r := &run{task: t, engine: e, startedAt: a.now}
 	a.job.running[t.Item] = r
+	t.movedFrom = ""
 	e.add(a.now, r)
 	a.s.shares.Charge(t.competitor(), t.work())
 	a.out = append(a.out, Assignment{Task: *t, Engine: e.ID})
@@ -350,12 +355,12 @@
 }
 
 // bestEngine returns the engine of the list with the lowest score for the task, or nil if none can
-// start it.
+// start it. The engine that the task has just left for a faster one is left out: it looks better without the run.
 func (s *Scheduler) bestEngine(now time.Time, t *Task, list []*engine) *engine {
 	var best *engine
 	var bestScore float64
 	for _, e := range list {
-		if !e.canStart(now, t) {
+		if !e.canStart(now, t) || e.ID == t.movedFrom && now.Before(t.movedAt.Add(minTimeAway)) {
 			continue
 		}
 		if best != nil && best.hasRoom() && !e.hasRoom() {
@@ -503,6 +508,9 @@
 		r.task.RemainingTokens = remainingTokens
 	}
 	r.task.PinnedVersion = pinnedVersion
+	if r.stopRequested && outcome == Stopped {
+		r.task.movedFrom, r.task.movedAt = r.engine.ID, now
+	}
 	s.shares.Charge(r.task.competitor(), -r.task.work()) // the next run is charged for what is left
 	j.waiting = append(j.waiting, r.task)
 	j.sortWaiting()
