--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -35,8 +35,6 @@
 	// cachedPromptBonus is the score advantage of an engine that has the prompt of the item's group in
 	// its KV cache.
 	cachedPromptBonus = 0.06
-	// minTimeAway is how long an item that has left an engine for a faster one does not return, if that has no room any more.
-	minTimeAway = 300 * time.Millisecond
 	// defaultOutputTokens is the assumed output length of an item without an estimate, and the minimum
 	// assumed for any item.
 	defaultOutputTokens = 400
@@ -75,8 +73,7 @@
 	// Partial is the text from which a run may go on.
 	Partial      Partial
 	partialSince time.Time // when the task began to wait with Partial; zero if it has not yet
-	movedFrom    string    // engine that the task has left at movedAt for a faster one; empty once it has started again
-	movedAt      time.Time
+	movedFrom    string    // engine that the task has left for a faster one; empty once it has started again
 }
 
 // Key identifies a task.
@@ -355,12 +352,16 @@
 }
 
 // bestEngine returns the engine of the list with the lowest score for the task, or nil if none can
-// start it. The engine that the task has just left for a faster one is left out: it looks better without the run.
+// start it. The engine that the task has left for a faster one comes last: it looks better than it was without the run.
 func (s *Scheduler) bestEngine(now time.Time, t *Task, list []*engine) *engine {
-	var best *engine
+	var best, left *engine
 	var bestScore float64
 	for _, e := range list {
-		if !e.canStart(now, t) || e.ID == t.movedFrom && now.Before(t.movedAt.Add(minTimeAway)) {
+		if !e.canStart(now, t) {
+			continue
+		}
+		if e.ID == t.movedFrom {
+			left = e
 			continue
 		}
 		if best != nil && best.hasRoom() && !e.hasRoom() {
@@ -371,6 +372,9 @@
 			best, bestScore = e, score
 		}
 	}
+	if best == nil {
+		return left
+	}
 	return best
 }
 
@@ -509,7 +513,7 @@
 	}
 	r.task.PinnedVersion = pinnedVersion
 	if r.stopRequested && outcome == Stopped {
-		r.task.movedFrom, r.task.movedAt = r.engine.ID, now
+		r.task.movedFrom = r.engine.ID
 	}
 	s.shares.Charge(r.task.competitor(), -r.task.work()) // the next run is charged for what is left
 	j.waiting = append(j.waiting, r.task)
