headguard: heads behind an empty line after a body count in the budget

Cause: after a POST the server skips empty lines before the next head. After a body of unknown length the guard cannot tell such a line from the end of a head that was read with the body. It took the line for a whole head, and what followed for a body: the head reached the parser in parts of 512 bytes that no budget counted until it was complete, so that clients with slow heads of many lines could exceed the memory of the process. Ruled out: expecting a new head after a body that ends with a line. A pipelined head whose last line comes alone would then never end. Change: a read of more than one byte before the request has begun belongs to the head. The guard takes the cost of the empty line back and reads a new head. Conclusion: the case with a body of known length was counted before, and is now covered by the same test.

--- a/internal/headguard/conn.go
+++ b/internal/headguard/conn.go
@@ -79,6 +79,7 @@
 	buf     []byte // read from the client and not by the server
 	admit   int    // bytes of buf that belong to the admitted head
 	inBody  bool   // the head is admitted; what follows it is read by the request
+	unbegun bool   // the request of the admitted head is not known to have begun
 	left    int64  // bytes of the body that are known to follow
 	served  bool   // not the first request
 	refused bool
@@ -109,14 +110,22 @@
 		return c.Conn.Read(p)
 	case c.admit > 0:
 		return c.take(p, c.admit), nil
-	case c.inBody:
+	case c.inBody && (len(p) == 1 || !c.headGoesOn()):
 		return c.readBody(p)
 	case len(p) == 1:
 		return c.readByte(p)
 	}
+	if c.headGoesOn() {
+		c.guard.release(c.id)
+		c.inBody, c.unbegun = false, false
+	}
 	return c.readHead(p)
 }
 
+// headGoesOn reports whether the server still reads a head although it has got all of the admitted one. That was then no
+// more than empty lines, which it skips after a body. It reads a body, other than a single byte, only once begin was called.
+func (c *conn) headGoesOn() bool { return c.unbegun && c.left == 0 }
+
 // take moves up to limit bytes of the buffer to p.
 func (c *conn) take(p []byte, limit int) int {
 	n := copy(p, c.buf[:limit])
@@ -239,7 +248,7 @@
 // beginBody notes that the head is admitted.
 func (c *conn) beginBody() {
 	c.scanner = httphead.Scanner{}
-	c.inBody, c.left = true, 0
+	c.inBody, c.unbegun, c.left = true, true, 0
 }
 
 // limitHeadTime limits the time for the rest of a head. The server does so only for the first one, since it takes the
@@ -253,14 +262,14 @@
 // expectHead notes that the server expects the next request.
 func (c *conn) expectHead() {
 	c.guard.release(c.id)
-	c.inBody, c.served = false, true
+	c.inBody, c.unbegun, c.served = false, false, true
 }
 
 // begin takes note of a request that begins. It returns false if there is no room for a head of which the server has
 // read a part early.
 func (c *conn) begin(r *http.Request) bool {
 	if r.ContentLength != 0 { // otherwise the server may read at the same time
-		c.inBody, c.left = true, max(r.ContentLength, 0)
+		c.inBody, c.unbegun, c.left = true, false, max(r.ContentLength, 0)
 	}
 	if !c.ahead.Swap(false) {
 		return true
--- a/internal/headguard/guard_test.go
+++ b/internal/headguard/guard_test.go
@@ -204,6 +204,46 @@
 	c.want(http.StatusOK, "1 lines, hello")
 }
 
+// Guards against heads that get past the budget behind an empty line after a body, which the server skips: the line is taken
+// for the end of a head, so that the guard must not take what follows for a body.
+func TestHeadAfterEmptyLineIsCounted(t *testing.T) {
+	for name, post := range map[string]string{
+		"chunked":      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"known length": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx",
+		"no body":      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestServer(t, Limits{HeadBytes: 4 << 20, BodyBytes: 1 << 20, Connections: 100})
+			c := ts.dial(t)
+			c.send(post)
+			c.receive()
+			lines := strings.Repeat("a:\r\n", 2000)
+			c.send("\r\n", "POST / HTTP/1.1\r\nHost: x\r\n", lines)
+			ts.awaitUsed(t, int64(len(lines)))
+			c.send("Content-Length: 5\r\n\r\nhello", small)
+			c.want(http.StatusOK, "2 lines, hello")
+			c.want(http.StatusOK, "0 lines, ")
+			ts.awaitEmpty(t)
+		})
+	}
+}
+
+// awaitUsed waits until the guard counts a number of bytes or more.
+func (ts *testServer) awaitUsed(t *testing.T, least int64) {
+	t.Helper()
+	var used int64
+	for range 200 {
+		ts.guard.mu.Lock()
+		used = ts.guard.ledger.UsedBytes()
+		ts.guard.mu.Unlock()
+		if used >= least {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("%d bytes are in use, want %d", used, least)
+}
+
 // Guards against heads without an end, too many connections, and bodies beyond their budget.
 func TestOtherBoundsRefuse(t *testing.T) {
 	ts := newTestServer(t, Limits{HeadBytes: 4 << 20, BodyBytes: 400, Connections: 8})
