capacity, balance: targets that are alike are not told apart by chance

Cause: the choices of a service use estimates if one of its targets slows down with load, or if two differ in speed. Both were decided from averages of some ten results, for each of many targets, five times a second. With ordinary variation of the lengths of requests one target nearly always seemed to slow down, so that services whose targets state three figures and are alike were served by estimates, and their statements sent to all hosts. Ruled out: only a higher bound on the difference (the knee would still follow chance); a demand for the reason in several reviews (chance persisted for minutes); dividing by the learned growth and slowness (with both, chance feeds on itself). Change: averages over some 200 results decide, and a difference must exceed five standard errors. The learned growth counts in the comparison only if latency increases with load by more than that. The estimates themselves are unchanged. Slow targets that get no requests, because the averages avoid them, are no evidence; before, chance alone led to the estimates there.

--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -52,10 +52,12 @@
 type Estimator struct {
 	curve curve
 
-	base      float64 // usual latency at one request in seconds, a moving average; 0 without a result
-	deviation float64 // moving average of the distance of results from base, as a logarithm
-	count     int     // results
-	resultAt  time.Time
+	base     float64 // usual latency at one request in seconds, a moving average; 0 without a result
+	count    int     // results
+	resultAt time.Time
+	// usual has the logarithms of latencies scaled to one request and to the usual speed, and slowdown those of latencies
+	// at the usual speed, by the number of requests.
+	usual, slowdown evidence
 
 	window [windowSize]sample
 	next   int     // index in window of the next result
@@ -112,17 +114,29 @@
 
 // record adds a result at a number of requests that includes those of other hosts.
 func (e *Estimator) record(now time.Time, concurrency, seconds float64) {
-	slowness := e.Slowness(now)
-	scaled := seconds / e.curve.growthAt(concurrency)
+	slowness := e.windowSlowness(now, e.Slowness(now))
+	growth := e.curve.growthAt(concurrency)
+	scaled := seconds / growth
 	if e.base > 0 {
-		e.curve.record(now, concurrency, clip(math.Log(scaled/(e.base*e.windowSlowness(now, slowness)))))
+		e.curve.record(now, concurrency, clip(math.Log(scaled/(e.base*slowness))))
 	}
+	e.recordEvidence(concurrency, seconds/e.stated.slownessAt(now), growth)
 	e.recordBase(scaled/e.stated.slownessAt(now), 1/math.Sqrt(max(concurrency, 1)))
 	e.addToWindow(now, scaled)
 	e.resultAt = now
 	e.curve.compute(now, e.priorKnee(now))
 }
 
+// recordEvidence adds the latency of a result, scaled to the usual speed, to the averages that tell targets apart. Learned
+// growth counts only if there is any by more than chance.
+func (e *Estimator) recordEvidence(concurrency, seconds, growth float64) {
+	e.slowdown.add(concurrency, math.Log(seconds))
+	if e.slowdown.increases() {
+		seconds /= growth
+	}
+	e.usual.add(0, math.Log(seconds))
+}
+
 // recordBase adds the latency of a result, scaled to one request and to the usual speed, to the moving average. influence is
 // less than 1 for a result at many requests, since it depends on the learned growth.
 func (e *Estimator) recordBase(seconds, influence float64) {
@@ -134,7 +148,6 @@
 	weight := influence * max(resultWeight, 1/float64(e.count))
 	distance := clip(math.Log(seconds / e.base))
 	e.base *= math.Exp(weight * distance)
-	e.deviation += weight * (math.Abs(distance) - e.deviation)
 }
 
 // clip bounds the logarithm of a ratio by maxInfluence.
@@ -266,7 +279,7 @@
 func (e *Estimator) Knee() float64 { return e.curve.knee }
 
 // SlowsDown reports whether results show that the target slows down before its slots are in use.
-func (e *Estimator) SlowsDown() bool { return e.curve.slowsDown() }
+func (e *Estimator) SlowsDown() bool { return e.curve.slowsDown() && e.slowdown.increases() }
 
 // StatesSlowness reports whether the target states its slowness.
 func (e *Estimator) StatesSlowness() bool { return e.stated.percent > 0 }
@@ -276,21 +289,7 @@
 	if e.count < minComparable || o.count < minComparable {
 		return false
 	}
-	uncertainty := comparisonErrors * (e.standardError() + o.standardError())
-	return math.Abs(math.Log(e.base/o.base)) > math.Log(factor)+uncertainty
-}
-
-const (
-	// minComparable is the number of results from which latencies of targets are compared.
-	minComparable = 20
-	// comparisonErrors is the number of standard errors by which a difference must exceed its bound, because the
-	// latencies of equal targets with few, uneven requests differ by chance.
-	comparisonErrors = 2
-)
-
-// standardError returns the expected error of the logarithm of the moving average base.
-func (e *Estimator) standardError() float64 {
-	return e.deviation * math.Sqrt(resultWeight/(2-resultWeight))
+	return e.usual.distance(&o.usual) > math.Log(factor)
 }
 
 // Refresh updates the growth and the knee for the present age of the results behind them.
