balance, schedule: a target with few results hides no difference between others

Cause: a service is found to have several classes of speed if its fastest and its slowest target differ. If one of these has fewer results than a comparison needs, which is usual for a slow target that choices avoid and for a new one, the comparison says nothing, whatever the other targets show. Ruled out: fewer results for a comparison. The first requests of a new target are slow, and eight of them would tell a difference that does not last. Change: only targets with enough results are compared, in both packages. Measured: the new test fails before the change in both cases and passes after it; tests of capacity, balance and schedule pass. Conclusion: a target with few results still counts for the latency that is expected of targets without evidence.

--- a/balance/alike_test.go
+++ b/balance/alike_test.go
@@ -74,3 +74,26 @@
 		}
 	}
 }
+
+// Guards against a difference between two targets that is not seen because a third one, which is slower or faster, has few
+// results: choices avoid a slow target, and a new one has none yet.
+func TestFewResultsHideNoSpeedClass(t *testing.T) {
+	for name, third := range map[string]time.Duration{"slower": 100 * time.Millisecond, "faster": 5 * time.Millisecond} {
+		b, list := New("d0"), candidates(3)
+		now := t0
+		for i := range 200 {
+			now = now.Add(10 * time.Millisecond)
+			b.Pick(now, list, nil)
+			latencies := []time.Duration{20 * time.Millisecond, 40 * time.Millisecond, third}
+			for k, latency := range latencies {
+				if k < 2 || i < 5 {
+					b.Started(list[k].ID)
+					b.Finished(now, list[k].ID, OK, latency)
+				}
+			}
+		}
+		if !b.services[""].usesEstimates {
+			t.Errorf("estimates are not in use beside a %s target with five results", name)
+		}
+	}
+}
--- a/balance/estimates.go
+++ b/balance/estimates.go
@@ -131,6 +131,9 @@
 		latency := e.Latency(now, 0)
 		rates += 1 / latency
 		known++
+		if !e.IsComparable() {
+			continue
+		}
 		if fastest == nil || latency < fastest.Latency(now, 0) {
 			fastest = e
 		}
--- a/schedule/capacity.go
+++ b/schedule/capacity.go
@@ -64,7 +64,7 @@
 		if e.estimate.SlowsDown() {
 			s.unlikeUntil[e.Service] = now.Add(unlikeFor)
 		}
-		if !e.speed.fresh(now) {
+		if !e.speed.fresh(now) || !e.estimate.IsComparable() {
 			continue
 		}
 		if f := fastest[e.Service]; f == nil || e.usualGap() < f.usualGap() {
