broadcast: one type wakes those who wait for a change

Cause: the view of the cluster, the replicated state machine and the configuration of a host each closed and replaced a channel of their own to wake all readers. Ruled out: sync.Cond, which cannot be awaited together with the end of a context. Change: internal/broadcast.Signal, whose zero value is ready for use, in all three. Conclusion: no change of behaviour. A reader takes the channel before it reads the state, as before.

--- a/internal/clusterview/quarantine.go
+++ b/internal/clusterview/quarantine.go
@@ -18,7 +18,7 @@
 		changed = v.mergeQuarantine(now, e, from) || changed
 	}
 	if changed {
-		v.notify()
+		v.changed.Announce()
 	}
 }
 
--- a/internal/clusterview/ratelimits.go
+++ b/internal/clusterview/ratelimits.go
@@ -29,7 +29,7 @@
 	defer v.mu.Unlock()
 	changed = v.mergeRateLimit(bootclock.Now(), l, from)
 	if changed {
-		v.notify()
+		v.changed.Announce()
 	}
 	return changed
 }
--- a/internal/clusterview/view.go
+++ b/internal/clusterview/view.go
@@ -12,6 +12,7 @@
 	"fuchsiaflow/capacity"
 	"fuchsiaflow/fleet"
 	"fuchsiaflow/internal/bootclock"
+	"fuchsiaflow/internal/broadcast"
 	"fuchsiaflow/quarantine"
 	"fuchsiaflow/routes"
 )
@@ -62,7 +63,7 @@
 	leaderHeard time.Time            // when a store host last reported the leader
 	voters      []string             // of the state group in the latest term
 	lastEvent   map[string]time.Time // time of the last event by IP of the store host
-	changed     chan struct{}        // closed and replaced at each change
+	changed     broadcast.Signal
 }
 
 // Tables are the look-up tables of one configuration.
@@ -79,7 +80,7 @@
 // NewView returns a view that knows only the IP addresses of the seeds.
 func NewView(log *slog.Logger, seeds []string) *View {
 	v := &View{log: log, seeds: seeds, registry: fleet.NewRegistry(targetExpiry, targetRefresh, relayRefresh),
-		rateLimits: fleet.NewRateLimits(), capacity: capacity.NewTable(), quarantine: quarantine.NewRecords(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time), changed: make(chan struct{})}
+		rateLimits: fleet.NewRateLimits(), capacity: capacity.NewTable(), quarantine: quarantine.NewRecords(), stores: make(map[string]storeEntry), lastEvent: make(map[string]time.Time)}
 	v.registry.IsConfigured = v.isConfigured
 	return v
 }
@@ -94,12 +95,6 @@
 	return ok
 }
 
-// notify wakes all waiters; the caller holds the lock.
-func (v *View) notify() {
-	close(v.changed)
-	v.changed = make(chan struct{})
-}
-
 // SetSeeds replaces the IP addresses of the seeds.
 func (v *View) SetSeeds(seeds []string) {
 	v.mu.Lock()
@@ -108,11 +103,7 @@
 }
 
 // Changed returns a channel that is closed at the next change.
-func (v *View) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
+func (v *View) Changed() <-chan struct{} { return v.changed.Next() }
 
 // Tables returns the tables of the configuration in force, or nil before the first one is known.
 func (v *View) Tables() *Tables { return v.tables.Load() }
@@ -141,7 +132,7 @@
 	v.log.Info("configuration in force", "version", c.Version, "previous", v.config.Version, "from", from, "routes", len(decoded.Routes), "accounts", len(decoded.Accounts))
 	v.config = c
 	v.tables.Store(&Tables{Routes: routes.NewTable(decoded), Accounts: accounts.NewTable(decoded.Accounts)})
-	v.notify()
+	v.changed.Announce()
 }
 
 // Merge merges an event received from a store host.
@@ -183,7 +174,7 @@
 		changed = v.recordDeparture(now, d, e.From.ReplicaID) || changed
 	}
 	if changed {
-		v.notify()
+		v.changed.Announce()
 	}
 }
 
@@ -226,7 +217,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.mergeTarget(bootclock.Now(), t, "itself", v.registry.Update) {
-		v.notify()
+		v.changed.Announce()
 	}
 }
 
@@ -239,7 +230,7 @@
 	d, known = v.registry.MarkGone(bootclock.Now(), id)
 	if v.registry.Revision() != before {
 		v.log.Info("target changed", "target", id, "incarnation", d.Incarnation, "state", fleet.Gone, "from", "itself")
-		v.notify()
+		v.changed.Announce()
 	}
 	return d, known
 }
@@ -257,7 +248,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.recordDeparture(bootclock.Now(), d, from) {
-		v.notify()
+		v.changed.Announce()
 	}
 }
 
@@ -285,7 +276,7 @@
 	isNew := v.registry.Notice(d)
 	if isNew {
 		v.log.Info("target announced that it leaves", "target", d.Target, "incarnation", d.Incarnation, "source", source)
-		v.notify()
+		v.changed.Announce()
 	}
 	v.mu.Unlock()
 	if isNew && v.OnNotice != nil {
@@ -419,7 +410,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.recordStore(bootclock.Now(), s) {
-		v.notify()
+		v.changed.Announce()
 	}
 }
 
--- a/internal/clusterview/voters.go
+++ b/internal/clusterview/voters.go
@@ -17,7 +17,7 @@
 	}
 	v.log.Info("leader of the state group changed", "leader", id, "term", term, "previous", v.leader, "from", "own replica")
 	v.leader, v.term = id, term
-	v.notify()
+	v.changed.Announce()
 }
 
 // Leader returns the leader of the latest known term, or "" if no leader is known.
--- a/internal/host/configsync.go
+++ b/internal/host/configsync.go
@@ -9,6 +9,7 @@
 
 	"fuchsiaflow/confstate"
 	"fuchsiaflow/errs"
+	"fuchsiaflow/internal/broadcast"
 	"fuchsiaflow/internal/controlstate"
 	"fuchsiaflow/internal/domainstate"
 	"fuchsiaflow/internal/kernel"
@@ -43,7 +44,7 @@
 	mu          sync.Mutex
 	activator   *confstate.Activator
 	subscribers []func(*confstate.Config)
-	activated   chan struct{} // closed and replaced when a version becomes active
+	activated   broadcast.Signal
 }
 
 func newConfigService(domain string, poll time.Duration, g *groupClient, log *slog.Logger) *configService {
@@ -54,7 +55,6 @@
 		log:       log,
 		wake:      kernel.NewRing[struct{}]("config/wake", 1, kernel.DropOldest),
 		activator: confstate.NewActivator(),
-		activated: make(chan struct{}),
 	}
 }
 
@@ -111,9 +111,7 @@
 	for {
 		// The channel is read before the version, so that an activation in between is not
 		// missed.
-		c.mu.Lock()
-		activated := c.activated
-		c.mu.Unlock()
+		activated := c.activated.Next()
 		if c.Version() >= version {
 			return nil
 		}
@@ -228,9 +226,8 @@
 	c.current.Store(cfg)
 	c.mu.Lock()
 	subscribers := append([]func(*confstate.Config){}, c.subscribers...)
-	close(c.activated)
-	c.activated = make(chan struct{})
 	c.mu.Unlock()
+	c.activated.Announce()
 	for _, fn := range subscribers {
 		fn(cfg)
 	}
--- a/internal/runner/statemachine.go
+++ b/internal/runner/statemachine.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"fuchsiaflow/fleet"
+	"fuchsiaflow/internal/broadcast"
 	"fuchsiaflow/internal/clusterview"
 	"fuchsiaflow/internal/storestate"
 	"fuchsiaflow/jobs"
@@ -29,7 +30,7 @@
 	mu             sync.Mutex
 	state          *storestate.State
 	revision       uint64
-	changed        chan struct{}
+	changed        broadcast.Signal
 	newJobs        []jobs.Key // jobs that TakeNewJobs has not returned yet
 	newestSequence uint64     // sequence number of the newest job seen
 	configVersion  uint64     // newest version passed to OnConfig
@@ -41,7 +42,7 @@
 
 // NewStateMachine returns an empty state machine.
 func NewStateMachine(onConfig func(clusterview.Config), onDeparture func(fleet.Departure)) *StateMachine {
-	return &StateMachine{OnConfig: onConfig, OnDeparture: onDeparture, state: storestate.New(), changed: make(chan struct{})}
+	return &StateMachine{OnConfig: onConfig, OnDeparture: onDeparture, state: storestate.New()}
 }
 
 // Apply implements group.StateMachine.
@@ -84,8 +85,7 @@
 	}
 	m.departureRevision = departures.Revision()
 	m.publishQuarantine()
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.changed.Announce()
 }
 
 // publishQuarantine reports requests whose state of quarantine has changed. The caller holds mu.
@@ -135,11 +135,7 @@
 }
 
 // Changed returns a channel that is closed when the state changes next.
-func (m *StateMachine) Changed() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.changed
-}
+func (m *StateMachine) Changed() <-chan struct{} { return m.changed.Next() }
 
 // Revision returns a number that increases with each change.
 func (m *StateMachine) Revision() uint64 {
