capacity: one type finds the extremes that balance and schedule compare

Cause: both packages searched the fastest and the slowest of the targets of a service with the same lines, and had to know which targets have enough results. Ruled out: a function over a list of estimators. Both packages visit their targets for other reasons too, and schedule visits those of all services at once. Change: capacity.Extremes takes one target after the other; the comparison of two estimators is no longer public. Measured: tests of capacity, balance and schedule pass. Conclusion: no change of behaviour.

--- a/balance/estimates.go
+++ b/balance/estimates.go
@@ -120,7 +120,7 @@
 // review decides whether choices among the candidates use the estimates: if a target states its slowness or slows down
 // with load, or if two differ in speed.
 func (b *Balancer) review(now time.Time, service *serviceState, list []Candidate) {
-	var fastest, slowest *estimate
+	var extremes capacity.Extremes
 	reason, rates, known := false, 0.0, 0
 	for i := range list {
 		e := b.currentEstimate(now, &list[i])
@@ -131,21 +131,13 @@
 		latency := e.Latency(now, 0)
 		rates += 1 / latency
 		known++
-		if !e.IsComparable() {
-			continue
-		}
-		if fastest == nil || latency < fastest.Latency(now, 0) {
-			fastest = e
-		}
-		if slowest == nil || latency > slowest.Latency(now, 0) {
-			slowest = e
-		}
+		extremes.Add(e.Estimator, latency)
 	}
 	service.reference = defaultLatency.Seconds()
 	if known > 0 {
 		service.reference = float64(known) / rates
 	}
-	if reason || fastest != slowest && fastest.DiffersFrom(slowest.Estimator, speedClassFactor) {
+	if reason || extremes.Differ(speedClassFactor) {
 		service.until = now.Add(estimatesFor)
 	}
 	service.usesEstimates = now.Before(service.until)
--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -284,12 +284,12 @@
 // StatesSlowness reports whether the target states its slowness.
 func (e *Estimator) StatesSlowness() bool { return e.stated.percent > 0 }
 
-// IsComparable reports whether there are enough results to tell the target from another one; see DiffersFrom.
-func (e *Estimator) IsComparable() bool { return e.count >= minComparable }
+// isComparable reports whether there are enough results to tell the target from another one; see differsFrom.
+func (e *Estimator) isComparable() bool { return e.count >= minComparable }
 
-// DiffersFrom reports whether results show that the usual latencies of two targets differ by more than the factor.
-func (e *Estimator) DiffersFrom(o *Estimator, factor float64) bool {
-	return e.IsComparable() && o.IsComparable() && e.usual.distance(&o.usual) > math.Log(factor)
+// differsFrom reports whether results show that the usual latencies of two targets differ by more than the factor.
+func (e *Estimator) differsFrom(o *Estimator, factor float64) bool {
+	return e.isComparable() && o.isComparable() && e.usual.distance(&o.usual) > math.Log(factor)
 }
 
 // Refresh updates the growth and the knee for the present age of the results behind them.
--- a/capacity/evidence.go
+++ b/capacity/evidence.go
@@ -53,3 +53,27 @@
 	uncertainty := comparisonErrors * math.Sqrt(variance*(1/v.results()+1/o.results()))
 	return max(math.Abs(v.y-o.y)-uncertainty, 0)
 }
+
+// Extremes finds the fastest and the slowest of several targets. The zero value has none.
+type Extremes struct {
+	fastest, slowest *Estimator
+	least, most      float64
+}
+
+// Add adds a target with a latency, unless it has too few results to be compared.
+func (x *Extremes) Add(e *Estimator, latency float64) {
+	if !e.isComparable() {
+		return
+	}
+	if x.fastest == nil || latency < x.least {
+		x.fastest, x.least = e, latency
+	}
+	if x.slowest == nil || latency > x.most {
+		x.slowest, x.most = e, latency
+	}
+}
+
+// Differ reports whether results show that the usual latencies of the two targets differ by more than the factor.
+func (x *Extremes) Differ(factor float64) bool {
+	return x.fastest != x.slowest && x.fastest.differsFrom(x.slowest, factor)
+}
--- a/schedule/capacity.go
+++ b/schedule/capacity.go
@@ -59,23 +59,21 @@
 	if s.ignoreSpeeds {
 		return
 	}
-	fastest, slowest := make(map[string]*engine), make(map[string]*engine)
+	extremes := make(map[string]*capacity.Extremes)
 	for _, e := range s.enginesByID() {
 		if e.estimate.SlowsDown() {
 			s.unlikeUntil[e.Service] = now.Add(unlikeFor)
 		}
-		if !e.speed.fresh(now) || !e.estimate.IsComparable() {
+		if !e.speed.fresh(now) {
 			continue
 		}
-		if f := fastest[e.Service]; f == nil || e.usualGap() < f.usualGap() {
-			fastest[e.Service] = e
-		}
-		if l := slowest[e.Service]; l == nil || e.usualGap() > l.usualGap() {
-			slowest[e.Service] = e
+		if extremes[e.Service] == nil {
+			extremes[e.Service] = new(capacity.Extremes)
 		}
+		extremes[e.Service].Add(e.estimate, e.usualGap())
 	}
-	for service, f := range fastest {
-		if f.estimate.DiffersFrom(slowest[service].estimate, speedClassFactor) {
+	for service, x := range extremes {
+		if x.Differ(speedClassFactor) {
 			s.unlikeUntil[service] = now.Add(unlikeFor)
 		}
 	}
