httpconn: the body of known length is sent by a method of its own

Cause: writeRequest wrote the head and bodies of both kinds in forty lines. Ruled out: one writer for both kinds of bodies; a chunked body bypasses the buffer. Change: Request.writeSizedBody. Measured: the tests of httpconn pass with -race. Conclusion: no change of behaviour.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -204,6 +204,7 @@
 	return r.Body == nil || inMemory && r.ContentLength <= maxInlineBodyBytes
 }
 
+// writeRequest sends a request.
 func (c *conn) writeRequest(req *Request) error {
 	w := bufio.NewWriterSize(c.Conn, bufferBytes)
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.RequestURI, req.Host)
@@ -219,20 +220,7 @@
 		}
 		return writeChunks(c.Conn, req.Body)
 	case req.Body != nil && req.ContentLength > 0:
-		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", req.ContentLength)
-		if _, inMemory := req.Body.(*bytes.Reader); !inMemory {
-			// The body may arrive slowly; the target can respond to the header first.
-			if err := w.Flush(); err != nil {
-				return err
-			}
-		}
-		n, err := io.Copy(w, io.LimitReader(req.Body, req.ContentLength))
-		if err == nil && n < req.ContentLength {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
+		return req.writeSizedBody(w)
 	case req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch:
 		_, _ = w.WriteString("Content-Length: 0\r\n\r\n")
 	default:
@@ -241,6 +229,25 @@
 	return w.Flush()
 }
 
+// writeSizedBody ends the header with the length of the body and sends the body.
+func (r *Request) writeSizedBody(w *bufio.Writer) error {
+	fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", r.ContentLength)
+	if _, inMemory := r.Body.(*bytes.Reader); !inMemory {
+		// The body may arrive slowly; the target can respond to the header first.
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	n, err := io.Copy(w, io.LimitReader(r.Body, r.ContentLength))
+	if err == nil && n < r.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // singleLine replaces what ends a line in the value of a header.
 var singleLine = strings.NewReplacer("\n", " ", "\r", " ")
 
