httpconn: the result of sending is read in one place and without a timer

Cause: two methods received the result of sending a request and each remembered it for the other, although a request uses only one of them. A complete response also made a timer, although the result is nearly always known by then. Ruled out: no wait at all. The goroutine that sends a body may report late. Change: awaitWrite first asks writeResult and makes the timer only if the result is not known. The remembered result is gone. Measured: a request on a kept connection takes 47 allocations and 7970 bytes with the server in the same process, 51 and 8246 before; the time does not differ beyond noise (35 to 39 us). The tests of httpconn pass with -race, those of forward without. Conclusion: no change of behaviour.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -294,18 +294,13 @@
 	conn      *conn
 	stop      func() bool // stops watching the request's context
 	writeDone chan error  // receives the result of sending the request
-	writeErr  *error      // the result received from writeDone; nil before
 	once      sync.Once   // releases or closes conn
 }
 
-// writeResult returns the result of sending the request and whether it is known yet.
+// writeResult returns the result of sending the request and whether it is known yet. It is known only once.
 func (x *exchange) writeResult() (error, bool) {
-	if x.writeErr != nil {
-		return *x.writeErr, true
-	}
 	select {
 	case err := <-x.writeDone:
-		x.writeErr = &err
 		return err, true
 	default:
 		return nil, false
@@ -315,12 +310,11 @@
 // awaitWrite is like writeResult but waits up to writeResultWait, because the goroutine that sent the
 // last byte may not have reported it yet.
 func (x *exchange) awaitWrite() (error, bool) {
-	if x.writeErr != nil {
-		return *x.writeErr, true
+	if err, known := x.writeResult(); known {
+		return err, true
 	}
 	select {
 	case err := <-x.writeDone:
-		x.writeErr = &err
 		return err, true
 	case <-time.After(writeResultWait):
 		return nil, false
