indexheap: one heap for elements that know their index

Cause: ledger and routing had two heaps each of elements with an index, for their removal from the middle. The lines differed only in the order and in the field for the index; one of them kept a reference to removed elements, and two left their old index. Ruled out: functions for the order in a field, which each heap would need before its first use. Change: internal/indexheap.Heap for container/heap, with the order as a type; all four use it. Measured: tests of ledger, routing and indexheap pass with -race, those of host and joined without.

--- a/ledger/lease.go
+++ b/ledger/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"maps"
 	"math"
 	"slices"
@@ -123,7 +124,7 @@
 		s.attemptsByHost[host] = map[uint64]*attempt{}
 	}
 	s.attemptsByHost[host][a.number] = a
-	s.expiryQueue.push(a)
+	heap.Push(&s.expiryQueue, a)
 	st.addAttempt(a)
 	st.tenancy.servedTokens += a.chargedTokens / s.weightOf(st.tenancy.name)
 	s.stats.Leased++
--- a/ledger/scheduler.go
+++ b/ledger/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"container/list"
 	"maps"
 	"slices"
@@ -333,7 +334,7 @@
 // endAttempt removes an attempt. Its slot becomes open again if no other attempt at it is
 // running and the ledger has not accepted an output for it.
 func (s *Scheduler) endAttempt(a *attempt) {
-	s.expiryQueue.remove(a)
+	heap.Remove(&s.expiryQueue, a.heapIndex)
 	delete(s.attempts, a.number)
 	delete(s.attemptsByHost[a.host], a.number)
 	if len(s.attemptsByHost[a.host]) == 0 {
--- a/ledger/stepwork.go
+++ b/ledger/stepwork.go
@@ -5,10 +5,12 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"fuchsiaflow/internal/indexheap"
 )
 
 // stepWork is the unfinished work of one step. Groups with open slots are in a heap, ordered
-// by groupHeap.Less.
+// by groupOrder.
 type stepWork struct {
 	tenancy           *tenancyWork
 	id                string
@@ -208,13 +210,14 @@
 	}
 }
 
-// groupHeap orders groups without an owner before others, then by descending expected length.
-type groupHeap []*groupWork
+// groupHeap is a heap of groups with open slots.
+type groupHeap = indexheap.Heap[*groupWork, groupOrder]
 
-func (h groupHeap) Len() int { return len(h) }
+// groupOrder orders groups without an owner before others, then by descending expected length.
+type groupOrder struct{}
 
-func (h groupHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
+// Before implements indexheap.Order.
+func (groupOrder) Before(a, b *groupWork) bool {
 	if (a.owner == "") != (b.owner == "") {
 		return a.owner == ""
 	}
@@ -224,54 +227,18 @@
 	return a.index < b.index
 }
 
-func (h groupHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex, h[j].heapIndex = i, j
-}
-
-// Push implements heap.Interface.
-func (h *groupHeap) Push(x any) {
-	g := x.(*groupWork)
-	g.heapIndex = len(*h)
-	*h = append(*h, g)
-}
-
-// Pop implements heap.Interface.
-func (h *groupHeap) Pop() any {
-	last := len(*h) - 1
-	g := (*h)[last]
-	g.heapIndex = -1
-	*h = (*h)[:last]
-	return g
-}
+// SetIndex implements indexheap.Order.
+func (groupOrder) SetIndex(g *groupWork, index int) { g.heapIndex = index }
 
-// expiryHeap orders attempts by the end of their lease. Ended attempts are removed at once: at
-// 550 attempts/s and leases of 10 minutes they would otherwise take about 50 MB.
-type expiryHeap []*attempt
+// expiryHeap is a heap of attempts. Ended attempts are removed at once: at 550 attempts/s and leases of 10 minutes they would
+// otherwise take about 50 MB.
+type expiryHeap = indexheap.Heap[*attempt, expiryOrder]
 
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expiry.Before(h[j].expiry) }
+// expiryOrder orders attempts by the end of their lease.
+type expiryOrder struct{}
 
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex, h[j].heapIndex = i, j
-}
-
-// Push implements heap.Interface.
-func (h *expiryHeap) Push(x any) {
-	a := x.(*attempt)
-	a.heapIndex = len(*h)
-	*h = append(*h, a)
-}
-
-// Pop implements heap.Interface.
-func (h *expiryHeap) Pop() any {
-	last := len(*h) - 1
-	a := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return a
-}
+// Before implements indexheap.Order.
+func (expiryOrder) Before(a, b *attempt) bool { return a.expiry.Before(b.expiry) }
 
-func (h *expiryHeap) push(a *attempt)   { heap.Push(h, a) }
-func (h *expiryHeap) remove(a *attempt) { heap.Remove(h, a.heapIndex) }
+// SetIndex implements indexheap.Order.
+func (expiryOrder) SetIndex(a *attempt, index int) { a.heapIndex = index }
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"fuchsiaflow/internal/indexheap"
 )
 
 // pendingRequest is a request that is queued, while endpoint is nil, or in flight.
@@ -13,7 +15,7 @@
 	pool           *pool
 	tenancy        *tenancyQueue
 	queue          *modelQueue
-	queueIndex     int       // index in queue.requests
+	queueIndex     int       // index in queue.requests, or -1
 	expiryIndex    int       // index in pool.expiry, or -1
 	latestDispatch time.Time // latest dispatch time at which the deadline can be met
 	endpoint       *Endpoint
@@ -32,17 +34,25 @@
 }
 
 // modelQueue holds the queued requests of a tenancy for the same model and minimum version, which can
-// run on the same targets. It implements heap.Interface; the earliest deadline comes first.
+// run on the same targets.
 type modelQueue struct {
 	model        string
 	minVersion   uint64
-	requests     []*pendingRequest
+	requests     requestHeap
 	blockedRound uint64 // last Dispatcher.round in which no target was eligible
 }
 
-func (q *modelQueue) Len() int { return len(q.requests) }
+// requestHeap is a heap of the requests of a modelQueue.
+type requestHeap = indexheap.Heap[*pendingRequest, deadlineOrder]
+
+// deadlineOrder orders requests as pendingRequest.before does.
+type deadlineOrder struct{}
+
+// Before implements indexheap.Order.
+func (deadlineOrder) Before(a, b *pendingRequest) bool { return a.before(b) }
 
-func (q *modelQueue) Less(i, j int) bool { return q.requests[i].before(q.requests[j]) }
+// SetIndex implements indexheap.Order.
+func (deadlineOrder) SetIndex(pr *pendingRequest, index int) { pr.queueIndex = index }
 
 // before orders the requests of a tenancy by deadline and then by arrival. Requests without a deadline
 // come last.
@@ -57,54 +67,19 @@
 	return a.Before(b)
 }
 
-func (q *modelQueue) Swap(i, j int) {
-	q.requests[i], q.requests[j] = q.requests[j], q.requests[i]
-	q.requests[i].queueIndex, q.requests[j].queueIndex = i, j
-}
+// expiryHeap is a heap of queued requests.
+type expiryHeap = indexheap.Heap[*pendingRequest, expiryOrder]
 
-// Push implements heap.Interface.
-func (q *modelQueue) Push(x any) {
-	pr := x.(*pendingRequest)
-	pr.queueIndex = len(q.requests)
-	q.requests = append(q.requests, pr)
-}
+// expiryOrder orders requests by the latest time at which they can be dispatched and still meet their deadlines.
+type expiryOrder struct{}
 
-// Pop implements heap.Interface.
-func (q *modelQueue) Pop() any {
-	last := len(q.requests) - 1
-	pr := q.requests[last]
-	q.requests[last] = nil
-	q.requests = q.requests[:last]
-	return pr
+// Before implements indexheap.Order.
+func (expiryOrder) Before(a, b *pendingRequest) bool {
+	return a.latestDispatch.Before(b.latestDispatch)
 }
 
-// expiryHeap orders queued requests by the latest time at which they can be dispatched and still meet
-// their deadlines.
-type expiryHeap []*pendingRequest
-
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].latestDispatch.Before(h[j].latestDispatch) }
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].expiryIndex, h[j].expiryIndex = i, j
-}
-
-// Push implements heap.Interface.
-func (h *expiryHeap) Push(x any) {
-	pr := x.(*pendingRequest)
-	pr.expiryIndex = len(*h)
-	*h = append(*h, pr)
-}
-
-// Pop implements heap.Interface.
-func (h *expiryHeap) Pop() any {
-	old := *h
-	pr := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	pr.expiryIndex = -1
-	return pr
-}
+// SetIndex implements indexheap.Order.
+func (expiryOrder) SetIndex(pr *pendingRequest, index int) { pr.expiryIndex = index }
 
 // tenancyQueue holds the queued requests of a tenancy and its state in fair queueing.
 type tenancyQueue struct {
@@ -184,7 +159,7 @@
 	}
 	pr.tenancy = t
 	pr.queue = t.queueFor(pr.req.Model, pr.req.MinVersion)
-	heap.Push(pr.queue, pr)
+	heap.Push(&pr.queue.requests, pr)
 	t.queued++
 	c.queued++
 	c.queuedTokens += pr.req.ExpectedTokens
@@ -192,7 +167,7 @@
 
 func (c *classQueue) remove(pr *pendingRequest) {
 	t := pr.tenancy
-	heap.Remove(pr.queue, pr.queueIndex)
+	heap.Remove(&pr.queue.requests, pr.queueIndex)
 	if len(pr.queue.requests) == 0 {
 		t.modelQueues = slices.DeleteFunc(t.modelQueues, func(q *modelQueue) bool { return q == pr.queue })
 	}
