--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -204,8 +204,17 @@
 	return r.Body == nil || inMemory && r.ContentLength <= maxInlineBodyBytes
 }
 
+// writers are the buffers of requests that are not being sent.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+
+// writeRequest sends a request.
 func (c *conn) writeRequest(req *Request) error {
-	w := bufio.NewWriterSize(c.Conn, bufferBytes)
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(c.Conn)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.RequestURI, req.Host)
 	if err := req.Header.Write(w); err != nil {
 		return err
@@ -219,20 +228,7 @@
 		}
 		return writeChunks(c.Conn, req.Body)
 	case req.Body != nil && req.ContentLength > 0:
-		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", req.ContentLength)
-		if _, inMemory := req.Body.(*bytes.Reader); !inMemory {
-			// The body may arrive slowly; the target can respond to the header first.
-			if err := w.Flush(); err != nil {
-				return err
-			}
-		}
-		n, err := io.Copy(w, io.LimitReader(req.Body, req.ContentLength))
-		if err == nil && n < req.ContentLength {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
+		return req.writeSizedBody(w)
 	case req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch:
 		_, _ = w.WriteString("Content-Length: 0\r\n\r\n")
 	default:
@@ -241,6 +237,25 @@
 	return w.Flush()
 }
 
+// writeSizedBody ends the header with the length of the body and sends the body.
+func (r *Request) writeSizedBody(w *bufio.Writer) error {
+	fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", r.ContentLength)
+	if _, inMemory := r.Body.(*bytes.Reader); !inMemory {
+		// The body may arrive slowly; the target can respond to the header first.
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	n, err := io.Copy(w, io.LimitReader(r.Body, r.ContentLength))
+	if err == nil && n < r.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // singleLine replaces what ends a line in the value of a header.
 var singleLine = strings.NewReplacer("\n", " ", "\r", " ")
 
@@ -287,18 +302,13 @@
 	conn      *conn
 	stop      func() bool // stops watching the request's context
 	writeDone chan error  // receives the result of sending the request
-	writeErr  *error      // the result received from writeDone; nil before
 	once      sync.Once   // releases or closes conn
 }
 
-// writeResult returns the result of sending the request and whether it is known yet.
+// writeResult returns the result of sending the request and whether it is known yet. It is known only once.
 func (x *exchange) writeResult() (error, bool) {
-	if x.writeErr != nil {
-		return *x.writeErr, true
-	}
 	select {
 	case err := <-x.writeDone:
-		x.writeErr = &err
 		return err, true
 	default:
 		return nil, false
@@ -308,12 +318,11 @@
 // awaitWrite is like writeResult but waits up to writeResultWait, because the goroutine that sent the
 // last byte may not have reported it yet.
 func (x *exchange) awaitWrite() (error, bool) {
-	if x.writeErr != nil {
-		return *x.writeErr, true
+	if err, known := x.writeResult(); known {
+		return err, true
 	}
 	select {
 	case err := <-x.writeDone:
-		x.writeErr = &err
 		return err, true
 	case <-time.After(writeResultWait):
 		return nil, false
