forward: bound what is held for slow readers

Cause: with 300 callers that read answers of 2 MB at 2 KB/s, the sockets of an entry host of 120 MB held 364 MB (396 MB for answers of unknown length, 420 MB for events), because send and receive buffers grow; each event up to 256 KiB was held twice, outside of any budget: 1,000 readers made a host of 90 MB use 95.9 MB. The budget for bodies was 16 MiB whatever the memory of the host.

Ruled out: 503 for callers without room (the request has run); socket buffers of 32 KiB (an answer of 100 KB took 80 ms instead of 0.9 ms on loopback); a cut of the slowest for every newcomer (none of many equal readers would get a whole answer).

Change: the budget follows settings.Role.MemoryBytes (1/8, 16 MiB if unknown). Large events need budget and are held once. Socket buffers are bounded for slow readers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,6 +104,7 @@
 	limiter := ratelimit.New(e.view, ratelimit.Leader{Call: e.stateClient.DemandShare}, o.Log, o.Metrics)
 	e.refusals = newRefusalCounter(o.Metrics)
 	e.forwarder = forward.New(o.Headers, e.view, limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
+	e.forwarder.LimitMemory(s.MemoryBytes)
 	crashReporter := crashes.NewReporter(e.view, e.stateClient, o.Log, o.Metrics)
 	e.forwarder.UseCrashReporter(crashReporter)
 	e.forwarder.UseStreamOrigins(e.stateClient)
--- a/internal/forward/buffer_test.go
+++ b/internal/forward/buffer_test.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"io"
+	"log/slog"
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"fuchsiaflow/internal/observe"
 )
 
 // Guards against bodies that are cut, buffers beyond the budget, and a budget that is not returned.
 func TestBuffer(t *testing.T) {
-	budget := &bufferBudget{}
+	budget := newBufferBudget(heldLimit(0), slog.New(slog.DiscardHandler), observe.NewMetrics())
 	for _, size := range []int{0, 1, bufferStep, freeBufferBytes, freeBufferBytes + 1, maxBufferedBody, maxBufferedBody + 1, 2 * maxBufferedBody} {
 		body := strings.Repeat("x", size)
 		b := buffer{budget: budget}
@@ -24,7 +27,7 @@
 		}
 		b.release()
 	}
-	if used := budget.used.Load(); used != 0 {
+	if used := budget.used(); used != 0 {
 		t.Errorf("%d bytes of the budget are not returned", used)
 	}
 	held := 0
@@ -35,7 +38,7 @@
 		}
 		held += cap(b.data)
 	}
-	if limit := 1000*freeBufferBytes + maxBufferBytes; held > limit {
+	if limit := 1000*freeBufferBytes + defaultHeldBytes; held > limit {
 		t.Errorf("1000 bodies hold %d bytes, limit %d", held, limit)
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -97,7 +97,7 @@
 	usage UsageCounter
 
 	// buffers bounds what bodies hold in memory.
-	buffers bufferBudget
+	buffers *bufferBudget
 
 	// capacityRevision is the revision of the statements of other hosts that were learned last.
 	capacityRevision uint64
@@ -111,9 +111,14 @@
 	f := &Forwarder{headers: h, view: view, pool: httpconn.NewPool(maxIdleConns), log: log, balancer: balance.New(failureDomain),
 		limiter: limiter, tracing: tracing, started: bootclock.Now(), shutdown: shutdown.New()}
 	f.metrics = newMetrics(m, f)
+	f.buffers = newBufferBudget(heldLimit(0), log, m)
 	return f
 }
 
+// LimitMemory makes what bodies hold follow the memory of the process in bytes; 0 means that it is not known. It must be
+// called before the first request.
+func (f *Forwarder) LimitMemory(bytes int64) { f.buffers.setLimit(heldLimit(bytes)) }
+
 // Start implements kernel.Service.
 func (f *Forwarder) Start(_ context.Context, k *kernel.Kernel) error {
 	k.Every("forward/sweep", sweepInterval, f.sweep)
@@ -234,7 +239,7 @@
 func (c *call) run() error {
 	ctx, cancel := c.forwarder.shutdown.Context(c.req.Context(), c.deadline.Sub(c.startedAt))
 	defer cancel()
-	body, err := readBody(c.req, &c.forwarder.buffers)
+	body, err := readBody(c.req, c.forwarder.buffers)
 	if err != nil {
 		return c.abort("client gone", 0, nil, err)
 	}
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -139,7 +139,7 @@
 		select {
 		case <-ctx.Done():
 			if fallback != nil {
-				return c.writeResponse(fallback)
+				return c.writeResponse(ctx, fallback)
 			}
 			return c.failTimeout()
 		case <-hedgeTimer.C:
@@ -152,7 +152,7 @@
 		case res := <-results:
 			pending--
 			if res.kind == resultAnswered {
-				return c.writeResponse(res)
+				return c.writeResponse(ctx, res)
 			}
 			if res.crash != nil {
 				c.suspicion.add(res.crash)
@@ -181,7 +181,7 @@
 			continue
 		}
 		if fallback != nil {
-			return c.writeResponse(fallback)
+			return c.writeResponse(ctx, fallback)
 		}
 		c.failExhausted()
 		return nil
@@ -308,12 +308,13 @@
 
 // newResult returns the result of an attempt that begins.
 func (c *call) newResult(by *choice, cancel context.CancelFunc) *attemptResult {
-	return &attemptResult{by: by, cancel: cancel, buffer: buffer{budget: &c.forwarder.buffers}}
+	return &attemptResult{by: by, cancel: cancel, buffer: buffer{budget: c.forwarder.buffers}}
 }
 
 // readBody reads up to maxBufferedBody bytes of the body, or less if the budget is used up, and one more to detect a
 // longer one.
 func (r *attemptResult) readBody() error {
+	r.buffer.optional = r.resp.ContentLength > maxBufferedBody
 	err := r.buffer.read(r.resp.Body, maxBufferedBody+1)
 	r.data, r.truncated = r.buffer.data, !r.buffer.whole
 	return err
@@ -350,7 +351,7 @@
 
 // writeResponse passes a response on to the caller. It returns AbortedResponse if an error occurs after
 // the header was sent.
-func (c *call) writeResponse(res *attemptResult) error {
+func (c *call) writeResponse(ctx context.Context, res *attemptResult) error {
 	defer res.close()
 	copyResponseHeader(c.w.Header(), res.resp.Header)
 	if !res.truncated {
@@ -359,11 +360,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
 	}
 	c.w.WriteHeader(res.resp.StatusCode)
-	_, err := c.w.Write(res.data)
-	if err == nil && res.truncated {
-		_, err = io.Copy(c.w, res.resp.Body)
-	}
-	if err != nil {
+	if err := c.writeBody(ctx, res); err != nil {
 		return c.abort("interrupted", res.resp.StatusCode, res.by, err)
 	}
 	c.clearSuspicion(res.resp.StatusCode)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -34,7 +34,10 @@
 	answeredAt  time.Time  // when the response of the current attempt began, by the time of day
 	span        trace.Span // span of the current attempt
 	// recorded is closed when the origin of the stream is stored; nil if no event waits for that.
-	recorded   <-chan struct{}
+	recorded <-chan struct{}
+	// holding is what large events hold of the budget for bodies, nil before the first one; eventBytes is that of the present event.
+	holding    *holding
+	eventBytes int
 	waitsUntil time.Time // end of the wait for a target of the version that the stream is bound to; zero if it does not wait
 }
 
@@ -42,6 +45,7 @@
 // is resumed after the last complete event, at another target of the same software version.
 func (c *call) stream(ctx context.Context) error {
 	s := &eventStream{call: c}
+	defer s.releaseMemory()
 	if id, err := strconv.ParseUint(c.req.Header.Get(c.forwarder.headers.LastEventID), 10, 64); err == nil {
 		s.lastEventID = id
 	}
@@ -142,12 +146,12 @@
 	}
 	s.possibleRuns++
 	if resp.StatusCode != http.StatusOK {
-		return s.handleNonOK(cand, resp, begin)
+		return s.handleNonOK(ctx, cand, resp, begin)
 	}
 	s.answeredAt = time.Now()
 	resumes := s.headerSent
 	if !resumes && resp.ContentLength >= 0 && !isEventStream(resp) {
-		return s.passOnWhole(&cand, resp, begin)
+		return s.passOnWhole(ctx, &cand, resp, begin)
 	}
 	if !s.headerSent {
 		s.headerSent, s.by = true, &cand
@@ -158,7 +162,7 @@
 	}
 	s.waitsUntil = time.Time{}
 	before := s.lastEventID
-	err = s.copyEvents(resp, resumes)
+	err = s.copyEvents(ctx, resp, resumes)
 	if err == nil {
 		s.finishAttempt(cand, balance.OK, begin, nil)
 		s.clearSuspicion(resp.StatusCode)
@@ -185,7 +189,7 @@
 }
 
 // passOnWhole passes on a response whose length is known. Its results are those of attempt.
-func (s *eventStream) passOnWhole(by *choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
+func (s *eventStream) passOnWhole(ctx context.Context, by *choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
 	res := s.newResult(by, func() {})
 	res.resp = resp
 	if err := res.readBody(); err != nil {
@@ -195,13 +199,13 @@
 	}
 	s.countFirstEvent()
 	s.finishAttempt(*by, balance.OK, begin, nil)
-	return true, s.writeResponse(res)
+	return true, s.writeResponse(ctx, res)
 }
 
 // handleNonOK passes on a response whose status is not 200, unless it is a failure and another attempt
 // is allowed. If the header of an earlier response was already sent, the status cannot be passed on and
 // the attempt fails. Its results are those of attempt.
-func (s *eventStream) handleNonOK(cand choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
+func (s *eventStream) handleNonOK(ctx context.Context, cand choice, resp *httpconn.Response, begin time.Time) (finished bool, err error) {
 	res := s.newResult(&cand, func() {})
 	res.resp = resp
 	err = res.readBody()
@@ -217,14 +221,16 @@
 		return false, nil
 	}
 	s.finishAttempt(cand, balance.OK, begin, nil)
-	return true, s.writeResponse(res)
+	return true, s.writeResponse(ctx, res)
 }
 
 // copyEvents passes on the events of one response, except those that the caller already has. If the response
 // resumes that of another target, its events must follow. Unless the response is framed, the end of the
 // connection does not prove that the stream is complete.
-func (s *eventStream) copyEvents(resp *httpconn.Response, resumes bool) error {
+func (s *eventStream) copyEvents(ctx context.Context, resp *httpconn.Response, resumes bool) error {
+	resp.BoundReceiveBuffer() // the caller may stop reading at any time
 	events := sse.NewReader(resp.Body, "")
+	events.OnLarge = func() error { return s.reserveEvent(ctx) }
 	for first := true; ; first = false {
 		e, err := events.Next()
 		if err == io.EOF && resp.Framed {
@@ -256,20 +262,63 @@
 		if e.ID > 0 {
 			s.lastEventID = e.ID
 		}
-		s.unnumbered = s.unnumbered || e.ID == 0 && len(e.Data) > 0
+		s.unnumbered = s.unnumbered || e.ID == 0 && e.HasData
 	}
 }
 
+// reserveEvent waits until there is memory for a large event. The target is not read meanwhile.
+func (s *eventStream) reserveEvent(ctx context.Context) error {
+	if s.holding == nil {
+		s.holding = s.forwarder.buffers.open(0, true, func() { endWrites(s.w) })
+	}
+	if s.eventBytes > 0 { // of an event that was not passed on
+		return nil
+	}
+	for !s.holding.claim(sse.MaxHeldBytes, true) {
+		if err := s.holding.isCut(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return &errs.Interrupted{Operation: "stream", Reason: ctx.Err().Error()}
+		case <-time.After(claimInterval):
+		}
+	}
+	s.eventBytes = sse.MaxHeldBytes
+	return nil
+}
+
 // write sends a part of the stream to the caller.
-func (s *eventStream) write(part []byte) error {
-	if _, err := s.w.Write(part); err != nil {
-		s.writeFailed = true
-		return &errs.Interrupted{Operation: "stream to the caller", Reason: err.Error()}
+func (s *eventStream) write(data []byte) error {
+	for len(data) > 0 {
+		n, err := s.w.Write(data[:min(len(data), partBytes)])
+		data = data[n:]
+		if s.holding != nil {
+			s.holding.took(n, 0)
+			if cut := s.holding.isCut(); cut != nil {
+				err = cut
+			}
+		}
+		if err != nil {
+			s.writeFailed = true
+			return &errs.Interrupted{Operation: "stream to the caller", Reason: err.Error()}
+		}
+	}
+	if s.holding != nil {
+		s.holding.took(0, s.eventBytes)
+		s.eventBytes = 0
 	}
 	s.flush()
 	return nil
 }
 
+// releaseMemory returns the memory of the stream.
+func (s *eventStream) releaseMemory() {
+	if s.holding != nil {
+		s.holding.close()
+	}
+}
+
 // callerHasLeft reports whether the connection to the caller is closed.
 func (s *eventStream) callerHasLeft() bool { return s.writeFailed || s.req.Context().Err() != nil }
 
--- a/internal/headguard/conn.go
+++ b/internal/headguard/conn.go
@@ -30,6 +30,10 @@
 	// time, because the deadline is not renewed with every part.
 	writeTimeout   = 20 * time.Second
 	writePartBytes = 32 << 10
+	// sendBuffer bounds what the kernel holds for a client that reads slowly, which counts as memory of the process. The kernel
+	// doubles it. Without a bound the buffers grow to some MB each. It is set on connections that have been sent more than
+	// writePartBytes.
+	sendBuffer = 64 << 10
 	// bodyGrace and minBodyRate limit the time in which a body arrives: the grace, and a second for each minBodyRate
 	// bytes.
 	bodyGrace   = 30 * time.Second
@@ -86,6 +90,10 @@
 	ahead atomic.Bool
 	// renewAt is when the deadline of writes is renewed, in nanoseconds since the start of the guard.
 	renewAt atomic.Int64
+	// ended is set when a deadline for writes has been set that is over.
+	ended atomic.Bool
+	// sent is the number of bytes that the client was sent, up to the point where its send buffer is bounded.
+	sent atomic.Int64
 }
 
 // closeWriter is a connection whose sending direction can be closed alone.
@@ -311,10 +319,34 @@
 	if age := time.Since(c.guard.started); int64(age) >= c.renewAt.Load() {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(2 * writeTimeout))
 		c.renewAt.Store(int64(age + writeTimeout))
+		if c.ended.Load() {
+			_ = c.Conn.SetWriteDeadline(pastDeadline)
+		}
+	}
+	if c.sent.Load() <= writePartBytes && c.sent.Add(int64(len(p))) > writePartBytes {
+		c.boundSendBuffer()
 	}
 	return c.Conn.Write(p)
 }
 
+// boundSendBuffer sets the size of the send buffer of the kernel.
+func (c *conn) boundSendBuffer() {
+	if b, ok := c.Conn.(interface{ SetWriteBuffer(int) error }); ok {
+		_ = b.SetWriteBuffer(sendBuffer) // a closed connection has none
+	}
+}
+
+// pastDeadline is a deadline that is over.
+var pastDeadline = time.Unix(1, 0)
+
+// SetWriteDeadline implements net.Conn. After a deadline that is over, all writes fail: the guard does not renew it.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.ended.Store(true)
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.guard.close(c.id)
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -42,6 +42,9 @@
 	maxHeadLines = 1000
 	// writeResultWait is how long a complete response waits for the result of sending the request.
 	writeResultWait = 10 * time.Millisecond
+	// receiveBuffer bounds what the kernel holds of a response that is read slowly, which counts as memory of the process. The
+	// kernel doubles it, which gives its usual first size. Without a bound it may grow to some MB.
+	receiveBuffer = 64 << 10
 )
 
 // Request is a request to a target. Body may be nil.
@@ -405,6 +408,14 @@
 	return n, err
 }
 
+// BoundReceiveBuffer keeps the kernel from holding more than receiveBuffer of the response. It must not be called after the
+// end of the body has been read.
+func (r *Response) BoundReceiveBuffer() {
+	if b, ok := r.Body.(*responseBody); ok && !b.done {
+		b.exchange.conn.boundReceiveBuffer()
+	}
+}
+
 // Close closes the connection unless the body was read to its end.
 func (b *responseBody) Close() error {
 	b.exchange.abort()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -38,6 +38,18 @@
 	r         *bufio.Reader
 	expiresAt time.Time // when an idle connection may no longer be reused
 	reused    bool      // whether it has served a request before
+	bounded   bool      // the receive buffer has its size
+}
+
+// boundReceiveBuffer sets the size of the receive buffer of the kernel.
+func (c *conn) boundReceiveBuffer() {
+	if c.bounded {
+		return
+	}
+	c.bounded = true
+	if b, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok {
+		_ = b.SetReadBuffer(receiveBuffer) // a closed connection has none
+	}
 }
 
 // NewPool returns an empty pool.
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -15,13 +15,22 @@
 // maxEventBytes is the maximum size of an event. A faulty target may send a line that never ends.
 const maxEventBytes = 256 << 10
 
+const (
+	// LargeEventBytes is the size from which on an event counts as large.
+	LargeEventBytes = 32 << 10
+	// MaxHeldBytes is the memory of a large event: its buffer and the one before, from which it is copied when it grows.
+	MaxHeldBytes = 2 * maxEventBytes
+)
+
 // Event is one complete event.
 type Event struct {
 	// Raw is the event as received, including the empty line that ends it.
 	Raw []byte
 	// ID is the value of the id field, or 0 if there is none or it is not a number.
 	ID uint64
-	// Data has the values of the data fields, joined by line feeds.
+	// HasData reports whether the event has data that is not empty.
+	HasData bool
+	// Data has the values of the data fields, joined by line feeds; nil from a reader whose OnLarge is set.
 	Data []byte
 	// Extra is the value of the extra field that was passed to NewReader.
 	Extra string
@@ -29,10 +38,13 @@
 
 // IsComment reports whether the event begins with a comment and has no ID and no data, as one that keeps the
 // connection alive.
-func (e *Event) IsComment() bool { return e.Raw[0] == ':' && e.ID == 0 && len(e.Data) == 0 }
+func (e *Event) IsComment() bool { return e.Raw[0] == ':' && e.ID == 0 && !e.HasData }
 
 // Reader reads events from a stream.
 type Reader struct {
+	// OnLarge is called when an event exceeds LargeEventBytes, before more of it is read. Its error ends the stream. Nil does
+	// nothing. With it, an event is kept only once: its Data stays nil.
+	OnLarge    func() error
 	buffered   *bufio.Reader
 	extraField string
 }
@@ -75,21 +87,34 @@
 		case "id":
 			e.ID, _ = strconv.ParseUint(string(value), 10, 64) // 0 if it is not a number
 		case "data":
-			if hasData {
-				e.Data = append(e.Data, '\n')
+			e.HasData = e.HasData || hasData || len(value) > 0
+			if r.OnLarge == nil {
+				e.appendData(value, hasData)
 			}
 			hasData = true
-			e.Data = append(e.Data, value...)
 		case r.extraField:
 			e.Extra = string(value)
 		}
 	}
 }
 
+// appendData adds the value of a data field, which is not the first one if more is set.
+func (e *Event) appendData(value []byte, more bool) {
+	if more {
+		e.Data = append(e.Data, '\n')
+	}
+	e.Data = append(e.Data, value...)
+}
+
 // appendLine appends the next line, with its end, to an event.
 func (r *Reader) appendLine(event []byte) ([]byte, error) {
 	for {
 		part, err := r.buffered.ReadSlice('\n')
+		if size := len(event) + len(part); r.OnLarge != nil && len(event) <= LargeEventBytes && size > LargeEventBytes {
+			if err := r.OnLarge(); err != nil {
+				return event, err
+			}
+		}
 		event = append(event, part...)
 		if len(event) > maxEventBytes {
 			return event, &errs.Corrupt{What: "event stream", Detail: fmt.Sprintf("an event exceeds %d bytes", maxEventBytes)}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -130,6 +130,7 @@
 	st.guard = rolehost.NewGuard(s, o.Log, o.Metrics)
 	st.limiter = ratelimit.New(st.view, ratelimit.Leader{Call: st.leaderClient.DemandShare, Local: st.DemandShare}, o.Log, o.Metrics)
 	st.forwarder = forward.New(o.Headers, st.view, st.limiter, s.FailureDomain, o.Log, o.Metrics, o.Tracing)
+	st.forwarder.LimitMemory(s.MemoryBytes)
 	st.runner = runner.New(runner.Options{Group: st.group, StateMachine: st.stateMachine, View: st.view, EngineClient: o.EngineClient, Forwarder: st.forwarder, Limiter: st.limiter,
 		Headers: o.Headers, Holder: st.replica.ID, Tenure: st.tenure, KeepResults: s.Timing.KeepResults, Log: o.Log, Metrics: o.Metrics, Tracing: o.Tracing})
 	services := []struct {
