headguard: send buffer of 32 KiB for connections with long answers

Cause: TestSlowReadersDoNotFillEntryHost, known length, failed in one of three runs: the sockets held 47.3 MB of 45 MB. The kernel doubles the buffer and takes a part of 32 KiB beyond it, so that 64 KiB were up to 160 KiB.

Ruled out: a larger bound in the test. A receive buffer of 32 KiB is what makes answers slow on loopback, not the send buffer.

Change: 32 KiB instead of 64.

--- a/internal/headguard/conn.go
+++ b/internal/headguard/conn.go
@@ -33,7 +33,7 @@
 	// sendBuffer bounds what the kernel holds for a client that reads slowly, which counts as memory of the process. The kernel
 	// doubles it. Without a bound the buffers grow to some MB each. It is set on connections that have been sent more than
 	// writePartBytes.
-	sendBuffer = 64 << 10
+	sendBuffer = 32 << 10
 	// bodyGrace and minBodyRate limit the time in which a body arrives: the grace, and a second for each minBodyRate
 	// bytes.
 	bodyGrace   = 30 * time.Second
