autoscale, capacity, balance, forward: usual names and clearer comments

Cause: a first reading of the change stumbled over figurative names (market, news, judge, victims, told) and over comments with idioms; the comment of crowdingCost called a factor of 2 a fraction.

Change: costModel, hasNewResults, updateTrust, evictable, statementsSent, discoveryDelay, ignoreIdle and mixChangedAt replace unexported names; two tests follow the renames. Names of metrics and log lines are unchanged.

--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// pictureDelay is the time after the first look until all targets can be known: reports are passed on every 4 to 5 s.
-	pictureDelay = 6 * time.Second
+	// discoveryDelay is the time after the first evaluation until the reports of all targets can have arrived: store hosts
+	// pass reports on every 4 to 5 s.
+	discoveryDelay = 6 * time.Second
 	// surplusTime is how long there must be more targets than needed before the number is reduced.
 	surplusTime = 10 * time.Second
 	// needMemory is the time over which the greatest need decides on reductions.
@@ -26,8 +27,8 @@
 	idleModelTime = 60 * time.Second
 	// maxOrders bounds the orders of one evaluation.
 	maxOrders = 4
-	// returnPause is how long the number is not reduced after a target was seen again: reports that come and go would cause
-	// orders back and forth.
+	// returnPause is how long the number is not reduced after a target was seen again: flapping reports would otherwise cause
+	// alternating orders.
 	returnPause = 60 * time.Second
 	// reductionShare is the share of the targets that are given up at once.
 	reductionShare = 1.0 / 6
@@ -107,7 +108,7 @@
 	needs        []needSample // of needMemory, the oldest first
 	surplusSince time.Time    // zero unless targets could be given up
 	returnedAt   time.Time    // when a target was last seen again after it had been lost; zero if none was
-	cheapenedAt  time.Time    // when targets were last ordered for their price
+	mixChangedAt time.Time    // when targets were last ordered for their price
 	lateness     lateness
 	need         int // at the last decision; 0 if it was not known
 }
@@ -138,16 +139,16 @@
 	p.need = p.lateness.raise(needed)
 	p.needs = append(p.needs, needSample{now, p.need})
 	p.needs = slices.DeleteFunc(p.needs, func(s needSample) bool { return now.Sub(s.at) > needMemory })
-	if now.Sub(p.startedAt) < pictureDelay {
+	if now.Sub(p.startedAt) < discoveryDelay {
 		return nil
 	}
 	low, likely, high := p.counts(now)
-	mk := p.newMarket(now, in, high)
-	if list := p.replenish(mk, low, likely); len(list) > 0 {
+	cm := p.newCostModel(now, in, high)
+	if list := p.replenish(cm, low, likely); len(list) > 0 {
 		p.surplusSince = time.Time{}
 		return p.send(now, list)
 	}
-	return p.send(now, p.save(now, in, mk, low, likely))
+	return p.send(now, p.save(now, in, cm, low, likely))
 }
 
 // serving returns the number of targets that serve.
@@ -169,7 +170,7 @@
 	return low, likely, high
 }
 
-func (p *Planner) newMarket(now time.Time, in *Input, high mix) *market {
+func (p *Planner) newCostModel(now time.Time, in *Input, high mix) *costModel {
 	domains := make(map[string]bool)
 	for d := range in.Scale.DomainPrices {
 		domains[d] = true
@@ -181,7 +182,7 @@
 	for id, c := range p.cells {
 		uncertain[id] = c.uncertain
 	}
-	return &market{scale: &in.Scale, domains: slices.Sorted(maps.Keys(domains)), high: high, uncertain: uncertain,
+	return &costModel{scale: &in.Scale, domains: slices.Sorted(maps.Keys(domains)), high: high, uncertain: uncertain,
 		isOpen: func(c Cell) bool { return p.cell(c).isOpen(now, in.Scale.BootTime) }}
 }
 
@@ -190,29 +191,29 @@
 
 // replenish returns orders for what is missing. Orders without an answer count as carried out for the targets that are
 // kept against a loss. Targets that the work needs now are ordered once more elsewhere.
-func (p *Planner) replenish(mk *market, low, likely mix) []Order {
+func (p *Planner) replenish(cm *costModel, low, likely mix) []Order {
 	needed, certain := p.need, low.size()
 	if missing := p.need - certain; missing > 0 && likely.size() > certain {
 		atMost := p.need + missing + likely.size() - likely.safe()
 		needed = max(needed, min(likely.safe()+missing, atMost))
 	}
 	if likely.safe() < needed {
-		return p.increases(mk, likely, mk.extend(likely, needed+margin(p.need)), TooFew)
+		return p.increases(cm, likely, cm.extend(likely, needed+margin(p.need)), TooFew)
 	}
 	// The work does not wait for these, so that one kind is tried at a time.
-	calm := *mk
-	calm.isOpen = func(c Cell) bool { return mk.isOpen(c) && mk.isOpen(c.other()) }
-	return p.increases(mk, likely, calm.extend(likely, 0), BelowMinimum)
+	calm := *cm
+	calm.isOpen = func(c Cell) bool { return cm.isOpen(c) && cm.isOpen(c.other()) }
+	return p.increases(cm, likely, calm.extend(likely, 0), BelowMinimum)
 }
 
 // increases returns the orders that lead to a larger mix, the largest increase first. A count includes the targets that
 // the platform may have although they are out of sight, since a lower one would end them.
-func (p *Planner) increases(mk *market, likely, wanted mix, reason Reason) []Order {
+func (p *Planner) increases(cm *costModel, likely, wanted mix, reason Reason) []Order {
 	var list []Order
-	for _, c := range mk.cells() {
+	for _, c := range cm.cells() {
 		o := c.other()
-		count := max(wanted[c], likely[c]+mk.uncertain[c])
-		if wanted[c] > likely[c] && count+max(wanted[o], mk.high[o]+mk.uncertain[o]) <= mk.scale.Max {
+		count := max(wanted[c], likely[c]+cm.uncertain[c])
+		if wanted[c] > likely[c] && count+max(wanted[o], cm.high[o]+cm.uncertain[o]) <= cm.scale.Max {
 			list = append(list, Order{Service: p.service, Cell: c, Count: count, Present: likely[c], Reason: reason})
 		}
 	}
@@ -221,16 +222,16 @@
 }
 
 // save returns orders that reduce the price once there was a surplus for surplusTime.
-func (p *Planner) save(now time.Time, in *Input, mk *market, low, likely mix) []Order {
+func (p *Planner) save(now time.Time, in *Input, cm *costModel, low, likely mix) []Order {
 	need := p.recentNeed()
 	need += margin(need)
 	if !p.maySave(now, in) {
 		p.surplusSince = time.Time{}
 		return nil
 	}
-	limit := max(int(reductionShare*float64(likely.size())), mk.excess(low), 1)
-	reduced := mk.reduce(low, need, limit)
-	cheaper := p.cheaperTargets(now, mk, likely, need)
+	limit := max(int(reductionShare*float64(likely.size())), cm.excess(low), 1)
+	reduced := cm.reduce(low, need, limit)
+	cheaper := p.cheaperTargets(now, cm, likely, need)
 	if maps.Equal(reduced, low) && len(cheaper) == 0 {
 		p.surplusSince = time.Time{}
 		return nil
@@ -243,11 +244,11 @@
 	}
 	p.surplusSince = time.Time{}
 	if len(cheaper) > 0 {
-		p.cheapenedAt = now
+		p.mixChangedAt = now
 		return cheaper
 	}
 	var list []Order
-	for _, c := range mk.cells() {
+	for _, c := range cm.cells() {
 		if reduced[c] < low[c] && reduced.domain(c.Domain) <= in.Scale.Max {
 			list = append(list, Order{Service: p.service, Cell: c, Count: reduced[c], Present: low[c], Reason: Surplus})
 		}
@@ -283,22 +284,22 @@
 
 // cheaperTargets returns orders for targets that will take the place of more expensive ones. These are given up later, as
 // a surplus.
-func (p *Planner) cheaperTargets(now time.Time, mk *market, likely mix, need int) []Order {
-	if !p.cheapenedAt.IsZero() && now.Sub(p.cheapenedAt) < changePause {
+func (p *Planner) cheaperTargets(now time.Time, cm *costModel, likely mix, need int) []Order {
+	if !p.mixChangedAt.IsZero() && now.Sub(p.mixChangedAt) < changePause {
 		return nil
 	}
-	reduced := mk.reduce(likely, need, likely.size())
-	ideal := mk.ideal(likely, need)
-	if ideal.safe() < need || mk.cost(ideal) > (1-minSaving)*mk.cost(reduced) {
+	reduced := cm.reduce(likely, need, likely.size())
+	ideal := cm.ideal(likely, need)
+	if ideal.safe() < need || cm.cost(ideal) > (1-minSaving)*cm.cost(reduced) {
 		return nil
 	}
 	wanted := maps.Clone(likely)
-	for _, c := range mk.cells() {
-		if mk.allows(c) {
-			wanted[c] += min(max(ideal[c]-likely[c], 0), mk.room(wanted, c))
+	for _, c := range cm.cells() {
+		if cm.allows(c) {
+			wanted[c] += min(max(ideal[c]-likely[c], 0), cm.room(wanted, c))
 		}
 	}
-	return p.increases(mk, likely, wanted, Cheaper)
+	return p.increases(cm, likely, wanted, Cheaper)
 }
 
 // send marks orders as sent and returns those that are.
--- a/autoscale/cell.go
+++ b/autoscale/cell.go
@@ -253,7 +253,7 @@
 }
 
 // targetLeft handles a target that leaves or was taken away. If that is not the effect of an own order, the cell gets a
-// pause: others there may be about to be taken away too, and none is to be had.
+// pause: others there may be about to be taken away too, and none is available.
 func (p *Planner) targetLeft(now time.Time, t *target) {
 	c := p.cell(t.cell)
 	ownOrder := !c.reducedAt.IsZero() && now.Sub(c.reducedAt) < ownReduction
--- a/autoscale/demand.go
+++ b/autoscale/demand.go
@@ -61,8 +61,8 @@
 }
 
 // isSettled reports whether the demand is known so well that targets may be given up for it. models are all models of the
-// service; those without jobs count as unused only if patient is set.
-func (d *Demand) isSettled(models []string, patient bool) bool {
+// service; those without jobs prevent that unless ignoreIdle is set.
+func (d *Demand) isSettled(models []string, ignoreIdle bool) bool {
 	known := make(map[string]bool, len(d.Models))
 	for _, m := range d.Models {
 		if m.Jobs < settledJobs {
@@ -70,7 +70,7 @@
 		}
 		known[m.Model] = true
 	}
-	return patient || !slices.ContainsFunc(models, func(m string) bool { return !known[m] })
+	return ignoreIdle || !slices.ContainsFunc(models, func(m string) bool { return !known[m] })
 }
 
 // targets returns the number of targets that complete each step in time, if a new one serves after bootTime.
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -177,9 +177,9 @@
 	}})
 	w.expect(0, 40, 6)
 	m, _, _ := w.planner.counts(w.now)
-	mk := market{scale: &testScale}
-	if m.safe() < w.planner.need || mk.cost(m) > 32 {
-		t.Errorf("%v costs %.1f a second, %d are safe, need %d", m, mk.cost(m), m.safe(), w.planner.need)
+	cm := costModel{scale: &testScale}
+	if m.safe() < w.planner.need || cm.cost(m) > 32 {
+		t.Errorf("%v costs %.1f a second, %d are safe, need %d", m, cm.cost(m), m.safe(), w.planner.need)
 	}
 }
 
--- a/autoscale/mix.go
+++ b/autoscale/mix.go
@@ -57,8 +57,8 @@
 // stableTargets returns the number of on-demand targets among those that a need asks for.
 func stableTargets(need int) int { return int(math.Ceil(stableShare * float64(need))) }
 
-// market is what targets cost and where they may be ordered.
-type market struct {
+// costModel is what targets cost and where they may be ordered.
+type costModel struct {
 	scale   *routes.Scale
 	domains []string // sorted
 	// isOpen reports whether the cell may be changed; nil if all may.
@@ -69,9 +69,9 @@
 }
 
 // cells returns all cells in a fixed order.
-func (mk *market) cells() []Cell {
+func (cm *costModel) cells() []Cell {
 	var list []Cell
-	for _, d := range mk.domains {
+	for _, d := range cm.domains {
 		for _, k := range Kinds {
 			list = append(list, Cell{d, k})
 		}
@@ -80,40 +80,40 @@
 }
 
 // price returns the price of a target of a cell for a second.
-func (mk *market) price(c Cell) float64 {
-	price, ok := mk.scale.DomainPrices[c.Domain]
+func (cm *costModel) price(c Cell) float64 {
+	price, ok := cm.scale.DomainPrices[c.Domain]
 	if !ok {
 		price = 1
 	}
 	if c.Kind == Spot {
-		price *= mk.scale.SpotPrice
+		price *= cm.scale.SpotPrice
 	}
 	return price
 }
 
 // allows reports whether targets of the cell may be ordered.
-func (mk *market) allows(c Cell) bool {
-	return (c.Kind == OnDemand || mk.scale.SpotPrice > 0) && (mk.isOpen == nil || mk.isOpen(c))
+func (cm *costModel) allows(c Cell) bool {
+	return (c.Kind == OnDemand || cm.scale.SpotPrice > 0) && (cm.isOpen == nil || cm.isOpen(c))
 }
 
 // room returns how many targets a cell can get beyond the mix.
-func (mk *market) room(m mix, c Cell) int {
+func (cm *costModel) room(m mix, c Cell) int {
 	o := c.other()
-	return max(mk.scale.Max-max(m[c], mk.high[c])-max(m[o], mk.high[o]+mk.uncertain[o]), 0)
+	return max(cm.scale.Max-max(m[c], cm.high[c])-max(m[o], cm.high[o]+cm.uncertain[o]), 0)
 }
 
 // extend returns the cheapest mix with at least the targets of base and a safe number of at least need, or, if there is
 // none, the one that misses the fewest.
-func (mk *market) extend(base mix, need int) mix {
+func (cm *costModel) extend(base mix, need int) mix {
 	var best mix
 	bestPrice := math.Inf(1)
 	levels := 0
-	if mk.scale.SpotPrice > 0 {
-		levels = mk.scale.Max
+	if cm.scale.SpotPrice > 0 {
+		levels = cm.scale.Max
 	}
 	for level := 0; level <= levels; level++ {
-		m := mk.fill(base, need, level)
-		if price := mk.priceOf(base, m, need); price < bestPrice {
+		m := cm.fill(base, need, level)
+		if price := cm.priceOf(base, m, need); price < bestPrice {
 			best, bestPrice = m, price
 		}
 	}
@@ -121,12 +121,12 @@
 }
 
 // ideal returns the cheapest mix for a need if all targets in cells that may be changed could be chosen anew.
-func (mk *market) ideal(present mix, need int) mix {
-	anew := *mk
-	anew.high = maps.Clone(mk.high)
+func (cm *costModel) ideal(present mix, need int) mix {
+	anew := *cm
+	anew.high = maps.Clone(cm.high)
 	base := maps.Clone(present)
-	for _, c := range mk.cells() {
-		if mk.allows(c) {
+	for _, c := range cm.cells() {
+		if cm.allows(c) {
 			base[c], anew.high[c] = 0, 0
 		}
 	}
@@ -134,17 +134,17 @@
 }
 
 // priceOf returns what a mix costs beyond its base, with what is missing in it.
-func (mk *market) priceOf(base, m mix, need int) float64 {
+func (cm *costModel) priceOf(base, m mix, need int) float64 {
 	missing := max(need-m.safe(), 0)
-	for _, d := range mk.domains {
-		missing += max(mk.scale.Min-m.domain(d), 0)
+	for _, d := range cm.domains {
+		missing += max(cm.scale.Min-m.domain(d), 0)
 	}
 	price := missingPrice * float64(missing)
 	// On-demand targets that are missing are replaced by spot targets only while there are none.
 	price += 2 * priceHorizon * float64(max(stableTargets(need)-m.total(OnDemand), 0))
 	for c, n := range m {
 		if n > base[c] {
-			price += callPrice + priceHorizon*mk.price(c)*float64(n-base[c])
+			price += callPrice + priceHorizon*cm.price(c)*float64(n-base[c])
 		}
 	}
 	return price
@@ -152,28 +152,28 @@
 
 // fill adds targets to base: spot targets up to a level in each failure domain, then as many on-demand targets as are
 // missing.
-func (mk *market) fill(base mix, need, spotLevel int) mix {
+func (cm *costModel) fill(base mix, need, spotLevel int) mix {
 	m := maps.Clone(base)
-	for _, d := range mk.domains {
+	for _, d := range cm.domains {
 		c := Cell{d, Spot}
-		if mk.allows(c) {
-			m[c] += min(max(spotLevel-m[c], 0), mk.room(m, c))
+		if cm.allows(c) {
+			m[c] += min(max(spotLevel-m[c], 0), cm.room(m, c))
 		}
 	}
-	for _, d := range mk.domains {
+	for _, d := range cm.domains {
 		c := Cell{d, OnDemand}
-		if mk.allows(c) {
-			m[c] += min(max(mk.scale.Min-m.domain(d), 0), mk.room(m, c))
+		if cm.allows(c) {
+			m[c] += min(max(cm.scale.Min-m.domain(d), 0), cm.room(m, c))
 		}
 	}
 	missing := max(need-m.safe(), stableTargets(need)-m.total(OnDemand))
 	chunk := max((missing+maxDomainsPerOrder-1)/maxDomainsPerOrder, 1)
 	for missing > 0 {
-		c, ok := mk.cheapestOnDemand(m)
+		c, ok := cm.cheapestOnDemand(m)
 		if !ok {
 			break
 		}
-		n := min(chunk, missing, mk.room(m, c))
+		n := min(chunk, missing, cm.room(m, c))
 		m[c] += n
 		missing -= n
 	}
@@ -182,12 +182,12 @@
 
 // cheapestOnDemand returns the cell for the next on-demand targets. The price rises with the number of targets in the
 // failure domain, so that they are spread.
-func (mk *market) cheapestOnDemand(m mix) (best Cell, ok bool) {
+func (cm *costModel) cheapestOnDemand(m mix) (best Cell, ok bool) {
 	bestPrice := math.Inf(1)
-	for _, d := range mk.domains {
+	for _, d := range cm.domains {
 		c := Cell{d, OnDemand}
-		price := mk.price(c) * float64(m[c]+1)
-		if mk.allows(c) && mk.room(m, c) > 0 && price < bestPrice {
+		price := cm.price(c) * float64(m[c]+1)
+		if cm.allows(c) && cm.room(m, c) > 0 && price < bestPrice {
 			best, ok, bestPrice = c, true, price
 		}
 	}
@@ -196,42 +196,42 @@
 
 // reduce returns the mix without the targets, at most limit of them, that a need does not ask for: first those beyond the
 // maximum of a failure domain, then the most expensive ones.
-func (mk *market) reduce(base mix, need, limit int) mix {
+func (cm *costModel) reduce(base mix, need, limit int) mix {
 	m := maps.Clone(base)
 	for range limit {
-		candidates := mk.removable(m, need)
+		candidates := cm.removable(m, need)
 		if len(candidates) == 0 {
 			break
 		}
 		m[slices.MaxFunc(candidates, func(a, b Cell) int {
-			return cmp.Or(cmp.Compare(mk.excessOf(m, a.Domain), mk.excessOf(m, b.Domain)), cmp.Compare(mk.price(a)*float64(m[a]), mk.price(b)*float64(m[b])), cmp.Compare(a.Domain, b.Domain))
+			return cmp.Or(cmp.Compare(cm.excessOf(m, a.Domain), cm.excessOf(m, b.Domain)), cmp.Compare(cm.price(a)*float64(m[a]), cm.price(b)*float64(m[b])), cmp.Compare(a.Domain, b.Domain))
 		})]--
 	}
 	return m
 }
 
 // excessOf returns by how much a failure domain exceeds its maximum, as after a change of the configuration.
-func (mk *market) excessOf(m mix, domain string) int { return max(m.domain(domain)-mk.scale.Max, 0) }
+func (cm *costModel) excessOf(m mix, domain string) int { return max(m.domain(domain)-cm.scale.Max, 0) }
 
 // excess returns by how much all failure domains together exceed their maximum.
-func (mk *market) excess(m mix) int {
+func (cm *costModel) excess(m mix) int {
 	n := 0
-	for _, d := range mk.domains {
-		n += mk.excessOf(m, d)
+	for _, d := range cm.domains {
+		n += cm.excessOf(m, d)
 	}
 	return n
 }
 
 // removable returns the cells that can lose a target.
-func (mk *market) removable(m mix, need int) []Cell {
+func (cm *costModel) removable(m mix, need int) []Cell {
 	var list []Cell
-	for _, d := range mk.domains {
-		if m.domain(d) <= mk.scale.Min {
+	for _, d := range cm.domains {
+		if m.domain(d) <= cm.scale.Min {
 			continue
 		}
 		for _, k := range Kinds {
 			c := Cell{d, k}
-			if m[c] == 0 || !mk.allowsReduction(c) || k == OnDemand && m.total(OnDemand) <= stableTargets(need) {
+			if m[c] == 0 || !cm.allowsReduction(c) || k == OnDemand && m.total(OnDemand) <= stableTargets(need) {
 				continue
 			}
 			m[c]--
@@ -245,13 +245,13 @@
 }
 
 // allowsReduction reports whether the number of targets in the cell may be reduced.
-func (mk *market) allowsReduction(c Cell) bool { return mk.isOpen == nil || mk.isOpen(c) }
+func (cm *costModel) allowsReduction(c Cell) bool { return cm.isOpen == nil || cm.isOpen(c) }
 
 // cost returns the price of a mix for a second.
-func (mk *market) cost(m mix) float64 {
+func (cm *costModel) cost(m mix) float64 {
 	sum := 0.0
 	for c, n := range m {
-		sum += mk.price(c) * float64(n)
+		sum += cm.price(c) * float64(n)
 	}
 	return sum
 }
--- a/autoscale/sim_test.go
+++ b/autoscale/sim_test.go
@@ -185,7 +185,7 @@
 	w.targets = slices.DeleteFunc(w.targets, func(t *simTarget) bool { return !t.endsAt.IsZero() && !w.now.Before(t.endsAt) })
 	for _, t := range w.targets {
 		c := cellOf(&t.report)
-		w.cost += (&market{scale: &w.scale}).price(c) * simStep.Seconds()
+		w.cost += (&costModel{scale: &w.scale}).price(c) * simStep.Seconds()
 		if !w.hides(t) {
 			t.report.ReportedAt = w.now
 		}
--- a/balance/estimates.go
+++ b/balance/estimates.go
@@ -18,9 +18,9 @@
 	// estimates after the last review that found a reason.
 	reviewInterval = 200 * time.Millisecond
 	estimatesFor   = 10 * time.Second
-	// crowdingCost is the cost of a target whose requests reach its knee, as a fraction of the latency, for what a request
-	// delays others. With less than the whole latency, many hosts that see few of the requests send too many of them to the
-	// fastest target.
+	// crowdingCost is the cost of a target whose requests reach its knee, as a multiple of the latency, for what a request
+	// delays others. With a value below 1, many hosts that see few of the requests send too many of them to the fastest
+	// target.
 	crowdingCost = 2.0
 	// probeInterval is how often a target gets a request that it is not expected to complete in time, because only
 	// results can show that it would.
@@ -43,14 +43,14 @@
 // estimate is the estimated capacity of one incarnation of a target.
 type estimate struct {
 	*capacity.Estimator
-	incarnation int64
-	shared      bool      // other hosts use what this one learns
-	news        bool      // there were results since the last statement
-	statedAt    time.Time // when the last statement was made
-	base        float64   // latency at one request and usual speed as of the last review, in seconds; 0 after a later result
-	sentAt      time.Time // when the last request was sent
-	loggedKnee  float64   // as last reported by Changes; 0 before
-	logged      float64   // latency in seconds as last reported by Changes
+	incarnation   int64
+	shared        bool      // other hosts use what this one learns
+	hasNewResults bool      // there were results since the last statement
+	statedAt      time.Time // when the last statement was made
+	base          float64   // latency at one request and usual speed as of the last review, in seconds; 0 after a later result
+	sentAt        time.Time // when the last request was sent
+	loggedKnee    float64   // as last reported by Changes; 0 before
+	logged        float64   // latency in seconds as last reported by Changes
 }
 
 func newEstimate() estimate { return estimate{Estimator: capacity.NewEstimator(0, 0)} }
@@ -61,10 +61,10 @@
 	switch o {
 	case OK:
 		e.RecordResult(now, concurrency, latency)
-		e.news, e.base = true, 0
+		e.hasNewResults, e.base = true, 0
 	case Cancelled:
 		e.RecordBound(now, concurrency, latency)
-		e.news, e.base = true, 0
+		e.hasNewResults, e.base = true, 0
 	case Shed:
 		e.RecordRefusal(now, concurrency)
 	case Failed: // says nothing about the capacity
@@ -166,7 +166,7 @@
 func (b *Balancer) Statements(now time.Time) []capacity.Statement {
 	var ids []string
 	for id, s := range b.stats {
-		if s.estimate.shared && s.estimate.news && s.estimate.incarnation != 0 {
+		if s.estimate.shared && s.estimate.hasNewResults && s.estimate.incarnation != 0 {
 			ids = append(ids, id)
 		}
 	}
@@ -176,7 +176,7 @@
 	var list []capacity.Statement
 	for _, id := range ids[:min(len(ids), capacity.MaxStatements)] {
 		e := &b.stats[id].estimate
-		e.news, e.statedAt = false, now
+		e.hasNewResults, e.statedAt = false, now
 		if s, ok := e.Statement(now, id, e.incarnation); ok {
 			list = append(list, s)
 		}
--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -25,7 +25,7 @@
 	// reliableCount is the number of results from which a latency is reliable.
 	reliableCount = 5
 	// oldOwnWeight is the weight of own results that are older than any weight of a shared statement, and
-	// referenceWeight that of the latency of the other targets. A target that was slow is tried again at some time.
+	// referenceWeight that of the latency of the other targets. With both, a target that was slow is tried again.
 	oldOwnWeight    = 0.1
 	referenceWeight = 0.05
 	// usualRange is the factor up to which the median is above or below the usual latency by chance. Only what exceeds it
@@ -90,7 +90,7 @@
 	if latency <= 0 {
 		return
 	}
-	e.stated.judge(now, e, concurrency, latency.Seconds())
+	e.stated.updateTrust(now, e, concurrency, latency.Seconds())
 	concurrency += e.stated.othersAt(now)
 	e.record(now, concurrency, latency.Seconds())
 }
--- a/capacity/stated.go
+++ b/capacity/stated.go
@@ -12,8 +12,8 @@
 	// than results alone. It is lost faster, so that a false statement does no harm for long.
 	trustLoss = 0.2
 	trustGain = 0.05
-	// judgedDifference is the least difference of the logarithms of two predictions that is judged.
-	judgedDifference = 0.15
+	// minPredictionGap is the least difference of the logarithms of two predictions from which a result changes the trust.
+	minPredictionGap = 0.15
 	// averageWeight is the weight of a statement in the average that stands in for one that is out of date.
 	averageWeight = 0.2
 	// maxStatedRequests bounds the requests that a target states.
@@ -67,26 +67,26 @@
 	return 1 + (s.percent-1)*s.slownessTrust*linearWeight(now.Sub(s.at), statedAge)
 }
 
-// judge compares a result with what would have been expected with and without the statements.
-func (s *stated) judge(now time.Time, e *Estimator, own, seconds float64) {
+// updateTrust compares a result with the predictions with and without the statements, and changes the trust in them.
+func (s *stated) updateTrust(now time.Time, e *Estimator, own, seconds float64) {
 	if e.count < reliableCount || now.Sub(s.at) >= statedAge {
 		return
 	}
 	without := e.base * e.curve.growthAt(own)
 	if s.percent > 0 {
-		s.slownessTrust = judged(s.slownessTrust, seconds, without*s.percent, without)
+		s.slownessTrust = adjustTrust(s.slownessTrust, seconds, without*s.percent, without)
 	}
 	if s.others > 0 {
 		without *= e.Slowness(now)
 		withOthers := without * e.curve.growthAt(own+s.others) / e.curve.growthAt(own)
-		s.loadTrust = judged(s.loadTrust, seconds, withOthers, without)
+		s.loadTrust = adjustTrust(s.loadTrust, seconds, withOthers, without)
 	}
 }
 
-// judged returns the trust in a statement after a result that took some seconds, with the predictions with the statement
+// adjustTrust returns the trust in a statement after a result that took some seconds, with the predictions with the statement
 // and without it.
-func judged(trust, seconds, with, without float64) float64 {
-	if math.Abs(math.Log(with/without)) < judgedDifference {
+func adjustTrust(trust, seconds, with, without float64) float64 {
+	if math.Abs(math.Log(with/without)) < minPredictionGap {
 		return trust
 	}
 	if math.Abs(math.Log(seconds/with)) <= math.Abs(math.Log(seconds/without)) {
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -1,9 +1,9 @@
 // Package fairshare orders client accounts that compete for scarce capacity, for example the engines of a service after half
 // of them were evicted. Among accounts of equal priority the one that was given the least work goes first, which gives
-// max-min fair shares: an account that asks for little is served at once, one that asks for more than its share waits for
-// itself, and what one account leaves unused goes to the others.
+// max-min fair shares: an account that asks for little is served at once, one that asks for more than its share delays
+// only its own work, and what one account leaves unused goes to the others.
 //
-// It uses virtual counters of work, as start-time fair queueing does: an idle account saves up no credit, because its
+// It uses virtual counters of work, as start-time fair queueing does: an idle account accumulates no credit, because its
 // counter is raised to the least counter of the active accounts when it becomes active.
 //
 // The package is deterministic and does no I/O. A Ledger is not safe for concurrent use.
--- a/internal/clusterview/capacity.go
+++ b/internal/clusterview/capacity.go
@@ -8,7 +8,7 @@
 )
 
 // AddCapacity merges what a host has learned of targets with what others have learned. Only the leader of the state group
-// may use it. The statements are passed on with the next event of each watch, which nothing hastens.
+// may use it. The statements are passed on with the next event of each watch and do not cause an event.
 func (v *View) AddCapacity(list []capacity.Statement) {
 	now := bootclock.Now()
 	v.mu.Lock()
--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -128,9 +128,9 @@
 	return 0
 }
 
-// stalled returns the answers but one whose readers have stalled.
-func (l *answerLedger) stalled(now time.Time, but *heldAnswer) (list []*heldAnswer) {
-	return l.victims(now, but, func(a *heldAnswer) bool { return now.Sub(a.tookAt) >= stallTime })
+// stalled returns the answers whose readers have stalled, without except.
+func (l *answerLedger) stalled(now time.Time, except *heldAnswer) (list []*heldAnswer) {
+	return l.evictable(now, except, func(a *heldAnswer) bool { return now.Sub(a.tookAt) >= stallTime })
 }
 
 // slower returns the answers whose readers have stalled or are slower than that of another by speedRatio.
@@ -142,16 +142,16 @@
 		}
 		return l.stalled(now, than)
 	}
-	return l.victims(now, than, func(a *heldAnswer) bool {
+	return l.evictable(now, than, func(a *heldAnswer) bool {
 		s, known := a.speed(now)
 		return known && speedRatio*s <= speed
 	})
 }
 
-// victims returns the answers but one that hold bytes and of which a condition holds, the slowest first.
-func (l *answerLedger) victims(now time.Time, but *heldAnswer, condition func(*heldAnswer) bool) (list []*heldAnswer) {
+// evictable returns the answers that hold bytes and meet a condition, the slowest first, without except.
+func (l *answerLedger) evictable(now time.Time, except *heldAnswer, condition func(*heldAnswer) bool) (list []*heldAnswer) {
 	for _, a := range l.answers {
-		if a != but && !a.ended && a.bytes > 0 && condition(a) {
+		if a != except && !a.ended && a.bytes > 0 && condition(a) {
 			list = append(list, a)
 		}
 	}
--- a/internal/forward/estimates.go
+++ b/internal/forward/estimates.go
@@ -31,7 +31,7 @@
 	f.balancer.Learn(now, list)
 	changes := f.balancer.Changes(now)
 	f.mu.Unlock()
-	f.metrics.learned.Add(float64(len(list)))
+	f.metrics.statementsLearned.Add(float64(len(list)))
 	for _, c := range changes {
 		f.log.Info("capacity of target changed", "target", c.Target, "latency_ms", inMs(c.Latency), "previous_ms", inMs(c.PreviousLatency),
 			"knee", c.Knee, "previous_knee", c.PreviousKnee, "slowness", c.SlownessPercent, "in_flight", c.InFlight)
@@ -54,20 +54,20 @@
 		list := f.balancer.Statements(bootclock.Now())
 		f.mu.Unlock()
 		if len(list) > 0 {
-			f.tellEstimates(ctx, list)
+			f.sendEstimates(ctx, list)
 		}
 	}
 }
 
-// tellEstimates sends statements to the leader. If they do not arrive, other hosts rely on their own results.
-func (f *Forwarder) tellEstimates(ctx context.Context, list []capacity.Statement) {
+// sendEstimates sends statements to the leader. If they do not arrive, other hosts rely on their own results.
+func (f *Forwarder) sendEstimates(ctx context.Context, list []capacity.Statement) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	if err := f.limiter.TellCapacity(ctx, list); err != nil {
 		f.log.Warn("capacity of targets not told", "targets", len(list), "error", err.Error())
 		return
 	}
-	f.metrics.told.Add(float64(len(list)))
+	f.metrics.statementsSent.Add(float64(len(list)))
 }
 
 // registerEstimateMetrics adds gauges of the estimates in use.
--- a/internal/forward/estimates_test.go
+++ b/internal/forward/estimates_test.go
@@ -60,7 +60,7 @@
 	if again := f.balancer.Statements(bootclock.Now()); len(list) != 1 || len(again) != 0 {
 		t.Fatalf("%d statements and then %d without a request in between, want 1 and 0", len(list), len(again))
 	}
-	f.tellEstimates(t.Context(), list)
+	f.sendEstimates(t.Context(), list)
 
 	var out bytes.Buffer
 	other := newTestForwarder(clusterview.NewView(slog.New(slog.NewJSONHandler(&out, nil)), nil), slog.New(slog.NewJSONHandler(&out, nil)))
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,8 +13,8 @@
 type metrics struct {
 	requests *observe.Counter
 	latency  *observe.Histogram
-	// told and learned count the statements about targets that were sent and that were taken over.
-	told, learned *observe.Counter
+	// statementsSent and statementsLearned count the statements about targets that were sent and that were taken over.
+	statementsSent, statementsLearned *observe.Counter
 }
 
 func newMetrics(m *observe.Metrics, f *Forwarder) *metrics {
@@ -24,9 +24,9 @@
 	return &metrics{
 		requests: m.Counter("forward_requests_total", "Requests by route kind and status; status 0 if the caller disconnected.",
 			kind, observe.Label{Name: "status", Values: []string{"0", "200", "400", "404", "429", "500", "502", "503", "504"}}),
-		told:    m.Counter("capacity_statements_told_total", "Statements about targets that this host sent to the leader."),
-		learned: m.Counter("capacity_statements_learned_total", "Statements of other hosts about targets that this host took over."),
-		latency: m.Histogram("forward_request_seconds", "Time from receiving a request to the end of its response.", latencyBuckets, kind),
+		statementsSent:    m.Counter("capacity_statements_told_total", "Statements about targets that this host sent to the leader."),
+		statementsLearned: m.Counter("capacity_statements_learned_total", "Statements of other hosts about targets that this host took over."),
+		latency:           m.Histogram("forward_request_seconds", "Time from receiving a request to the end of its response.", latencyBuckets, kind),
 	}
 }
 
--- a/internal/headguard/limits.go
+++ b/internal/headguard/limits.go
@@ -29,8 +29,8 @@
 	// of targets.
 	largeBodyShare = 15.0 / 16
 	smallBodyCost  = 256 << 10
-	// listenerShare is the part of the connections that the clients of one listener may use, so that a crowd of callers
-	// does not keep out the reports of targets and the checks of the load balancer.
+	// listenerShare is the part of the connections that the clients of one listener may use, so that many callers
+	// do not keep out the reports of targets and the checks of the load balancer.
 	listenerShare = 3.0 / 4
 	// connectionBytes is the memory of a connection with a small request and its attempts at targets: buffers, stacks
 	// and state.
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -19,8 +19,8 @@
 	return status >= minInterimStatus && status < minFinalStatus && status != http.StatusSwitchingProtocols
 }
 
-// IsFinal reports whether a status is that of a response. A number that is neither final nor interim is none: not of
-// the protocol, or a change to a protocol that nobody has asked for.
+// IsFinal reports whether a status is that of a response. A number that is neither final nor interim is not
+// accepted: it is outside the protocol, or 101, which switches to a protocol that no request has asked for.
 func IsFinal(status int) bool { return status >= minFinalStatus && status <= maxStatus }
 
 // Scanner finds the end of a head that arrives in parts, and counts its lines. A line of CRs, which package net/http
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -8,7 +8,7 @@
 )
 
 // The order of jobs of client accounts is made for engines that are scarce: full, slow or evicted. An account that asks for
-// many times its share then waits for itself, and the steps of the others start on time. While all accounts are within
+// many times its share then delays only its own steps, and those of the others start on time. While all accounts are within
 // their shares, the job with the earliest deadline goes first, as without accounts.
 
 // jobWorkSampleWeight is the weight of a new job in the moving average of the work of a job.
--- a/usage/clock.go
+++ b/usage/clock.go
@@ -20,7 +20,7 @@
 }
 
 // Clock derives true time from the time of day, which may step by seconds and back. A step is not followed until it is
-// stepAge old. A Clock must be read every few seconds, so that it sees when a step occurs. Its zero value believes the
+// stepAge old. A Clock must be read every few seconds, so that it sees when a step occurs. Its zero value accepts the
 // first reading. It is not safe for concurrent use.
 type Clock struct {
 	started bool
--- a/usage/pacer.go
+++ b/usage/pacer.go
@@ -11,8 +11,8 @@
 const (
 	// defaultInterval is the time between two calls if the platform states no limit.
 	defaultInterval = 100 * time.Millisecond
-	// minTimeout and maxTimeout bound the time that a call may take. The first is more than a call takes on a day without
-	// disturbance; a platform that is slow needs more.
+	// minTimeout and maxTimeout bound the time that a call may take. A call takes less than minTimeout
+	// in normal operation; a platform that is slow needs more.
 	minTimeout = 2 * time.Second
 	maxTimeout = 12 * time.Second
 	// timeoutFactor is the ratio of the time that a call may take to that of the last successful one.
