forward: what a failed attempt tells is recorded by a method of its own

Cause: roundTrip had 90 lines, in which starting attempts, counting their results and answering the caller were mixed.

Change: recordFailure holds the counting. It runs before the result is closed instead of in part after it; closing changes none of the fields that it reads.

--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -94,6 +94,21 @@
 	r.cancel()
 }
 
+// recordFailure records what the result of an attempt without a final answer tells about the request.
+func (c *call) recordFailure(res *attemptResult) {
+	if res.crash != nil {
+		c.suspicion.add(res.crash)
+	}
+	if res.kind == resultServerError && res.resp.StatusCode == http.StatusInternalServerError {
+		c.serverErrors++
+	}
+	if res.kind == resultNotRun {
+		c.possibleRuns--
+		c.usage.attemptNotRun(res.window)
+		c.sawRejection = c.sawRejection || res.resp != nil
+	}
+}
+
 // roundTrip runs attempts until one succeeds or no more are allowed, and responds to the caller. A
 // retryable request that is slow is also sent to a second target (a hedged request).
 func (c *call) roundTrip(ctx context.Context) error {
@@ -154,22 +169,12 @@
 			if res.kind == resultAnswered {
 				return c.writeResponse(ctx, res)
 			}
-			if res.crash != nil {
-				c.suspicion.add(res.crash)
-			}
-			if res.kind == resultServerError && res.resp.StatusCode == http.StatusInternalServerError {
-				c.serverErrors++
-			}
+			c.recordFailure(res)
 			if res.kind == resultServerError && fallback == nil {
 				fallback = res
 			} else {
 				res.close()
 			}
-			if res.kind == resultNotRun {
-				c.possibleRuns--
-				c.usage.attemptNotRun(res.window)
-				c.sawRejection = c.sawRejection || res.resp != nil
-			}
 		}
 		if pending > 0 && c.suspicion.careful {
 			continue // to one target at a time
