--- a/accounts/accounts.go
+++ b/accounts/accounts.go
@@ -24,7 +24,7 @@
 	KeyUnknown Verdict = "key_unknown"
 	// NotConfirmed means that the host cannot know whether its configuration is the newest.
 	NotConfirmed Verdict = "not_confirmed"
-	// CutOff means that the host may have missed that the key was removed, and must not assume that it was not.
+	// CutOff means that the host may have missed the removal of the key, and must not accept it.
 	CutOff Verdict = "cut_off"
 )
 
--- a/autoscale/demand.go
+++ b/autoscale/demand.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// usableShare is the share of the time of a target that is planned for steps. The rest is head room for targets that
+	// usableShare is the share of the time of a target that is planned for steps. The rest is headroom for targets that
 	// are slow for a while, for loads of weights and for the last items of a step, which do not fill a target.
 	usableShare = 0.7
 	// usableWindow is the share of a completion window in which the tokens of a step must be generated.
--- a/autoscale/mix.go
+++ b/autoscale/mix.go
@@ -18,7 +18,7 @@
 	// maxDomainsPerOrder is about the number of failure domains over which new targets are spread.
 	maxDomainsPerOrder = 3
 	// stableShare is the share of the need that is served by on-demand targets, so that the loss of the spot targets of two
-	// failure domains at once is within the head room.
+	// failure domains at once is within the headroom.
 	stableShare = 0.5
 )
 
--- a/capacity/estimator.go
+++ b/capacity/estimator.go
@@ -128,7 +128,7 @@
 }
 
 // recordEvidence adds the latency of a result, scaled to the usual speed, to the averages that tell targets apart. Learned
-// growth counts only if there is any by more than chance.
+// growth counts only if the evidence for it exceeds chance.
 func (e *Estimator) recordEvidence(concurrency, seconds, growth float64) {
 	e.slowdown.add(concurrency, math.Log(seconds))
 	if e.slowdown.increases() {
--- a/internal/forward/answers.go
+++ b/internal/forward/answers.go
@@ -18,7 +18,7 @@
 	// aheadShare is the part of the budget that may be read ahead for callers. The rest is for bodies that are buffered
 	// before their request or answer goes on, so that slow readers do not keep requests from being retried.
 	aheadShare = 3.0 / 4
-	// optionalShare is the part of the budget that the first bytes of answers may have that are too long to be buffered: they
+	// optionalShare is the part of the budget for the first bytes of answers that are too long to be buffered whole: they
 	// save a retry if an answer breaks off early, but many of them would leave no room for a whole answer.
 	optionalShare = 1.0 / 4
 	// unknownShare is the part of the budget that an answer of unknown length may hold.
@@ -103,9 +103,9 @@
 }
 
 // claim takes bytes for an answer that is read ahead of its caller. If they do not fit, it returns false and the answers that
-// are cut, the slowest first: those of stalled readers, and those of readers that are slower by speedRatio. A part of an
-// answer is refused beyond unknownShare, and if its length is known, because it would not keep the target from cutting the
-// answer off; whole says that n bytes are all that is left of it.
+// are cut, the slowest first: those of stalled readers, and those of readers that are slower by speedRatio. whole says
+// that n bytes are all that is left of the answer. Otherwise the claim is refused if the length of the answer is known, because
+// a part would not keep the target from cutting the answer off, and beyond unknownShare if it is not known.
 func (l *answerLedger) claim(now time.Time, id uint64, n int64, whole bool) (granted bool, cut []uint64) {
 	a, ok := l.answers[id]
 	if !ok || a.ended || !whole && a.bytes+n > l.partLimit(a) {
--- a/internal/headguard/conn.go
+++ b/internal/headguard/conn.go
@@ -16,8 +16,8 @@
 	maxWait = 200 * time.Millisecond
 	// retryAfter is the Retry-After value of a refusal, in seconds.
 	retryAfter = "1"
-	// refusalTime limits the writing of a refusal, and the wait for the client to read it. The answer would be lost if
-	// the connection were closed before what the client sends.
+	// refusalTime limits the writing of a refusal, and the wait for the client to read it. The answer may be lost if the
+	// connection is closed while the client still sends.
 	refusalTime = 100 * time.Millisecond
 	// maxRefusedBytes bounds what is read of a client after its refusal.
 	maxRefusedBytes = 256 << 10
