Add review case 10: a late second copy of an answer counts as a further failure of an item

A replica repeats an answer with status 500 on the connection of the next run of the same item, and the item is terminated after two of three attempts (MIXED).

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -19,6 +19,7 @@
 	"log-memory":   logMemory,
 	"slow-readers": slowReadersCase,
 	"oversize":     oversizeCase,
+	"late-copy":    lateCopyCase,
 	"smuggle":      smuggleCase,
 }
 
--- a/review/cases/replica.go
+++ b/review/cases/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,6 +27,21 @@
 	events func(id string) int
 	gap    time.Duration
 	text   func(id string, event int) string
+	// fails reports whether a run of a request ends with status 500, and whether the replica sends a second copy of that answer later:
+	// where the next answer on the connection is expected. Nil never fails.
+	fails func(id string) (failed, repeats bool)
+}
+
+// failureTime is how long a replica works on a request that fails.
+const failureTime = 100 * time.Millisecond
+
+// connKey is the context key of the replicaConn of a request.
+type connKey struct{}
+
+// replicaConn is a connection of a replica.
+type replicaConn struct {
+	net.Conn
+	extra []byte // answer that is sent once more when the next request has arrived
 }
 
 // replica is a model replica that follows PROTOCOL.md: it runs items as streams of events, rejects what it cannot run, and reports
@@ -60,12 +76,26 @@
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /order", r.order)
 	mux.HandleFunc("/", r.serve)
-	r.server = &http.Server{Handler: mux}
-	go func() { _ = r.server.Serve(l) }()
+	r.server = &http.Server{Handler: mux, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}
+	go func() { _ = r.server.Serve(replicaListener{l}) }()
 	go r.beat()
 	return r, nil
 }
 
+// replicaListener accepts connections as replicaConn.
+type replicaListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l replicaListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &replicaConn{Conn: c}, nil
+}
+
 func (r *replica) stop() {
 	close(r.done)
 	_ = r.server.Close()
@@ -170,6 +200,28 @@
 	return sum
 }
 
+// fail ends a run with status 500 if it is to fail.
+func (r *replica) fail(w http.ResponseWriter, req *http.Request, id string, conn *replicaConn) bool {
+	if r.fails == nil {
+		return false
+	}
+	failed, repeats := r.fails(id)
+	if !failed {
+		return false
+	}
+	select {
+	case <-req.Context().Done():
+		return true
+	case <-time.After(failureTime):
+	}
+	r.log.printf("replica %s answers 500 to %s", r.id, id)
+	w.WriteHeader(http.StatusInternalServerError)
+	if repeats {
+		conn.extra = fmt.Appendf(nil, "HTTP/1.1 500 Internal Server Error\r\nX-Fuchsiaflow-Request-Id: %s\r\nX-Fuchsiaflow-Server-Stamp: stamp.%s\r\nContent-Length: 0\r\n\r\n", id, r.id)
+	}
+	return true
+}
+
 // serve runs a request as a stream of events.
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Fuchsiaflow-Request-Id")
@@ -177,6 +229,12 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
+	conn := req.Context().Value(connKey{}).(*replicaConn)
+	if conn.extra != nil {
+		r.log.printf("replica %s sends a second copy of an earlier answer", r.id)
+		_, _ = conn.Conn.Write(conn.extra)
+		conn.extra = nil
+	}
 	w.Header().Set("X-Fuchsiaflow-Request-Id", id)
 	w.Header().Set("X-Fuchsiaflow-Server-Stamp", "stamp."+r.id)
 	if !r.admit(tokens(req.Header)) {
@@ -187,6 +245,9 @@
 	defer r.release()
 	r.onRun(r.id, id, true)
 	defer r.onRun(r.id, id, false)
+	if r.fail(w, req, id, conn) {
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Fuchsiaflow-Weight-Versions", strconv.FormatUint(r.version, 10))
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
