--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -155,14 +155,24 @@
 
 // putConfig sends a configuration until it is acknowledged.
 func putConfig(control []string, config map[string]any, patience time.Duration) error {
-	body, err := json.Marshal(config)
+	return callControl(control, "/Configuration.Replace", config, patience)
+}
+
+// nameVersion names a version of the weights until that is acknowledged.
+func nameVersion(control []string, version int, patience time.Duration) error {
+	return callControl(control, "/version-put", map[string]any{"Model": model, "Version": version}, patience)
+}
+
+// callControl sends a call to the hosts in turn until it is acknowledged.
+func callControl(control []string, path string, document map[string]any, patience time.Duration) error {
+	body, err := json.Marshal(document)
 	if err != nil {
 		return err
 	}
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	last := ""
 	for i, deadline := 0, time.Now().Add(patience); time.Now().Before(deadline); i++ {
-		resp, err := client.Post("http://"+control[i%len(control)]+"/Configuration.Replace", "application/json", bytes.NewReader(body))
+		resp, err := client.Post("http://"+control[i%len(control)]+path, "application/json", bytes.NewReader(body))
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
@@ -174,7 +184,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return fmt.Errorf("configuration not acknowledged: %s", last)
+	return fmt.Errorf("call %s not acknowledged: %s", path, last)
 }
 
 // awaitReady waits until all edge machines are ready.
--- a/review/cases/replica.go
+++ b/review/cases/replica.go
@@ -30,6 +30,10 @@
 	// fails reports whether a run of a request ends with status 500, and whether the replica sends a second copy of that answer later:
 	// where the next answer on the connection is expected. Nil never fails.
 	fails func(id string) (failed, repeats bool)
+	// loadTime is how long the replica loads weights. It rejects requests meanwhile.
+	loadTime time.Duration
+	// repeatsRejection reports whether the replica sends a second copy of its rejection of a request later. Nil never does.
+	repeatsRejection func(id string) bool
 }
 
 // failureTime is how long a replica works on a request that fails.
@@ -62,6 +66,8 @@
 	version  uint64
 	rejected int
 	done     chan struct{}
+
+	loadingUntil time.Time
 }
 
 // startReplica starts a replica at an address.
@@ -145,11 +151,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "dual", "Models": []any{map[string]any{"Name": r.model, "Version": r.version, "Adapters": []string{}}}, "Busy": false,
+	_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "dual", "Models": []any{map[string]any{"Name": r.model, "Version": r.version, "Adapters": []string{}}}, "Busy": r.loading(),
 		"Sequence": r.orders, "QueuedCount": 0, "RunningCount": r.running, "KvTotal": r.kvTokens, "born": r.born})
 }
 
-// order takes new weights at once.
+// order loads new weights.
 func (r *replica) order(w http.ResponseWriter, req *http.Request) {
 	if !r.rightInstance(w, req) {
 		return
@@ -164,20 +170,28 @@
 	switch {
 	case o.Version == r.version:
 		w.WriteHeader(http.StatusOK)
-	case o.Expect != r.orders:
+	case o.Expect != r.orders || r.loading():
 		w.WriteHeader(http.StatusConflict)
 	default:
 		r.orders++
-		r.version = o.Version
+		r.loadingUntil = time.Now().Add(r.loadTime)
+		time.AfterFunc(r.loadTime, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.version = o.Version
+		})
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
+// loading reports whether the replica loads weights. The caller holds mu.
+func (r *replica) loading() bool { return time.Now().Before(r.loadingUntil) }
+
 // admit takes a slot for a request with a number of tokens, or returns false if the replica is full.
 func (r *replica) admit(tokens int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= r.slots || r.kvTokens > 0 && tokens > r.kvTokens {
+	if r.loading() || r.running >= r.slots || r.kvTokens > 0 && tokens > r.kvTokens {
 		r.rejected++
 		return false
 	}
@@ -240,6 +254,10 @@
 	if !r.admit(tokens(req.Header)) {
 		w.Header().Set("X-Fuchsiaflow-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+		if r.repeatsRejection != nil && r.repeatsRejection(id) {
+			r.log.printf("replica %s rejects %s", r.id, id)
+			conn.extra = fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nX-Fuchsiaflow-Request-Id: %s\r\nX-Fuchsiaflow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		}
 		return
 	}
 	defer r.release()
