--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -293,7 +293,7 @@
 	remaining := max(c.deadline.Sub(bootclock.Now()).Milliseconds(), 1)
 	h.Set(c.forwarder.headers.Deadline, strconv.FormatInt(remaining, 10))
 	h.Set(c.forwarder.headers.ExpectedInstance, cand.ID)
-	return &httpconn.Request{Method: c.req.Method, RequestURI: c.req.RequestURI, Host: c.req.Host, Header: h,
+	return &httpconn.Request{ID: c.id, Method: c.req.Method, RequestURI: c.req.RequestURI, Host: c.req.Host, Header: h,
 		Base: c.req.Header, Without: c.notForwarded,
 		Body: c.body.reader(), ContentLength: c.body.length, BeforeSend: func() error { return c.forwarder.checkAccepts(cand) }}
 }
--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -264,7 +264,7 @@
 	args := []any{"request", c.id, "address", cand.Address, "warm", cand.Connected, "took_ms", took.Milliseconds(), "not_run", res.kind == resultNotRun}
 	args = append(args, cand.logArgs(c.startedAt)...)
 	if res.resp != nil {
-		args = append(args, "status", res.resp.StatusCode)
+		args = append(args, "status", res.resp.StatusCode, "earlier_requests", res.resp.EarlierRequests)
 	}
 	if res.err != nil {
 		args = append(args, "error", res.err.Error())
--- a/internal/httpconn/bench_test.go
+++ b/internal/httpconn/bench_test.go
@@ -15,7 +15,7 @@
 	p := NewPool(1)
 	b.ReportAllocs()
 	for b.Loop() {
-		r, err := p.Do(context.Background(), s.Listener.Addr().String(), &Request{Method: http.MethodGet, RequestURI: "/", Host: "x"})
+		r, err := p.Do(context.Background(), s.Listener.Addr().String(), &Request{ID: newID(), Method: http.MethodGet, RequestURI: "/", Host: "x"})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -49,6 +49,9 @@
 
 // Request is a request to a target. Body may be nil.
 type Request struct {
+	// ID identifies the request and its response; empty if the request has none. No connection carries an ID twice, and one
+	// that carries a request without an ID carries no other request. See carriedIDs.
+	ID     string
 	Method string
 	// RequestURI is the unmodified request URI of the client.
 	RequestURI string
@@ -124,6 +127,8 @@
 	ContentLength int64
 	// Framed is false if the body is delimited only by the end of the connection.
 	Framed bool
+	// EarlierRequests is the number of requests that the connection had carried before.
+	EarlierRequests int
 }
 
 // Read implements io.Reader. It returns errs.Corrupt when the limit is exceeded.
@@ -167,7 +172,7 @@
 // Do sends a request and returns after reading the header of the response. The end of ctx aborts the
 // request and the reading of the body, and closes the connection.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	c := p.takeIdle(addr)
+	c := p.takeIdle(addr, req.ID)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
@@ -182,6 +187,7 @@
 	}
 	// A deadline in the past unblocks pending reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	c.carried.add(req.ID)
 	x := &exchange{pool: p, conn: c, stop: stop, writeDone: make(chan error, 1)}
 	if req.fitsSendBuffer() {
 		x.writeDone <- c.writeRequest(req)
@@ -352,7 +358,7 @@
 		}
 		framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 		reusable := framed && !r.Close
-		return &Response{StatusCode: r.StatusCode, Header: r.Header, ContentLength: r.ContentLength, Framed: framed,
+		return &Response{StatusCode: r.StatusCode, Header: r.Header, ContentLength: r.ContentLength, Framed: framed, EarlierRequests: x.conn.carried.earlier(),
 			Body: &responseBody{exchange: x, r: r.Body, reusable: reusable, idleTimeout: parseIdleTimeout(r.Header)}}, nil
 	}
 }
@@ -377,12 +383,12 @@
 	})
 }
 
-// release returns the connection to the pool if the request was sent completely and nothing follows
-// the response. Otherwise it closes the connection.
+// release returns the connection to the pool if the request was sent completely, nothing follows
+// the response and the connection may carry another request. Otherwise it closes the connection.
 func (x *exchange) release(idleTimeout time.Duration) {
 	x.once.Do(func() {
 		err, done := x.awaitWrite()
-		if !x.stop() || !done || err != nil || x.conn.r.Buffered() > 0 || idleTimeout <= 0 {
+		if !x.stop() || !done || err != nil || x.conn.r.Buffered() > 0 || idleTimeout <= 0 || !x.conn.carried.reusable() {
 			_ = x.conn.Close()
 			return
 		}
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -51,17 +52,29 @@
 	return l.Addr().String()
 }
 
+// lastID is the last ID that newID has returned.
+var lastID atomic.Int64
+
+func newID() string { return fmt.Sprint("q", lastID.Add(1)) }
+
 func get(t *testing.T, p *Pool, addr, path string) (string, error) {
+	t.Helper()
+	_, body, err := getAs(t, p, addr, path, newID())
+	return body, err
+}
+
+// getAs sends a request with an ID, which is empty if it has none. The response is nil if there is none.
+func getAs(t *testing.T, p *Pool, addr, path, id string) (*Response, string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	resp, err := p.Do(ctx, addr, &Request{Method: "GET", RequestURI: path, Host: "h", Header: http.Header{}})
+	resp, err := p.Do(ctx, addr, &Request{ID: id, Method: "GET", RequestURI: path, Host: "h", Header: http.Header{"Id": {id}}})
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	return string(b), err
+	return resp, string(b), err
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -236,7 +249,7 @@
 	p := NewPool(2)
 	body := strings.Repeat("x", 4*maxInlineBodyBytes)
 	for range 50 {
-		resp, err := p.Do(t.Context(), addr, &Request{Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}, Body: bytes.NewReader([]byte(body)), ContentLength: int64(len(body))})
+		resp, err := p.Do(t.Context(), addr, &Request{ID: newID(), Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}, Body: bytes.NewReader([]byte(body)), ContentLength: int64(len(body))})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,7 +39,8 @@
 	r         *bufio.Reader
 	expiresAt time.Time // when an idle connection may no longer be reused
 	reused    bool      // whether it has served a request before
-	bounded   bool      // the receive buffer has its size
+	carried   carriedIDs
+	bounded   bool // the receive buffer has its size
 }
 
 // boundReceiveBuffer sets the size of the receive buffer of the kernel.
@@ -72,26 +74,32 @@
 	return len(list) > 0 && p.now().Before(list[len(list)-1].expiresAt)
 }
 
-// takeIdle removes and returns a usable idle connection, the latest first. It returns nil if there
-// is none.
-func (p *Pool) takeIdle(addr string) *conn {
+// takeIdle removes and returns a usable idle connection that may carry a request with an ID, the latest first. It returns
+// nil if there is none.
+func (p *Pool) takeIdle(addr, id string) *conn {
 	for {
-		p.mu.Lock()
-		list := p.idle[addr]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
-		p.mu.Unlock()
-		if p.now().Before(c.expiresAt) && c.noPendingInput() {
+		c := p.removeIdle(addr, id)
+		if c == nil || p.now().Before(c.expiresAt) && c.noPendingInput() {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
+// removeIdle removes and returns the latest idle connection that may carry a request with an ID; nil if there is none.
+func (p *Pool) removeIdle(addr, id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	for i, c := range slices.Backward(list) {
+		if c.carried.allows(id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // putIdle adds an idle connection, or closes it if the address has enough. The caller must not use it any more.
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
--- a/internal/runner/itemrun.go
+++ b/internal/runner/itemrun.go
@@ -78,7 +78,7 @@
 	if ir.output.lastEventID > 0 {
 		h.Set(ir.headers.LastEventID, strconv.FormatUint(ir.output.lastEventID, 10))
 	}
-	return &httpconn.Request{Method: http.MethodPost, RequestURI: ir.item.Path, Host: ir.job.Host, Header: h,
+	return &httpconn.Request{ID: ir.item.ID, Method: http.MethodPost, RequestURI: ir.item.Path, Host: ir.job.Host, Header: h,
 		Body: bytes.NewReader(ir.item.Body), ContentLength: int64(len(ir.item.Body)), BeforeSend: ir.beforeSend}
 }
 
@@ -116,7 +116,7 @@
 		return res
 	}
 	complete, err := ir.readEvents(resp, timeout)
-	res := runResult{status: resp.StatusCode, version: ir.version, complete: complete, err: err, outcome: schedule.Broken}
+	res := runResult{status: resp.StatusCode, version: ir.version, complete: complete, err: err, outcome: schedule.Broken, earlierRequests: resp.EarlierRequests}
 	if complete {
 		res.outcome = schedule.Finished
 	}
@@ -157,7 +157,7 @@
 
 // checkHeader checks the status and headers of the response. ok is false if there is no stream to read.
 func (ir *itemRun) checkHeader(resp *httpconn.Response) (res runResult, ok bool) {
-	res = runResult{status: resp.StatusCode, outcome: schedule.Broken}
+	res = runResult{status: resp.StatusCode, outcome: schedule.Broken, earlierRequests: resp.EarlierRequests}
 	if res.err = ir.headers.CheckResponse(ir.address, ir.item.ID, resp.StatusCode, resp.Header); res.err != nil {
 		return res, false
 	}
@@ -174,7 +174,7 @@
 		res.outcome = schedule.Failed
 	}
 	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBody)) // lets the connection be reused
+		ir.discardBody(resp)
 		res.err = &dialect.UnexpectedResponse{Call: "item", Address: ir.address, Status: resp.StatusCode}
 		return res, false
 	}
@@ -189,6 +189,14 @@
 	return res, true
 }
 
+// discardBody reads the body of an error response, so that its connection can be reused. After a response without an ID the
+// connection is closed: a second copy of that response, sent late, would look like a rejection of the next item.
+func (ir *itemRun) discardBody(resp *httpconn.Response) {
+	if resp.Header.Get(ir.headers.RequestID) == ir.item.ID {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBody))
+	}
+}
+
 // continuesAfterEnd reports whether a response without a weight version may be the answer to a run that
 // resumes after the last event of a text: nothing follows, so that no version applies. readEvents rejects
 // any event of such a response.
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -69,7 +69,9 @@
 	status   int           // HTTP status of the engine, 0 without an answer
 	version  uint64        // last weight version that the engine reported, 0 if none
 	eventGap time.Duration // average time between events
-	err      error
+	// earlierRequests is the number of requests that the connection had carried before the run.
+	earlierRequests int
+	err             error
 }
 
 // startRun runs an assignment in its own goroutine.
@@ -308,7 +310,7 @@
 // started.
 func (r *Runner) logRun(rn *activeRun, ir *itemRun, res runResult, resumedEvents int) {
 	args := ir.job.logArgs("item", rn.key.Item, "engine", rn.engine, "outcome", outcomeName(res.outcome), "whole", res.complete,
-		"status", res.status, "resumed_at", resumedEvents, "events", ir.output.eventCount, "versions", ir.output.versions, "gap_ms", res.eventGap.Milliseconds())
+		"status", res.status, "resumed_at", resumedEvents, "events", ir.output.eventCount, "versions", ir.output.versions, "gap_ms", res.eventGap.Milliseconds(), "earlier_requests", res.earlierRequests)
 	if rn.stopReason != "" {
 		args = append(args, "reason", rn.stopReason)
 	}
