--- a/internal/httpconn/endless_test.go
+++ b/internal/httpconn/endless_test.go
@@ -182,7 +182,7 @@
 		defer func() { _, _ = client.Close(), server.Close() }()
 		c := newConn(client, "a")
 		c.head.source = source
-		x := &exchange{pool: NewPool(1), conn: c, stop: func() bool { return true }, writeDone: make(chan error, 1)}
+		x := &exchange{pool: NewPool(1), conn: c, stop: func() bool { return true }, sent: make(chan struct{})}
 		resp, err := x.readHead(&Request{Method: "GET"})
 		if source.n > maxHeadBytes {
 			t.Errorf("%d bytes were read for a header", source.n)
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -40,8 +40,8 @@
 	// maxHeadLines is the maximum number of lines of the header of a response. A short line takes far more memory than
 	// bytes.
 	maxHeadLines = 1000
-	// writeResultWait is how long a complete response waits for the result of sending the request.
-	writeResultWait = 10 * time.Millisecond
+	// sendResultWait is how long a complete response waits for the result of sending the request.
+	sendResultWait = 10 * time.Millisecond
 	// receiveBuffer bounds what the kernel holds of a response that is read slowly, which counts as memory of the process. The
 	// kernel doubles it, which gives its usual first size. Without a bound it may grow to some MB.
 	receiveBuffer = 64 << 10
@@ -188,17 +188,17 @@
 	// A deadline in the past unblocks pending reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	c.carried.add(req.ID)
-	x := &exchange{pool: p, conn: c, stop: stop, writeDone: make(chan error, 1)}
+	x := &exchange{pool: p, conn: c, stop: stop, sent: make(chan struct{})}
 	if req.fitsSendBuffer() {
-		x.writeDone <- c.writeRequest(req)
+		x.send(req)
 	} else {
-		go func() { x.writeDone <- c.writeRequest(req) }()
+		go x.send(req)
 	}
 	resp, err := x.readHead(req)
 	if err != nil {
 		x.abort()
 		phase := "head"
-		if we, ok := x.writeResult(); ok && we != nil {
+		if sendErr, known := x.sendResult(); known && sendErr != nil {
 			phase = "send"
 		}
 		return nil, &RequestError{Address: addr, Phase: phase, Cause: shortCause(err), Sent: true, Reused: c.reused, Ended: hasEnded(err)}
@@ -307,34 +307,38 @@
 
 // exchange is a request and its response on a connection.
 type exchange struct {
-	pool      *Pool
-	conn      *conn
-	stop      func() bool // stops watching the request's context
-	writeDone chan error  // receives the result of sending the request
-	once      sync.Once   // releases or closes conn
+	pool    *Pool
+	conn    *conn
+	stop    func() bool   // stops watching the request's context
+	sent    chan struct{} // closed when sendErr is set
+	sendErr error         // result of sending the request
+	once    sync.Once     // releases or closes conn
 }
 
-// writeResult returns the result of sending the request and whether it is known yet. It is known only once.
-func (x *exchange) writeResult() (error, bool) {
+// send sends the request and keeps the result.
+func (x *exchange) send(req *Request) {
+	x.sendErr = x.conn.writeRequest(req)
+	close(x.sent)
+}
+
+// sendResult returns the result of sending the request and whether it is known yet.
+func (x *exchange) sendResult() (err error, known bool) {
 	select {
-	case err := <-x.writeDone:
-		return err, true
+	case <-x.sent:
+		return x.sendErr, true
 	default:
 		return nil, false
 	}
 }
 
-// awaitWrite is like writeResult but waits up to writeResultWait, because the goroutine that sent the
-// last byte may not have reported it yet.
-func (x *exchange) awaitWrite() (error, bool) {
-	if err, known := x.writeResult(); known {
-		return err, true
-	}
+// awaitSendResult is like sendResult but waits for a time, because the goroutine that sends the request may not have reported
+// its result yet.
+func (x *exchange) awaitSendResult(wait time.Duration) (err error, known bool) {
 	select {
-	case err := <-x.writeDone:
-		return err, true
-	case <-time.After(writeResultWait):
-		return nil, false
+	case <-x.sent:
+		return x.sendErr, true
+	case <-time.After(wait):
+		return x.sendResult()
 	}
 }
 
@@ -359,7 +363,7 @@
 		framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 		reusable := framed && !r.Close
 		return &Response{StatusCode: r.StatusCode, Header: r.Header, ContentLength: r.ContentLength, Framed: framed, EarlierRequests: x.conn.carried.earlier(),
-			Body: &responseBody{exchange: x, r: r.Body, reusable: reusable, idleTimeout: parseIdleTimeout(r.Header)}}, nil
+			Body: &responseBody{exchange: x, r: r.Body, framed: framed, reusable: reusable, idleTimeout: parseIdleTimeout(r.Header)}}, nil
 	}
 }
 
@@ -387,7 +391,7 @@
 // the response and the connection may carry another request. Otherwise it closes the connection.
 func (x *exchange) release(idleTimeout time.Duration) {
 	x.once.Do(func() {
-		err, done := x.awaitWrite()
+		err, done := x.awaitSendResult(sendResultWait)
 		if !x.stop() || !done || err != nil || x.conn.r.Buffered() > 0 || idleTimeout <= 0 || !x.conn.carried.reusable() {
 			_ = x.conn.Close()
 			return
@@ -401,32 +405,54 @@
 type responseBody struct {
 	exchange    *exchange
 	r           io.ReadCloser
+	framed      bool // the body does not end with the connection
 	reusable    bool // the response permits reuse of the connection
 	idleTimeout time.Duration
-	done        bool // the end was reached
+	end         error // why nothing more can be read; nil before the end
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	n, err := b.r.Read(p)
-	if err == io.EOF && !b.done {
-		b.done = true
-		if b.reusable {
-			b.exchange.release(b.idleTimeout)
-		} else {
+	if err == io.EOF {
+		b.end = b.finish()
+		return n, b.end
+	}
+	if err != nil {
+		err = b.failure(err, hasEnded(err))
+	}
+	return n, err
+}
+
+// finish releases or closes the connection at the end of the data. It returns io.EOF if that is the end of the body.
+func (b *responseBody) finish() error {
+	if !b.framed {
+		if err := b.exchange.failureAtEnd(); err != nil {
 			b.exchange.abort()
+			return b.failure(err, true)
 		}
 	}
-	if err != nil && err != io.EOF {
-		err = &RequestError{Address: b.exchange.conn.addr, Phase: "body", Cause: shortCause(err), Sent: true, Reused: b.exchange.conn.reused, Ended: hasEnded(err)}
+	if b.reusable {
+		b.exchange.release(b.idleTimeout)
+	} else {
+		b.exchange.abort()
 	}
-	return n, err
+	return io.EOF
+}
+
+// failure returns the error of a body that cannot be read to its end. ended says that the target closed or reset the connection.
+func (b *responseBody) failure(err error, ended bool) error {
+	c := b.exchange.conn
+	return &RequestError{Address: c.addr, Phase: "body", Cause: shortCause(err), Sent: true, Reused: c.reused, Ended: ended}
 }
 
 // BoundReceiveBuffer keeps the kernel from holding more than receiveBuffer of the response. It must not be called after the
 // end of the body has been read.
 func (r *Response) BoundReceiveBuffer() {
-	if b, ok := r.Body.(*responseBody); ok && !b.done {
+	if b, ok := r.Body.(*responseBody); ok && b.end == nil {
 		b.exchange.conn.boundReceiveBuffer()
 	}
 }
