--- a/cmd/fuchsiaflow/role.go
+++ b/cmd/fuchsiaflow/role.go
@@ -32,8 +32,6 @@
 	// settingsPollInterval is how often the settings file is checked, since it may change without a
 	// signal.
 	settingsPollInterval = time.Second
-	// engineIdleTimeout is how long an idle connection for orders to an engine is kept open.
-	engineIdleTimeout = 3 * time.Second
 	// platformIdleTimeout and maxPlatformIdleConns bound the idle connections to the platform's API. A link that stands
 	// still is given up between two reports.
 	platformIdleTimeout  = 3 * time.Second
@@ -75,9 +73,10 @@
 	})
 }
 
-// newEngineClient returns a client of engines.
+// newEngineClient returns a client of engines. Each call has a connection of its own: nothing in an answer tells a late second
+// copy of the answer before it from the answer that is due.
 func newEngineClient() platform.EngineClient {
-	return platform.EngineClient{Client: &http.Client{Transport: &http.Transport{IdleConnTimeout: engineIdleTimeout, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxEngineHeaderBytes}}}
+	return platform.EngineClient{Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxEngineHeaderBytes}}}
 }
 
 // newPlatformClient returns a client of the platform's API. A redirect is an unexpected answer, not followed.
