--- a/internal/headguard/conn.go
+++ b/internal/headguard/conn.go
@@ -21,6 +21,9 @@
 	refusalTime = 100 * time.Millisecond
 	// maxRefusedBytes bounds what is read of a client after its refusal.
 	maxRefusedBytes = 256 << 10
+	// lingerTime is how long a connection stays open after an answer that came before the end of its request. The client, which still
+	// sends, would otherwise meet a reset before it has read the answer. The server waits as long on connections that are kept.
+	lingerTime = 500 * time.Millisecond
 	// firstBuffer is the first size of the buffer of an incomplete head.
 	firstBuffer = 4 << 10
 	// maxReadAhead bounds a read of a body whose end is not known. The server may parse the begin of the next head in
@@ -93,6 +96,9 @@
 	renewAt atomic.Int64
 	// ended is set when a deadline for writes has been set that is over.
 	ended atomic.Bool
+	// lingers is set if the answer to the last request came before the end of its body. The server itself lingers only if the client
+	// has not asked it to close the connection.
+	lingers atomic.Bool
 	// sent is the number of bytes that the client was sent, up to the point where its send buffer is bounded.
 	sent atomic.Int64
 }
@@ -358,6 +364,10 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.lingers.Swap(false) {
+		_ = c.CloseWrite()
+		time.Sleep(lingerTime)
+	}
 	c.guard.close(c.id)
 	return c.Conn.Close()
 }
@@ -386,6 +396,7 @@
 	conn  net.Conn
 	begun time.Time
 	read  int64
+	whole atomic.Bool // it was read to its end
 }
 
 func newTimedBody(body io.ReadCloser, conn net.Conn) *timedBody {
@@ -405,6 +416,7 @@
 	b.read += int64(n)
 	deadline := bodyDeadline(b.begun, b.read)
 	if err == io.EOF {
+		b.whole.Store(true)
 		deadline = time.Time{} // the server goes on reading, to see whether the client leaves
 	}
 	_ = b.conn.SetReadDeadline(deadline)
--- a/internal/headguard/guard.go
+++ b/internal/headguard/guard.go
@@ -108,12 +108,18 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if h.limitsTime && r.ContentLength != 0 {
-		// The server recognizes the body of its own request by its type.
-		r = r.WithContext(r.Context())
-		r.Body = newTimedBody(r.Body, c.Conn)
+	if !h.limitsTime || r.ContentLength == 0 {
+		h.next.ServeHTTP(w, r)
+		return
 	}
+	body := newTimedBody(r.Body, c.Conn)
+	// The server recognizes the body of its own request by its type.
+	r = r.WithContext(r.Context())
+	r.Body = body
 	h.next.ServeHTTP(w, r)
+	if r.Close && !body.whole.Load() {
+		c.lingers.Store(true)
+	}
 }
 
 // ReserveBody takes memory for more bytes of the body of a request that is decoded in memory. It is returned when the
