--- a/internal/httpconn/ending.go
+++ b/internal/httpconn/ending.go
@@ -25,7 +25,7 @@
 // failureAtEnd returns why the connection failed before the target had ended the response, or nil if the target has ended it. It is called
 // when the reader has met the end of the data.
 func (x *exchange) failureAtEnd() error {
-	if err, known := x.sendResult(); known {
+	if known, err := x.sendResult(); known {
 		return failureBeforeEnd(err)
 	}
 	if !x.conn.mayHaveFailed() {
@@ -34,7 +34,7 @@
 	if err := x.conn.pendingFailure(); err != nil {
 		return failureBeforeEnd(err)
 	}
-	if err, known := x.awaitSendResult(failureWait); known {
+	if known, err := x.awaitSendResult(failureWait); known {
 		return failureBeforeEnd(err)
 	}
 	return &errs.Interrupted{Operation: "response", Reason: "the connection has failed, perhaps before its end"}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -1,9 +1,7 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -11,12 +9,14 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"fuchsiaflow/internal/bootclock"
-	"fuchsiaflow/internal/httphead"
 )
 
+// dialTimeout bounds the dial within a region, where a round trip takes a few milliseconds. A
+// lost SYN is retransmitted only after a second.
+const dialTimeout = 250 * time.Millisecond
+
 // Pool is a pool of idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	// MaxIdlePerAddress is the maximum number of idle connections of an address.
@@ -31,29 +31,6 @@
 	dialed uint64
 }
 
-// conn is a connection to a target.
-type conn struct {
-	net.Conn
-	addr      string
-	head      *headLimiter // source of r
-	r         *bufio.Reader
-	expiresAt time.Time // when an idle connection may no longer be reused
-	reused    bool      // whether it has served a request before
-	carried   carriedIDs
-	bounded   bool // the receive buffer has its size
-}
-
-// boundReceiveBuffer sets the size of the receive buffer of the kernel.
-func (c *conn) boundReceiveBuffer() {
-	if c.bounded {
-		return
-	}
-	c.bounded = true
-	if b, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok {
-		_ = b.SetReadBuffer(receiveBuffer) // a closed connection has none
-	}
-}
-
 // NewPool returns an empty pool.
 func NewPool(maxIdle int) *Pool {
 	return &Pool{MaxIdlePerAddress: maxIdle, now: bootclock.Now, idle: make(map[string][]*conn)}
@@ -144,27 +121,6 @@
 	}
 }
 
-// noPendingInput reports whether nothing has arrived on an idle connection, neither an end of file
-// nor unsolicited data.
-func (c *conn) noPendingInput() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && wouldBlock
-}
-
 // open opens a connection.
 func (p *Pool) open(ctx context.Context, addr string) (net.Conn, error) {
 	p.mu.Lock()
@@ -177,7 +133,7 @@
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	nc, err := p.open(ctx, addr)
 	if err != nil {
-		return nil, &RequestError{Address: addr, Phase: "dial", Cause: shortCause(err)}
+		return nil, &RequestError{Address: addr, Phase: phaseDial, Cause: shortCause(err)}
 	}
 	return newConn(nc, addr), nil
 }
@@ -194,23 +150,3 @@
 	p.putIdle(c)
 	return false
 }
-
-func newConn(nc net.Conn, addr string) *conn {
-	head := &headLimiter{source: nc}
-	return &conn{Conn: nc, addr: addr, head: head, r: bufio.NewReaderSize(head, bufferBytes)}
-}
-
-// headLimiter limits how much is read while the header of a response is expected, and the lines of the header.
-type headLimiter struct {
-	source   io.Reader
-	limited  bool
-	budget   int // bytes left
-	scanner  httphead.Scanner
-	complete bool // the header has ended
-}
-
-// begin allows maxHeadBytes until end is called.
-func (l *headLimiter) begin() { l.limited, l.budget = true, maxHeadBytes }
-
-// end removes the limit.
-func (l *headLimiter) end() { l.limited = false }
