--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -53,6 +53,7 @@
 	options  Options
 	pooled   *http.Client // reuses idle connections
 	unpooled *http.Client // opens a new connection for each request
+	refusals refusals
 }
 
 // New returns a client with its own connection pool.
@@ -170,6 +171,9 @@
 		_ = resp.Body.Close()
 		return nil, &errs.Corrupt{What: "response of target " + addr + " to " + op, Detail: "it has the status " + strconv.Itoa(resp.StatusCode)}
 	}
+	if resp.StatusCode != http.StatusOK {
+		c.refusals.record(addr, time.Now()) // before the connection is idle, at the end of the body
+	}
 	return resp, nil
 }
 
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -41,11 +41,7 @@
 // not unsafe. An error of deliver ends the stream and is returned unchanged.
 func (c *Client) Generate(ctx context.Context, addr string, r Request, deliver func(Chunk) error) error {
 	s := &stream{client: c, addr: addr, req: r, assembler: NewAssembler(r.RequestID, r.Offset), deliver: deliver, resumable: r.Resumable}
-	httpClient := c.pooled
-	if r.Unsafe {
-		httpClient = c.unpooled
-	}
-	err := s.attempt(ctx, httpClient)
+	err := s.attempt(ctx, c.clientFor(addr, r.Unsafe))
 	for i := 0; i < c.options.MaxResumes && s.canResume(ctx, err); i++ {
 		s.req.Offset = s.assembler.Offset()
 		// An idle connection may be as dead as the abandoned one.
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -10,15 +10,10 @@
 	"fuchsiaflow/errs"
 )
 
-// Call sends a request to a plain service. An unsafe request uses a new connection: an idle one may
-// be dead, which would only show after the request was sent.
+// Call sends a request to a plain service.
 func (c *Client) Call(ctx context.Context, addr string, r CallRequest) (CallReply, error) {
-	httpClient := c.pooled
-	if r.Unsafe {
-		httpClient = c.unpooled
-	}
 	var reply CallReply
-	err := c.exchange(ctx, httpClient, "call", addr, c.builder(addr).Post("/v1/call").BodyJSON(r), &reply)
+	err := c.exchange(ctx, c.clientFor(addr, r.Unsafe), "call", addr, c.builder(addr).Post("/v1/call").BodyJSON(r), &reply)
 	if err != nil {
 		return CallReply{}, err
 	}
@@ -60,7 +55,7 @@
 
 // Cancel cancels a request. It returns nil if the target does not know the request.
 func (c *Client) Cancel(ctx context.Context, addr, requestID string) error {
-	err := c.exchange(ctx, c.pooled, "cancel", addr, c.builder(addr).Post("/v1/cancel").BodyJSON(requestIDBody{requestID}), nil)
+	err := c.exchange(ctx, c.clientFor(addr, false), "cancel", addr, c.builder(addr).Post("/v1/cancel").BodyJSON(requestIDBody{requestID}), nil)
 	var status *StatusError
 	if errors.As(err, &status) && status.Code == http.StatusNotFound {
 		return nil
@@ -79,7 +74,7 @@
 // ExportKV gets the KV cache of a request from an engine.
 func (c *Client) ExportKV(ctx context.Context, addr, requestID string) (KV, error) {
 	var kv KV
-	err := c.exchange(ctx, c.pooled, "KV export", addr, c.builder(addr).Post("/v1/kv/export").BodyJSON(requestIDBody{requestID}), &kv)
+	err := c.exchange(ctx, c.clientFor(addr, false), "KV export", addr, c.builder(addr).Post("/v1/kv/export").BodyJSON(requestIDBody{requestID}), &kv)
 	if err == nil && kv.RequestID != requestID {
 		return KV{}, &ResponseMismatch{Target: addr, Want: requestID, Got: kv.RequestID}
 	}
@@ -91,5 +86,5 @@
 	if int64(len(kv.Data)) > c.options.MaxResponseBytes {
 		return &errs.TooLarge{What: "KV cache of request " + kv.RequestID, Limit: c.options.MaxResponseBytes}
 	}
-	return c.exchange(ctx, c.pooled, "KV import", addr, c.builder(addr).Post("/v1/kv/import").BodyJSON(kv), nil)
+	return c.exchange(ctx, c.clientFor(addr, false), "KV import", addr, c.builder(addr).Post("/v1/kv/import").BodyJSON(kv), nil)
 }
