--- a/internal/forward/roundtrip.go
+++ b/internal/forward/roundtrip.go
@@ -17,7 +17,6 @@
 	"fuchsiaflow/internal/bootclock"
 	"fuchsiaflow/internal/httpconn"
 	"fuchsiaflow/internal/notice"
-	"fuchsiaflow/internal/observe"
 )
 
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
@@ -109,102 +108,6 @@
 	}
 }
 
-// roundTrip runs attempts until one succeeds or no more are allowed, and responds to the caller. A
-// retryable request that is slow is also sent to a second target (a hedged request).
-func (c *call) roundTrip(ctx context.Context) error {
-	results := make(chan *attemptResult, c.route.AttemptLimit()+1)
-	pending := 0
-	var fallback *attemptResult
-	send := func(cand choice) {
-		c.attempts++
-		c.possibleRuns++ // decremented if the target reports that it did not run the request
-		pending++
-		window := c.usage.attemptSent()
-		attemptCtx, span := c.startSpan(ctx, cand.ID)
-		attemptCtx, cancel := context.WithCancel(attemptCtx)
-		go func() {
-			res := c.attempt(attemptCtx, cancel, cand)
-			res.window = window
-			observe.EndSpan(span, res.err)
-			results <- res
-		}()
-	}
-	sendToNext := func() bool {
-		cand, ok := c.pickTarget(ctx)
-		if ok {
-			send(cand)
-		}
-		return ok
-	}
-	defer func() {
-		if fallback != nil {
-			fallback.close()
-		}
-		go c.closePending(results, pending)
-	}()
-	first, ok := c.pickFirstTarget(ctx)
-	if !ok {
-		c.failExhausted()
-		return nil
-	}
-	send(first)
-	hedgeTimer := time.NewTimer(max(time.Duration(hedgeFraction*float64(c.objective())), minHedgeDelay))
-	defer hedgeTimer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			if fallback != nil {
-				return c.writeResponse(ctx, fallback)
-			}
-			return c.failTimeout()
-		case <-hedgeTimer.C:
-			if pending > 0 && !c.suspicion.careful && c.retryable() {
-				if cand, ok := c.pickForHedge(); ok {
-					send(cand)
-				}
-			}
-			continue
-		case res := <-results:
-			pending--
-			if res.kind == resultAnswered {
-				return c.writeResponse(ctx, res)
-			}
-			c.recordFailure(res)
-			if res.kind == resultServerError && fallback == nil {
-				fallback = res
-			} else {
-				res.close()
-			}
-		}
-		if pending > 0 && c.suspicion.careful {
-			continue // to one target at a time
-		}
-		if c.retryable() && (sendToNext() || c.possibleRuns == 0 && pending == 0 && c.waitForCapacity(ctx) && sendToNext()) {
-			continue
-		}
-		if pending > 0 {
-			continue
-		}
-		if fallback != nil {
-			return c.writeResponse(ctx, fallback)
-		}
-		c.failExhausted()
-		return nil
-	}
-}
-
-// closePending waits for the attempts that are still in progress and closes their results. Nothing else uses the call
-// meanwhile.
-func (c *call) closePending(results <-chan *attemptResult, pending int) {
-	for range pending {
-		res := <-results
-		if res.kind == resultNotRun {
-			c.usage.attemptNotRun(res.window)
-		}
-		res.close()
-	}
-}
-
 // waitForCapacity waits for fullRetryDelay and then makes all targets eligible again. It returns false
 // without waiting if no target rejected the request, as when none can be reached, or if the wait would
 // end after fullRetryFraction of the latency objective.
--- a/internal/forward/usage_test.go
+++ b/internal/forward/usage_test.go
@@ -131,7 +131,7 @@
 	res.kind, res.window = resultNotRun, c.usage.attemptSent()
 	results := make(chan *attemptResult, 1)
 	results <- res
-	c.closePending(results, 1)
+	(&attemptSet{call: c, results: results, pending: 1}).closePending()
 	if len(u.counts) > 0 {
 		t.Errorf("counts %v", u.counts)
 	}
