--- a/review/stands/client.go
+++ b/review/stands/client.go
@@ -62,8 +62,11 @@
 // usualStatusS is StatusS of the site file.
 const usualStatusS = 120
 
-// groupSize is the number of items of a group.
-const groupSize = 4
+// The size of a step: groups groups of groupSize items, as in the site file.
+const (
+	groups    = 18
+	groupSize = 4
+)
 
 // jobDocument returns a batch job of groups of four items, each with a body of a size.
 func jobDocument(job string, groups int, body []byte) []byte {
@@ -110,3 +113,35 @@
 	}
 	return p, r
 }
+
+// retryPause is the pause of a client before a new attempt.
+const retryPause = 500 * time.Millisecond
+
+// readUntilWhole reads the results of a batch job until all are there, or ctx ends.
+func (c *cluster) readUntilWhole(ctx context.Context, job string) {
+	after := 0
+	for try := 0; ctx.Err() == nil; try++ {
+		p, r := c.results(ctx, c.entries[try%len(c.entries)], job, after)
+		if r.ok() {
+			after = p.NextToken
+			if after == p.TotalCount {
+				c.record.add("whole", "job", job, "results", strconv.Itoa(after))
+				return
+			}
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// endJob ends a batch job.
+func (c *cluster) endJob(ctx context.Context, job string) {
+	for try := 0; ctx.Err() == nil; try++ {
+		e := c.entries[try%len(c.entries)]
+		r := call(ctx, frontClient, http.MethodDelete, "http://"+e.addr(frontPort)+"/lots/"+job, map[string]string{"Host": hostName}, nil)
+		if r.ok() {
+			c.record.add("ended", "job", job)
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
--- a/review/stands/cluster.go
+++ b/review/stands/cluster.go
@@ -51,7 +51,8 @@
 	binary, dir, prefix string
 	stores, entries     []*host
 	record              *record
-	statusS             int // how long results are readable at least, in seconds
+	statusS             int  // how long results are readable at least, in seconds
+	entrySeeds          bool // the seeds are the first entry hosts of the failure domains, in place of the store hosts
 }
 
 // freePrefix returns the first three octets of loopback addresses that nobody uses.
@@ -85,11 +86,16 @@
 
 // newCluster starts three store hosts and a number of entry hosts.
 func newCluster(binary, dir string, rec *record, entryCount, statusS int) (*cluster, error) {
+	return startCluster(&cluster{binary: binary, dir: dir, record: rec, statusS: statusS}, entryCount)
+}
+
+// startCluster starts the hosts of a cluster.
+func startCluster(c *cluster, entryCount int) (*cluster, error) {
 	prefix, err := freePrefix()
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{binary: binary, dir: dir, prefix: prefix, record: rec, statusS: statusS}
+	c.prefix = prefix
 	for i := range 3 {
 		c.stores = append(c.stores, &host{name: fmt.Sprintf("storage-%s-1", zones[i]), role: "store", ip: fmt.Sprintf("%s.%d", prefix, 10+i), zone: zones[i], memoryMB: 154, first: true})
 	}
@@ -97,7 +103,7 @@
 		c.entries = append(c.entries, &host{name: fmt.Sprintf("edge-%s-%d", zones[i%3], 1+i/3), role: "entry", ip: fmt.Sprintf("%s.%d", prefix, 20+i), zone: zones[i%3], memoryMB: 120, first: true})
 	}
 	for _, h := range c.hosts() {
-		h.dir = filepath.Join(dir, h.name)
+		h.dir = filepath.Join(c.dir, h.name)
 		if err := os.MkdirAll(filepath.Join(h.dir, "data"), 0o755); err != nil {
 			return nil, err
 		}
@@ -113,8 +119,12 @@
 // settings returns the settings file of a host, as the platform writes it.
 func (c *cluster) settings(h *host) ([]byte, error) {
 	var seeds []string
-	for _, s := range c.stores {
-		seeds = append(seeds, s.addr(controlPort))
+	for i := range c.stores {
+		seed := c.stores[i]
+		if c.entrySeeds {
+			seed = c.entries[i]
+		}
+		seeds = append(seeds, seed.addr(controlPort))
 	}
 	listen := map[string]string{"Control": h.addr(controlPort)}
 	var dataDir any
