--- a/review/stands/slowreaders.go
+++ b/review/stands/slowreaders.go
@@ -20,7 +20,7 @@
 	// readersPerEntry is the number of clients that read bodies of items at an entry host; there are 54 in all; the site file has 38
 	// clients of plain requests, and says that other clients access batch jobs all day.
 	readersPerEntry = 18
-	// readBody is the size of the body of an item; the batch job has 9.3 MB.
+	// readBody is the size of the body of an item; the batch job has 9.8 MB.
 	readBody = 7 << 20
 	// readersStart is the pause between the starts of two clients.
 	readersStart = 300 * time.Millisecond
